--- /dev/null
+++ b/src/common/blackboard/Types.ts
@@ -0,0 +1,271 @@
+import type { IServiceDocument, IRolloutState } from '../config/Types.js';
+import type { Millis, Priority, Ran } from '../Types.js';
+
+/** State of a request on its way from the caller to the delivered and billed answer. */
+export type RequestPhase =
+  'received' | 'admitted' | 'claimed' | 'queued' | 'running' | 'answered' | 'billed' | 'refused';
+
+/** Machine-readable reason of a refusal. The front end maps it to an HTTP status. */
+export type RefusalCode =
+  | 'invalid_request'
+  | 'unknown_key'
+  | 'unknown_service'
+  | 'not_ready'
+  | 'draining'
+  | 'model_not_allowed'
+  | 'version_withdrawn'
+  | 'session_version_withdrawn'
+  | 'rate_limited'
+  | 'deadline_unreachable'
+  | 'deadline_exceeded'
+  | 'no_capacity'
+  | 'store_unavailable'
+  | 'idempotency_conflict'
+  | 'already_running'
+  | 'outcome_unknown'
+  | 'request_crashes_endpoint'
+  | 'endpoint_failed'
+  | 'cancelled'
+  | 'internal_error';
+
+/** Why a request got no answer, and whether an endpoint ran it. */
+export interface IRefusal {
+  code: RefusalCode;
+  message: string;
+  ran: Ran;
+  /** Present where waiting helps. */
+  retryAfterMs?: Millis;
+}
+
+/** What the caller asks for, reduced to what decisions need. The body stays opaque to them. */
+export type RequestTarget =
+  | {
+      kind: 'model';
+      /** Model, version, or `auto`. */
+      model: string;
+      isStreaming: boolean;
+      promptTokens: number;
+      maxTokens: number;
+      /** Hashes of growing prefixes of the prompt, shortest first, for cache affinity. */
+      prefixHashes: readonly string[];
+      body: unknown;
+    }
+  | {
+      kind: 'plain';
+      /** Name of the plain service. */
+      plainService: string;
+      method: string;
+      path: string;
+      contentType: string | undefined;
+      body: Uint8Array | undefined;
+    };
+
+/** A request as the panels hold it. */
+export interface IRequestEntry {
+  id: string;
+  phase: RequestPhase;
+  service: string;
+  account: string;
+  /** Kind of request, as the caller labels it or as classified; quality is learned per kind. */
+  kind: string;
+  target: RequestTarget;
+  isIdempotent: boolean;
+  /** Key that the caller repeats a request with. */
+  idempotencyKey: string | undefined;
+  /** Hash of account and body; the same request sent again has the same fingerprint. */
+  fingerprint: string;
+  session: string | undefined;
+  priority: Priority;
+  receivedAt: Millis;
+  deadlineAt: Millis;
+  /** Version chosen for the next or current attempt. Plain services have none. */
+  version: string | undefined;
+  /** Attempt whose output goes to the caller. */
+  winner: string | undefined;
+  /** Number of attempts planned so far. */
+  attemptCount: number;
+  /** Versions tried before an escalation. */
+  escalatedFrom: readonly string[];
+  /** Whether any attempt may have been run by an endpoint. */
+  ran: Ran;
+  answer: IAnswer | undefined;
+  refusal: IRefusal | undefined;
+}
+
+/** Tokens counted by the engine. */
+export interface IUsage {
+  promptTokens: number;
+  completionTokens: number;
+}
+
+/** A complete answer before delivery. */
+export type IAnswer =
+  | { kind: 'model'; version: string; usage: IUsage; content: unknown }
+  | { kind: 'plain'; status: number; contentType: string | undefined; body: Uint8Array }
+  | { kind: 'stored'; status: number; contentType: string; body: string };
+
+/** State of one call to an endpoint. */
+export type AttemptPhase = 'planned' | 'sent' | 'streaming' | 'finished' | 'failed' | 'cancelled';
+
+/** Why an attempt was made. */
+export type AttemptRole = 'primary' | 'retry' | 'hedge' | 'escalation';
+
+/** What went wrong with an attempt. */
+export type AttemptErrorKind =
+  | 'connect-failed'
+  | 'refused'
+  | 'overloaded'
+  | 'leaving'
+  | 'crashed'
+  | 'silent'
+  | 'malformed'
+  | 'timed-out'
+  | 'rejected'
+  | 'cancelled';
+
+/** A failed attempt: the kind decides on retry, `ran` on whether a repeat is safe. */
+export interface IAttemptError {
+  kind: AttemptErrorKind;
+  message: string;
+  ran: Ran;
+}
+
+/** One call to an endpoint on behalf of a request. */
+export interface IAttemptEntry {
+  id: string;
+  phase: AttemptPhase;
+  role: AttemptRole;
+  request: string;
+  endpoint: string;
+  version: string | undefined;
+  plannedAt: Millis;
+  firstTokenAt: Millis | undefined;
+  endedAt: Millis | undefined;
+  tokens: number;
+  answer: IAnswer | undefined;
+  error: IAttemptError | undefined;
+}
+
+/** Health of an endpoint as this host sees it. */
+export type EndpointHealth = 'healthy' | 'suspect' | 'probing' | 'leaving' | 'gone';
+
+/** Load report of an endpoint; it is late by an unknown lag. */
+export interface ILoadReport {
+  running: number;
+  waiting: number;
+  /** Share of the KV cache in use, 0 to 1. */
+  cacheUse: number;
+  versions: readonly string[];
+  isLeaving: boolean;
+  receivedAt: Millis;
+}
+
+/** An endpoint: a model engine or a plain service instance. */
+export interface IEndpointEntry {
+  id: string;
+  kind: 'engine' | 'plain';
+  /** Service that may use this endpoint: the service document's name or the plain service's name. */
+  service: string;
+  address: string;
+  zone: string;
+  health: EndpointHealth;
+  healthChangedAt: Millis;
+  /** Versions loaded, from the host list or the last report. */
+  versions: readonly string[];
+  inFlight: number;
+  /** Sum of expected tokens of this host's attempts in flight. */
+  inFlightTokens: number;
+  /** Smoothed time to first token, in milliseconds. */
+  firstTokenMs: number | undefined;
+  /** Smoothed time between tokens, in milliseconds. */
+  tokenMs: number | undefined;
+  consecutiveFailures: number;
+  report: ILoadReport | undefined;
+  /** Whether the engine rejects orders with an old fencing token. */
+  checksFencing: boolean;
+}
+
+/** A service as configured by its document. */
+export interface IServiceEntry {
+  name: string;
+  document: IServiceDocument;
+  /** Version number of the configuration index that this entry comes from. */
+  revision: number;
+  /** State of each version under roll-out, by version. */
+  rollouts: Readonly<Record<string, IRolloutState>>;
+}
+
+/** State of an entry host in the membership view. */
+export type HostState = 'alive' | 'suspect' | 'leaving' | 'gone';
+
+/** An entry host as this host knows it. */
+export interface IHostEntry {
+  id: string;
+  /** Address of the peer port, `ip:port`. */
+  address: string;
+  zone: string;
+  state: HostState;
+  /** Raised by the host itself to refute a suspicion; higher wins. */
+  incarnation: number;
+  changedAt: Millis;
+}
+
+/** Use of a client account's limits on this host. */
+export interface IAccountEntry {
+  service: string;
+  account: string;
+  inFlight: number;
+  /** Requests per second that this host may admit for the account. */
+  leasedRate: number;
+  leasedUntil: Millis;
+  /** Smoothed requests per second offered at this host. */
+  demand: number;
+}
+
+/** Ownership of a journal partition by this host. */
+export type PartitionPhase = 'unowned' | 'loading' | 'owned' | 'fenced';
+
+/** A journal partition as this host knows it. */
+export interface IPartitionEntry {
+  partition: number;
+  phase: PartitionPhase;
+  /** Host that owns the partition as far as known. */
+  owner: string | undefined;
+  epoch: number;
+  nextSequence: number;
+}
+
+/** Version that a session is pinned to. */
+export interface ISessionEntry {
+  key: string;
+  version: string;
+  pinnedAt: Millis;
+  /** Whether the pin is in the journal. */
+  isDurable: boolean;
+}
+
+/** Trial state of a request that was in flight at a crashed endpoint. */
+export type SuspectState = 'suspected' | 'on-trial' | 'cleared' | 'blocked';
+
+/** Evidence that a request crashes endpoints. */
+export interface ISuspectEntry {
+  fingerprint: string;
+  state: SuspectState;
+  crashes: number;
+  /** Endpoints that crashed while running it. */
+  endpoints: readonly string[];
+  changedAt: Millis;
+}
+
+/** Observed quality of a version for one kind of request. */
+export interface IQualityEntry {
+  service: string;
+  kind: string;
+  version: string;
+  good: number;
+  bad: number;
+  errors: number;
+  finished: number;
+  /** Smoothed total latency, in milliseconds. */
+  latencyMs: number;
+}
