--- /dev/null
+++ b/src/adapters/ConfigStore.ts
@@ -0,0 +1,76 @@
+import type { Result } from 'true-myth';
+import { z } from 'zod';
+import { parseServiceDocument } from '../common/config/ServiceDocument.js';
+import type {
+  IConfigIndex,
+  IConfigRecord,
+  IDocumentProblem,
+  IServiceDocument,
+} from '../common/config/Types.js';
+import type { IConfigEditorOptions } from '../common/config/ConfigEditor.js';
+import type { IConfigCodec } from '../common/config/ConfigFeed.js';
+import type { IStore } from '../common/coordination/Types.js';
+import { parseIni } from './Ini.js';
+
+/** Store key of the configuration index. */
+export const INDEX_KEY = 'config/index';
+
+const ROLLOUT_SCHEMA = z.object({
+  version: z.string(),
+  verdict: z.enum(['ramping', 'halted', 'passed']),
+  share: z.number(),
+  reason: z.string(),
+});
+
+const INDEX_SCHEMA = z.object({
+  services: z.record(z.string(), z.number().int()),
+  rollouts: z.record(z.string(), z.record(z.string(), ROLLOUT_SCHEMA)),
+});
+
+const RECORD_SCHEMA = z.object({
+  service: z.string(),
+  number: z.number().int(),
+  text: z.string(),
+  author: z.string(),
+  editedAt: z.string(),
+});
+
+/** Returns the store key of one numbered document. */
+export function formatDocumentKey(service: string, number: number): string {
+  return `config/${service}/${number}`;
+}
+
+/** Decodes the index. */
+export function decodeIndex(value: string): IConfigIndex {
+  return INDEX_SCHEMA.parse(JSON.parse(value));
+}
+
+/** Decodes a document's record. */
+export function decodeRecord(value: string): IConfigRecord {
+  return RECORD_SCHEMA.parse(JSON.parse(value));
+}
+
+/** Parses the INI text of a service document. */
+export function parseDocumentText(text: string): Result<IServiceDocument, readonly IDocumentProblem[]> {
+  const { sections, findLine } = parseIni(text);
+  return parseServiceDocument(sections, findLine);
+}
+
+/** The store's keys and JSON encoding of the configuration. */
+export const configCodec: IConfigCodec = {
+  indexKey: INDEX_KEY,
+  formatDocumentKey,
+  decodeIndex,
+  decodeRecord,
+  parseText: parseDocumentText,
+};
+
+/** Options of a configuration editor over a store. */
+export function buildEditorOptions(store: IStore): IConfigEditorOptions {
+  return {
+    store,
+    codec: configCodec,
+    encodeIndex: (index) => JSON.stringify(index),
+    encodeRecord: (record) => JSON.stringify(record),
+  };
+}
--- /dev/null
+++ b/src/adapters/EngineClient.ts
@@ -0,0 +1,187 @@
+import { createParser } from 'eventsource-parser';
+import { Result } from 'true-myth';
+import { request as sendRequest, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import type { AttemptErrorKind, IAnswer, IAttemptError, ILoadReport } from '../common/blackboard/Types.js';
+import type { AttemptPart, IAttemptCall } from '../common/request/Types.js';
+import type { IClock, Millis, Ran } from '../common/Types.js';
+
+/** Options of the engine client. */
+export interface IEngineClientOptions {
+  clock: IClock;
+  dispatcher?: Dispatcher;
+  /** Longest wait for the response headers. Default 30,000. */
+  headersTimeoutMs?: Millis;
+  /** Longest silence between two chunks before the run counts as silent. Default 5000. */
+  silenceMs?: Millis;
+}
+
+const REPORT_SCHEMA = z.object({
+  running: z.number(),
+  waiting: z.number(),
+  cacheUse: z.number(),
+  versions: z.array(z.string()),
+  isLeaving: z.boolean(),
+});
+
+const CHUNK_SCHEMA = z.looseObject({
+  id: z.string().optional(),
+  choices: z.array(z.looseObject({ index: z.number() })),
+  usage: z.looseObject({ prompt_tokens: z.number(), completion_tokens: z.number() }).nullish(),
+});
+
+const REFUSAL_SCHEMA = z.looseObject({ ran: z.enum(['no', 'yes', 'unknown']).optional() });
+
+/** A chunk of a chat completion as the engine sent it. */
+export type ChatChunk = z.output<typeof CHUNK_SCHEMA>;
+
+/** Runs an attempt at a model engine as a stream of server-sent events. */
+export async function runEngineAttempt(
+  options: IEngineClientOptions,
+  call: IAttemptCall,
+  onPart: (part: AttemptPart) => void,
+): Promise<Result<IAnswer, IAttemptError>> {
+  const { attempt, endpoint, request, signal } = call;
+  if (request.target.kind !== 'model') return failAttempt('rejected', 'no', 'Not a request for a model.');
+  const body = {
+    ...(request.target.body as object),
+    model: attempt.version,
+    stream: true,
+    stream_options: { include_usage: true },
+  };
+  try {
+    const reply = await sendRequest(`${endpoint.address}/v1/chat/completions`, {
+      method: 'POST',
+      body: JSON.stringify(body),
+      headers: { 'content-type': 'application/json', 'x-run-id': attempt.id, 'x-priority': request.priority },
+      signal,
+      headersTimeout: options.headersTimeoutMs ?? 30_000,
+      bodyTimeout: options.silenceMs ?? 5000,
+      ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+    });
+    const report = decodeReport(reply.headers['x-load-report'], options.clock.now());
+    if (report) onPart({ kind: 'report', report });
+    if (reply.statusCode !== 200) return await mapRefusal(reply);
+    return await readStream(reply.body, attempt.version ?? '', attempt.id, onPart);
+  } catch (error) {
+    return mapCallError(error, signal);
+  }
+}
+
+/** Decodes a load report from a response header or body; `undefined` when it is missing or malformed. */
+export function decodeReport(value: unknown, receivedAt: Millis): ILoadReport | undefined {
+  try {
+    const raw: unknown = typeof value === 'string' ? JSON.parse(value) : value;
+    const parsed = REPORT_SCHEMA.safeParse(raw);
+    return parsed.success ? { ...parsed.data, receivedAt } : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+async function readStream(
+  body: Dispatcher.ResponseData['body'],
+  version: string,
+  runId: string,
+  onPart: (part: AttemptPart) => void,
+): Promise<Result<IAnswer, IAttemptError>> {
+  const reader = new ChunkReader(runId, onPart);
+  const parser = createParser({
+    onEvent: (event) => {
+      reader.accept(event.data);
+    },
+  });
+  const decoder = new TextDecoder();
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes as Uint8Array, { stream: true }));
+    if (reader.problem !== undefined) return failAttempt('malformed', 'yes', reader.problem);
+  }
+  if (!reader.isComplete || !reader.usage) {
+    return failAttempt('crashed', 'unknown', 'The stream ended before the answer was complete.');
+  }
+  const usage = {
+    promptTokens: reader.usage.prompt_tokens,
+    completionTokens: reader.usage.completion_tokens,
+  };
+  return Result.ok({ kind: 'model', version, usage, content: reader.chunks });
+}
+
+class ChunkReader {
+  public isComplete = false;
+  public problem: string | undefined;
+  public usage: NonNullable<ChatChunk['usage']> | undefined;
+  public readonly chunks: ChatChunk[] = [];
+
+  constructor(
+    private readonly _runId: string,
+    private readonly _onPart: (part: AttemptPart) => void,
+  ) {}
+
+  public accept(data: string): void {
+    if (this.problem !== undefined) return;
+    if (data === '[DONE]') {
+      this.isComplete = true;
+      return;
+    }
+    const chunk = decodeChunk(data);
+    if (!chunk) this.problem = 'The endpoint sent a malformed chunk.';
+    else if (chunk.id !== undefined && chunk.id !== this._runId) {
+      this.problem = 'The endpoint sent a chunk of another run.';
+    } else this._addChunk(chunk);
+  }
+
+  private _addChunk(chunk: ChatChunk): void {
+    this.chunks.push(chunk);
+    if (chunk.usage) this.usage = chunk.usage;
+    this._onPart({ kind: 'chunk', tokens: chunk.usage ? 0 : 1, data: chunk });
+  }
+}
+
+function decodeChunk(data: string): ChatChunk | undefined {
+  try {
+    const parsed = CHUNK_SCHEMA.safeParse(JSON.parse(data));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+async function mapRefusal(reply: Dispatcher.ResponseData): Promise<Result<IAnswer, IAttemptError>> {
+  const text = await reply.body.text();
+  const ran = decodeRan(text);
+  if (reply.statusCode === 400) return failAttempt('rejected', 'no', 'The endpoint rejected the request.');
+  if (reply.statusCode === 429) return failAttempt('overloaded', ran ?? 'no', 'The endpoint is overloaded.');
+  if (reply.statusCode === 503)
+    return failAttempt('refused', ran ?? 'no', 'The endpoint refused the request.');
+  return failAttempt('malformed', ran ?? 'unknown', `The endpoint answered with status ${reply.statusCode}.`);
+}
+
+function decodeRan(text: string): Ran | undefined {
+  try {
+    return REFUSAL_SCHEMA.safeParse(JSON.parse(text)).data?.ran;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Codes of errors that occur before any byte of the request has left. */
+const UNSENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'EHOSTUNREACH',
+]);
+const TIMEOUT_CODES: ReadonlySet<string> = new Set(['UND_ERR_BODY_TIMEOUT', 'UND_ERR_HEADERS_TIMEOUT']);
+
+/** Maps an error thrown by undici to the attempt's own kinds of error. */
+export function mapCallError(error: unknown, signal: AbortSignal): Result<IAnswer, IAttemptError> {
+  const message = error instanceof Error ? error.message : String(error);
+  const code = error instanceof Error && 'code' in error ? String(error.code) : '';
+  if (signal.aborted) return failAttempt('cancelled', 'unknown', 'The attempt was cancelled.');
+  if (UNSENT_CODES.has(code)) return failAttempt('connect-failed', 'no', message);
+  if (TIMEOUT_CODES.has(code)) return failAttempt('silent', 'unknown', message);
+  return failAttempt('crashed', 'unknown', message);
+}
+
+function failAttempt(kind: AttemptErrorKind, ran: Ran, message: string): Result<IAnswer, IAttemptError> {
+  return Result.err({ kind, ran, message });
+}
--- /dev/null
+++ b/src/adapters/HostListClient.ts
@@ -0,0 +1,42 @@
+import { Result } from 'true-myth';
+import { request as sendRequest } from 'undici';
+import { z } from 'zod';
+
+const LIST_SCHEMA = z.object({
+  machines: z.array(
+    z.object({
+      id: z.string(),
+      role: z.enum(['entry-host', 'engine', 'plain']),
+      address: z.string(),
+      zone: z.string(),
+      service: z.string(),
+      versions: z.array(z.string()),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+/** A machine in the platform's list. */
+export type ListedMachine = z.output<typeof LIST_SCHEMA>['machines'][number];
+
+/** The list could not be read. */
+export interface IHostListError {
+  kind: 'unavailable' | 'malformed';
+  message: string;
+}
+
+/** Reads the platform's list of live and leaving machines. */
+export async function fetchHostList(
+  address: string,
+  timeoutMs = 1000,
+): Promise<Result<readonly ListedMachine[], IHostListError>> {
+  try {
+    const reply = await sendRequest(`${address}/machines`, { signal: AbortSignal.timeout(timeoutMs) });
+    const parsed = LIST_SCHEMA.safeParse(await reply.body.json());
+    if (parsed.success) return Result.ok(parsed.data.machines);
+    return Result.err({ kind: 'malformed', message: parsed.error.message });
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    return Result.err({ kind: 'unavailable', message });
+  }
+}
--- /dev/null
+++ b/src/adapters/HttpStore.ts
@@ -0,0 +1,136 @@
+import { Result, Unit } from 'true-myth';
+import { request as sendRequest, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import type { IStore, IStoreValue, StoreError } from '../common/coordination/Types.js';
+import type { Millis } from '../common/Types.js';
+
+/** Options of the key-value service's client. */
+export interface IHttpStoreOptions {
+  /** Base address, `http://ip:port`. */
+  address: string;
+  /** Time after which a call counts as failed. Default 1000. */
+  timeoutMs?: Millis;
+  /** Called once for each call, for metrics. */
+  onCall?: (operation: StoreOperation) => void;
+  dispatcher?: Dispatcher;
+}
+
+/** Operations that count against the service's rates. */
+export type StoreOperation = 'get' | 'put' | 'delete' | 'watch';
+
+const VALUE_SCHEMA = z.object({ value: z.string(), version: z.number().int() });
+const VERSION_SCHEMA = z.object({ version: z.number().int() });
+const CONFLICT_SCHEMA = z.object({ current: VALUE_SCHEMA.nullable() });
+
+interface IReply {
+  status: number;
+  body: unknown;
+}
+
+/** Creates the store functions over the platform's HTTP interface. */
+export function createHttpStore(options: IHttpStoreOptions): IStore {
+  const client = new StoreClient(options);
+  return {
+    get: (key) => client.get(key),
+    put: (key, value, put) => client.put(key, value, put.expectedVersion, put.ttlMs),
+    delete: (key, expectedVersion) => client.delete(key, expectedVersion),
+    watch: (key, afterVersion, timeoutMs) => client.watch(key, afterVersion, timeoutMs),
+  };
+}
+
+class StoreClient {
+  private readonly _timeoutMs: Millis;
+
+  constructor(private readonly _options: IHttpStoreOptions) {
+    this._timeoutMs = _options.timeoutMs ?? 1000;
+  }
+
+  public async get(key: string): Promise<Result<IStoreValue | undefined, StoreError>> {
+    const reply = await this._sendCall('get', 'GET', `/kv/${encodeURIComponent(key)}`);
+    return reply.andThen((found) => decodeValue(found));
+  }
+
+  public async put(
+    key: string,
+    value: string,
+    expectedVersion: number,
+    ttlMs: Millis | undefined,
+  ): Promise<Result<number, StoreError>> {
+    const body = { value, expectedVersion, ...(ttlMs === undefined ? {} : { ttlMs }) };
+    const reply = await this._sendCall('put', 'PUT', `/kv/${encodeURIComponent(key)}`, body);
+    return reply.andThen((answer) => decodeWrite(answer, (body) => VERSION_SCHEMA.parse(body).version));
+  }
+
+  public async delete(key: string, expectedVersion: number): Promise<Result<Unit, StoreError>> {
+    const path = `/kv/${encodeURIComponent(key)}?expectedVersion=${expectedVersion}`;
+    const reply = await this._sendCall('delete', 'DELETE', path);
+    return reply.andThen((answer) => decodeWrite(answer, () => Unit));
+  }
+
+  public async watch(
+    key: string,
+    afterVersion: number,
+    timeoutMs: Millis,
+  ): Promise<Result<IStoreValue | undefined, StoreError>> {
+    const path = `/watch/${encodeURIComponent(key)}?after=${afterVersion}&waitMs=${Math.round(timeoutMs)}`;
+    const reply = await this._sendCall('watch', 'GET', path, undefined, timeoutMs + this._timeoutMs);
+    return reply.andThen((found) => decodeValue(found));
+  }
+
+  private async _sendCall(
+    operation: StoreOperation,
+    method: 'GET' | 'PUT' | 'DELETE',
+    path: string,
+    body?: unknown,
+    timeoutMs = this._timeoutMs,
+  ): Promise<Result<IReply, StoreError>> {
+    this._options.onCall?.(operation);
+    try {
+      const reply = await sendRequest(this._options.address + path, {
+        method,
+        body: body === undefined ? null : JSON.stringify(body),
+        headers: { 'content-type': 'application/json' },
+        signal: AbortSignal.timeout(timeoutMs),
+        ...(this._options.dispatcher ? { dispatcher: this._options.dispatcher } : {}),
+      });
+      return Result.ok({ status: reply.statusCode, body: await readJson(reply.body, reply.statusCode) });
+    } catch (error) {
+      return Result.err(mapCallError(method, error));
+    }
+  }
+}
+
+/** A read that failed had no effect; a write that failed may have taken effect. */
+function mapCallError(method: string, error: unknown): StoreError {
+  const message = error instanceof Error ? error.message : String(error);
+  const isRefused = error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+  return { kind: method === 'GET' || isRefused ? 'unavailable' : 'unknown-outcome', message };
+}
+
+async function readJson(body: Dispatcher.ResponseData['body'], status: number): Promise<unknown> {
+  const text = await body.text();
+  return status === 204 || text === '' ? undefined : JSON.parse(text);
+}
+
+function decodeValue(reply: IReply): Result<IStoreValue | undefined, StoreError> {
+  if (reply.status === 404 || reply.status === 204) return Result.ok(undefined);
+  const parsed = VALUE_SCHEMA.safeParse(reply.body);
+  if (reply.status === 200 && parsed.success) return Result.ok(parsed.data);
+  return Result.err({ kind: 'unavailable', message: `The store answered with status ${reply.status}.` });
+}
+
+function decodeWrite<T>(reply: IReply, decode: (body: unknown) => T): Result<T, StoreError> {
+  if (reply.status === 200) {
+    try {
+      return Result.ok(decode(reply.body));
+    } catch {
+      return Result.err({ kind: 'unknown-outcome', message: 'The store sent a malformed reply.' });
+    }
+  }
+  if (reply.status === 409) {
+    const parsed = CONFLICT_SCHEMA.safeParse(reply.body);
+    return Result.err({ kind: 'conflict', current: parsed.data?.current ?? undefined });
+  }
+  const kind = reply.status === 503 ? 'unavailable' : 'unknown-outcome';
+  return Result.err({ kind, message: `The store answered with status ${reply.status}.` });
+}
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -88,6 +88,8 @@
   escalatedFrom: readonly string[];
   /** Whether any attempt may have been run by an endpoint. */
   ran: Ran;
+  /** Whether the caller has closed its connection. */
+  isCallerGone: boolean;
   answer: IAnswer | undefined;
   refusal: IRefusal | undefined;
 }
--- /dev/null
+++ b/src/common/coordination/PartitionLog.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import { Blackboard } from '../blackboard/Blackboard.js';
+import { ManualClock } from '../../testing/ManualClock.js';
+import { MemoryStore, type StoreFault } from '../../testing/MemoryStore.js';
+import { PartitionLog } from './PartitionLog.js';
+import type { JournalEntry } from './Types.js';
+
+interface IBench {
+  clock: ManualClock;
+  store: MemoryStore;
+  faults: StoreFault[];
+  createLog: (host: string) => PartitionLog;
+}
+
+function createBench(): IBench {
+  const clock = new ManualClock();
+  const faults: StoreFault[] = [];
+  const store = new MemoryStore({
+    clock,
+    chooseFault: (operation) => (operation === 'put' ? (faults.shift() ?? 'none') : 'none'),
+  });
+  let lastId = 0;
+  const createId = (): string => `id-${(lastId += 1)}`;
+  const createLog = (host: string): PartitionLog =>
+    new PartitionLog({
+      partition: 0,
+      host,
+      board: new Blackboard(),
+      store,
+      clock,
+      readWallClock: () => clock.now(),
+      createId,
+    });
+  return { clock, store, faults, createLog };
+}
+
+const CLAIM: JournalEntry = { kind: 'claim', key: 'k', request: 'r-1', atMs: 0 };
+
+test('a repeated claim finds the first one, also after a change of owner', async (t) => {
+  const { clock, createLog } = createBench();
+  const first = createLog('host-1');
+  await first.open();
+  const claimed = first.append([CLAIM]);
+  await clock.advance(50);
+  const second = createLog('host-2');
+  await second.open();
+  const repeated = second.append([{ ...CLAIM, request: 'r-2' }]);
+  await clock.advance(50);
+  t.snapshot({ claimed: await claimed, repeated: await repeated });
+});
+
+test('a replaced owner commits nothing, however late it wakes up', async (t) => {
+  const { clock, createLog, store } = createBench();
+  const paused = createLog('host-1');
+  await paused.open();
+  const owner = createLog('host-2');
+  await owner.open();
+  const late = paused.append([CLAIM]);
+  await clock.advance(50);
+  const current = owner.append([{ ...CLAIM, request: 'r-2' }]);
+  await clock.advance(50);
+  const head = JSON.parse(store.entries.get('journal/0/head')?.value ?? '') as { entries: unknown };
+  t.snapshot({ late: await late, current: await current, entries: head.entries });
+});
+
+test('a commit whose reply was lost is read back, not written twice', async (t) => {
+  const { clock, createLog, faults, store } = createBench();
+  const log = createLog('host-1');
+  await log.open();
+  faults.push('lost-reply');
+  const claimed = log.append([CLAIM]);
+  await clock.advance(50);
+  t.snapshot({ claimed: await claimed, puts: store.counts.put });
+});
+
+test('appends fail at once while the store is down, and the open commit ends when it is back', async (t) => {
+  const { clock, createLog, faults } = createBench();
+  const log = createLog('host-1');
+  await log.open();
+  faults.push(...Array.from({ length: 5 }, (): StoreFault => 'unavailable'));
+  const waiting = log.append([CLAIM]);
+  await clock.advance(700);
+  const rejected = await log.append([{ ...CLAIM, key: 'k-2' }]);
+  await clock.advance(1000);
+  t.snapshot({ waiting: await waiting, rejected });
+});
--- /dev/null
+++ b/src/common/coordination/PartitionLog.ts
@@ -0,0 +1,218 @@
+import { Result, Unit } from 'true-myth';
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { PartitionPhase } from '../blackboard/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import type { IClock, Millis } from '../Types.js';
+import { applyEntry, createPartitionState, expireRecords, type IPartitionState } from './PartitionState.js';
+import { PartitionStorage, type IPartitionStorageOptions } from './PartitionStorage.js';
+import type { AppendOutcome, IBillTotal, IJournalRecord, JournalEntry, JournalError } from './Types.js';
+
+/** Options of a partition log. */
+export interface IPartitionLogOptions extends IPartitionStorageOptions {
+  board: Blackboard;
+  clock: IClock;
+  /** Wall-clock time in milliseconds, for retention only. */
+  readWallClock: () => number;
+  /** Shortest time between the starts of two commits; bounds the writes per second. Default 40. */
+  commitIntervalMs?: Millis;
+  /** A commit open for longer makes new appends fail at once. Default 500. */
+  failFastAfterMs?: Millis;
+  /** How long an append waits for its commit. Default 3000. */
+  appendTimeoutMs?: Millis;
+  /** How long finished records are kept. Default 7 days. */
+  retentionMs?: Millis;
+}
+
+interface IPendingAppend {
+  entries: readonly JournalEntry[];
+  settle: (result: Result<readonly AppendOutcome[], JournalError>) => void;
+}
+
+const DAY_MS = 86_400_000;
+const MAX_PENDING_APPENDS = 20_000;
+
+/**
+ * Owner's side of one journal partition. Collects entries and commits them in batches, one at a
+ * time. An owner that another host has replaced fails its next commit and stops.
+ */
+export class PartitionLog extends Disposable {
+  private _state: IPartitionState = createPartitionState();
+  private _pending: IPendingAppend[] = [];
+  private _lastCommitAt = Number.NEGATIVE_INFINITY;
+  private _commitOpenSince: Millis | undefined;
+  private _isCommitScheduled = false;
+  private _phase: PartitionPhase = 'unowned';
+  private readonly _storage: PartitionStorage;
+  private readonly _options: Required<
+    Omit<IPartitionLogOptions, keyof Omit<IPartitionStorageOptions, 'partition' | 'host'>>
+  > & { clock: IClock };
+
+  constructor(options: IPartitionLogOptions) {
+    super();
+    this._options = {
+      commitIntervalMs: 40,
+      failFastAfterMs: 500,
+      appendTimeoutMs: 3000,
+      retentionMs: 7 * DAY_MS,
+      ...options,
+    };
+    this._storage = new PartitionStorage(options);
+    this._writePanel();
+  }
+
+  /** Reads the partition to its end and becomes its owner. */
+  public async open(): Promise<Result<Unit, JournalError>> {
+    this._movePhase('loading');
+    const loaded = await this._storage.load();
+    if (loaded.isErr) {
+      this._movePhase('unowned');
+      return Result.err(loaded.error);
+    }
+    this._state = loaded.value;
+    if ((await this._storage.takeOwnership()) === 'fenced') {
+      this._movePhase('fenced');
+      return Result.err({ kind: 'not-owner', message: 'Another host took the partition first.' });
+    }
+    this._movePhase('owned');
+    return Result.ok(Unit);
+  }
+
+  /** Appends entries atomically; resolves once they are durable. */
+  public append(entries: readonly JournalEntry[]): Promise<Result<readonly AppendOutcome[], JournalError>> {
+    const rejection = this._findRejection();
+    if (rejection) return Promise.resolve(Result.err(rejection));
+    return new Promise((resolve) => {
+      const timeout = this._options.clock.schedule(this._options.appendTimeoutMs, () => {
+        resolve(Result.err({ kind: 'unknown-outcome', message: 'The commit did not finish in time.' }));
+      });
+      this._pending.push({
+        entries,
+        settle: (result) => {
+          timeout.dispose();
+          resolve(result);
+        },
+      });
+      this._scheduleCommit();
+    });
+  }
+
+  /** Reads the record of a key once everything appended before is durable. */
+  public async readRecord(key: string): Promise<Result<IJournalRecord | undefined, JournalError>> {
+    const barrier = await this.append([]);
+    return barrier.map(() => this._state.records.get(key));
+  }
+
+  /** Lists the bills of all client accounts of this partition. */
+  public listTotals(): readonly IBillTotal[] {
+    return [...this._state.totals.values()];
+  }
+
+  /** Resolves when every accepted append is settled. */
+  public async drain(): Promise<void> {
+    if (this._phase === 'owned') await this.append([]);
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    this._storage.close();
+    this._failPending({ kind: 'not-owner', message: 'The partition log is closed.' });
+    this._movePhase('unowned');
+  }
+
+  private _findRejection(): JournalError | undefined {
+    if (this._phase !== 'owned') return { kind: 'not-owner', message: `The partition is ${this._phase}.` };
+    if (this._pending.length >= MAX_PENDING_APPENDS) {
+      return { kind: 'unavailable', message: 'Too many appends are waiting.' };
+    }
+    const now = this._options.clock.now();
+    if (now - (this._commitOpenSince ?? now) > this._options.failFastAfterMs) {
+      return { kind: 'unavailable', message: 'The store does not answer.' };
+    }
+    return undefined;
+  }
+
+  private _scheduleCommit(): void {
+    if (this._isCommitScheduled || this._pending.length === 0 || this._phase !== 'owned') return;
+    this._isCommitScheduled = true;
+    const wait = this._lastCommitAt + this._options.commitIntervalMs - this._options.clock.now();
+    this._options.clock.schedule(Math.max(0, wait), () => {
+      void this._runCommit();
+    });
+  }
+
+  private async _runCommit(): Promise<void> {
+    const appends = this._pending;
+    this._pending = [];
+    const written: JournalEntry[] = [];
+    const outcomes = appends.map((append) => this._applyEntries(append.entries, written));
+    if (written.length > 0 && !(await this._commitBatch(written))) {
+      this._stopAsFenced(appends);
+      return;
+    }
+    appends.forEach((append, index) => {
+      append.settle(Result.ok(outcomes[index] ?? []));
+    });
+    if (!(await this._writeCheckpointIfDue())) {
+      this._stopAsFenced([]);
+      return;
+    }
+    this._isCommitScheduled = false;
+    this._scheduleCommit();
+  }
+
+  private _applyEntries(entries: readonly JournalEntry[], written: JournalEntry[]): AppendOutcome[] {
+    return entries.map((entry) => {
+      const outcome = applyEntry(this._state, entry);
+      if (outcome.kind === 'committed') written.push(entry);
+      return outcome;
+    });
+  }
+
+  private async _commitBatch(entries: readonly JournalEntry[]): Promise<boolean> {
+    this._lastCommitAt = this._options.clock.now();
+    this._commitOpenSince = this._lastCommitAt;
+    const outcome = await this._storage.commit(entries);
+    this._commitOpenSince = undefined;
+    this._writePanel();
+    return outcome === 'committed';
+  }
+
+  private async _writeCheckpointIfDue(): Promise<boolean> {
+    if (!this._storage.needsCheckpoint()) return true;
+    expireRecords(this._state, this._options.readWallClock() - this._options.retentionMs);
+    return (await this._storage.writeCheckpoint(this._state)) === 'committed';
+  }
+
+  private _stopAsFenced(appends: readonly IPendingAppend[]): void {
+    this._isCommitScheduled = false;
+    this._movePhase('fenced');
+    // The batch that failed may still be committed if the log was closed in the middle of a swap.
+    const unknown: JournalError = { kind: 'unknown-outcome', message: 'The partition changed its owner.' };
+    for (const append of appends) append.settle(Result.err(unknown));
+    this._failPending({ kind: 'not-owner', message: 'Another host owns the partition.' });
+  }
+
+  private _failPending(error: JournalError): void {
+    const pending = this._pending;
+    this._pending = [];
+    for (const append of pending) append.settle(Result.err(error));
+  }
+
+  private _movePhase(phase: PartitionPhase): void {
+    this._phase = phase;
+    this._writePanel();
+  }
+
+  private _writePanel(): void {
+    const { partition, host, board } = this._options;
+    const known = board.partitions.get(partition)?.owner;
+    const other = known === host ? undefined : known;
+    board.partitions.set(partition, {
+      partition,
+      phase: this._phase,
+      owner: this._phase === 'owned' ? host : other,
+      epoch: this._storage.head.epoch,
+      nextSequence: this._storage.head.sequence,
+    });
+  }
+}
--- /dev/null
+++ b/src/common/coordination/PartitionState.ts
@@ -0,0 +1,117 @@
+import type { AppendOutcome, IBill, IBillTotal, IJournalRecord, JournalEntry } from './Types.js';
+
+/** In-memory state of a journal partition; rebuilt from the checkpoint and the batches after it. */
+export interface IPartitionState {
+  records: Map<string, IJournalRecord>;
+  totals: Map<string, IBillTotal>;
+}
+
+/** State of a partition as JSON can carry it. */
+export interface IPartitionSnapshot {
+  records: IJournalRecord[];
+  totals: IBillTotal[];
+}
+
+/** Creates an empty state. */
+export function createPartitionState(): IPartitionState {
+  return { records: new Map(), totals: new Map() };
+}
+
+/** Copies a state into parts of plain lists; the totals are in the first part. */
+export function toSnapshots(state: IPartitionState, recordsPerPart: number): IPartitionSnapshot[] {
+  const records = [...state.records.values()];
+  const parts: IPartitionSnapshot[] = [];
+  for (let start = 0; start === 0 || start < records.length; start += recordsPerPart) {
+    const totals = start === 0 ? [...state.totals.values()] : [];
+    parts.push({ records: records.slice(start, start + recordsPerPart), totals });
+  }
+  return parts;
+}
+
+/** Builds a state from the parts of a checkpoint. */
+export function buildState(parts: readonly IPartitionSnapshot[]): IPartitionState {
+  const state = createPartitionState();
+  for (const part of parts) {
+    for (const record of part.records) state.records.set(record.key, record);
+    for (const total of part.totals) state.totals.set(formatTotalKey(total), total);
+  }
+  return state;
+}
+
+/**
+ * Applies one entry. The owner calls it before the commit and every reader of the log calls it in
+ * the same order, so both reach the same state. A duplicate changes nothing.
+ */
+export function applyEntry(state: IPartitionState, entry: JournalEntry): AppendOutcome {
+  const record = state.records.get(entry.key) ?? createRecord(entry);
+  switch (entry.kind) {
+    case 'claim':
+      return applyClaim(state, record, entry.request);
+    case 'release':
+      return applyRelease(state, record, entry.request);
+    case 'outcome':
+      if (record.claim !== 'claimed' || record.request !== entry.request)
+        return { kind: 'duplicate', record };
+      return writeRecord(state, { ...record, claim: entry.outcome, answer: entry.answer });
+    case 'bill':
+      if (record.isBilled) return { kind: 'duplicate', record };
+      addBill(state, entry.bill);
+      return writeRecord(state, { ...record, isBilled: true });
+    case 'pin':
+      if (record.version !== undefined) return { kind: 'duplicate', record };
+      return writeRecord(state, { ...record, version: entry.version });
+  }
+}
+
+/** Removes records that are older than the retention limit. Open claims stay. */
+export function expireRecords(state: IPartitionState, olderThanMs: number): void {
+  for (const [key, record] of state.records) {
+    if (record.claim !== 'claimed' && record.atMs < olderThanMs) state.records.delete(key);
+  }
+}
+
+function applyClaim(state: IPartitionState, record: IJournalRecord, request: string): AppendOutcome {
+  // The same request repeats its own append after a lost reply; it holds the claim already.
+  if (record.claim === 'claimed' && record.request === request) return { kind: 'committed' };
+  if (record.claim !== 'unclaimed') return { kind: 'duplicate', record };
+  return writeRecord(state, { ...record, claim: 'claimed', request });
+}
+
+function applyRelease(state: IPartitionState, record: IJournalRecord, request: string): AppendOutcome {
+  if (record.claim !== 'claimed' || record.request !== request) return { kind: 'duplicate', record };
+  return writeRecord(state, { ...record, claim: 'unclaimed', request: undefined });
+}
+
+function writeRecord(state: IPartitionState, record: IJournalRecord): AppendOutcome {
+  state.records.set(record.key, record);
+  return { kind: 'committed' };
+}
+
+function createRecord(entry: JournalEntry): IJournalRecord {
+  return {
+    key: entry.key,
+    claim: 'unclaimed',
+    request: undefined,
+    answer: undefined,
+    isBilled: false,
+    version: undefined,
+    atMs: 'atMs' in entry ? entry.atMs : 0,
+  };
+}
+
+function addBill(state: IPartitionState, bill: IBill): void {
+  const key = formatTotalKey(bill);
+  const total = state.totals.get(key);
+  state.totals.set(key, {
+    service: bill.service,
+    account: bill.account,
+    count: (total?.count ?? 0) + 1,
+    promptTokens: (total?.promptTokens ?? 0) + bill.promptTokens,
+    completionTokens: (total?.completionTokens ?? 0) + bill.completionTokens,
+    cost: (total?.cost ?? 0) + bill.cost,
+  });
+}
+
+function formatTotalKey(of: { service: string; account: string }): string {
+  return `${of.service}/${of.account}`;
+}
--- /dev/null
+++ b/src/common/coordination/PartitionStorage.ts
@@ -0,0 +1,265 @@
+import { Result } from 'true-myth';
+import type { IClock, Millis } from '../Types.js';
+import {
+  applyEntry,
+  buildState,
+  createPartitionState,
+  toSnapshots,
+  type IPartitionSnapshot,
+  type IPartitionState,
+} from './PartitionState.js';
+import type { IStore, IStoreValue, JournalEntry, JournalError, StoreError } from './Types.js';
+
+/**
+ * Value of the key `journal/<partition>/head`. Its compare-and-swap is both the commit of a batch and
+ * the fence: the store never reuses a version, so an owner that another host replaced can never
+ * swap the head again, however long it was paused.
+ */
+export interface IPartitionHead {
+  /** Tells the writer's own swap from another's when a reply was lost. */
+  batchId: string;
+  owner: string;
+  /** Grows with each change of owner. */
+  epoch: number;
+  /** Grows with each batch. */
+  sequence: number;
+  /** Keys of the checkpoint's parts. */
+  checkpoint: readonly string[];
+  /** Keys of the segments after the checkpoint, oldest first. */
+  segments: readonly string[];
+  /** Entries after the last segment. */
+  entries: readonly JournalEntry[];
+}
+
+/** Options of a partition's storage. */
+export interface IPartitionStorageOptions {
+  partition: number;
+  host: string;
+  store: IStore;
+  clock: IClock;
+  createId: () => string;
+  /** Wait before a failed store call is tried again. Default 200. */
+  retryDelayMs?: Millis;
+  /** Entries of this encoded size move from the head to a segment. Default 16,384. */
+  segmentBytes?: number;
+  /** Encoded records per part of a checkpoint. Default 2,000. */
+  recordsPerPart?: number;
+  /** Smallest size of the segments, in bytes, that is folded into a checkpoint. Default 262,144. */
+  checkpointBytes?: number;
+}
+
+/** Result of a swap: whether this host is still the owner. */
+export type SwapOutcome = 'committed' | 'fenced';
+
+const EMPTY_HEAD: IPartitionHead = {
+  batchId: '',
+  owner: '',
+  epoch: 0,
+  sequence: 0,
+  checkpoint: [],
+  segments: [],
+  entries: [],
+};
+
+/** Reads and writes the store keys of one journal partition. Owns no timing and no entries in waiting. */
+export class PartitionStorage {
+  private _head: IPartitionHead = EMPTY_HEAD;
+  private _headVersion = 0;
+  private _entryBytes = 0;
+  private _segmentBytes = 0;
+  private _checkpointBytes = 0;
+  private _isClosed = false;
+  private readonly _options: Required<IPartitionStorageOptions>;
+
+  constructor(options: IPartitionStorageOptions) {
+    this._options = {
+      retryDelayMs: 200,
+      segmentBytes: 16_384,
+      recordsPerPart: 2000,
+      checkpointBytes: 262_144,
+      ...options,
+    };
+  }
+
+  public get head(): IPartitionHead {
+    return this._head;
+  }
+
+  /** Reads the head and everything it names, and rebuilds the state. */
+  public async load(): Promise<Result<IPartitionState, JournalError>> {
+    const found = await this._options.store.get(this._headKey);
+    if (found.isErr) return Result.err(mapStoreError(found.error));
+    this._setHead(found.value ? decodeHead(found.value.value) : EMPTY_HEAD, found.value?.version ?? 0);
+    const checkpoint = await this._readAll(this._head.checkpoint);
+    if (checkpoint.isErr) return Result.err(checkpoint.error);
+    const segments = await this._readAll(this._head.segments);
+    if (segments.isErr) return Result.err(segments.error);
+    this._checkpointBytes = sumLengths(checkpoint.value);
+    this._segmentBytes = sumLengths(segments.value);
+    return Result.ok(rebuildState(checkpoint.value, segments.value, this._head.entries));
+  }
+
+  /** Makes this host the owner. Fails when another host swapped the head since `load`. */
+  public takeOwnership(): Promise<SwapOutcome> {
+    return this._swapHead({ owner: this._options.host, epoch: this._head.epoch + 1 });
+  }
+
+  /** Commits a batch. Waits through store outages until the outcome is known. */
+  public async commit(entries: readonly JournalEntry[]): Promise<SwapOutcome> {
+    const bytes = JSON.stringify(entries).length;
+    if (this._entryBytes + bytes <= this._options.segmentBytes || this._head.entries.length === 0) {
+      this._entryBytes += bytes;
+      return this._swapHead({ entries: [...this._head.entries, ...entries] });
+    }
+    return this._commitWithNewSegment(entries, bytes);
+  }
+
+  /** Tells whether enough segments have gathered to be worth a checkpoint. */
+  public needsCheckpoint(): boolean {
+    // Half of the checkpoint's size bounds both the rewriting and what a new owner has to read.
+    return this._segmentBytes > Math.max(this._options.checkpointBytes, this._checkpointBytes / 2);
+  }
+
+  /** Replaces checkpoint and segments by a new checkpoint of the committed state. */
+  public async writeCheckpoint(state: IPartitionState): Promise<SwapOutcome> {
+    const parts = toSnapshots(state, this._options.recordsPerPart).map((part) => JSON.stringify(part));
+    const keys: string[] = [];
+    for (const part of parts) keys.push(await this._createPart('checkpoint', part));
+    const replaced = [...this._head.checkpoint, ...this._head.segments];
+    const outcome = await this._swapHead({ checkpoint: keys, segments: [], entries: [] });
+    if (outcome === 'fenced') return outcome;
+    this._checkpointBytes = sumLengths(parts);
+    this._segmentBytes = 0;
+    this._entryBytes = 0;
+    await this._deleteKeys(replaced);
+    return outcome;
+  }
+
+  /** Ends the waits of swaps in progress; they report `fenced`. */
+  public close(): void {
+    this._isClosed = true;
+  }
+
+  private async _commitWithNewSegment(entries: readonly JournalEntry[], bytes: number): Promise<SwapOutcome> {
+    const key = await this._createPart('segment', JSON.stringify(this._head.entries));
+    this._segmentBytes += this._entryBytes;
+    this._entryBytes = bytes;
+    return this._swapHead({ segments: [...this._head.segments, key], entries });
+  }
+
+  /** Creates a key with a unique name; it has no effect until the head names it. */
+  private async _createPart(kind: 'checkpoint' | 'segment', value: string): Promise<string> {
+    const key = `journal/${this._options.partition}/${kind}/${this._options.createId()}`;
+    for (;;) {
+      const created = await this._options.store.put(key, value, { expectedVersion: 0 });
+      // A conflict on a unique name is this host's own earlier write, whose reply was lost.
+      if (created.isOk || created.error.kind === 'conflict' || this._isClosed) return key;
+      await this._waitToRetry();
+    }
+  }
+
+  private async _swapHead(patch: Partial<IPartitionHead>): Promise<SwapOutcome> {
+    const head: IPartitionHead = {
+      ...this._head,
+      ...patch,
+      batchId: this._options.createId(),
+      sequence: this._head.sequence + 1,
+    };
+    const value = JSON.stringify(head);
+    while (!this._isClosed) {
+      const version = await this._trySwap(value, head.batchId);
+      if (version === 'fenced') return 'fenced';
+      if (version !== 'unknown') {
+        this._setHead(head, version);
+        return 'committed';
+      }
+      await this._waitToRetry();
+    }
+    return 'fenced';
+  }
+
+  /** Swaps once and resolves a lost reply by reading the head back. */
+  private async _trySwap(value: string, batchId: string): Promise<number | 'fenced' | 'unknown'> {
+    const expectedVersion = this._headVersion;
+    const swapped = await this._options.store.put(this._headKey, value, { expectedVersion });
+    if (swapped.isOk) return swapped.value;
+    if (swapped.error.kind === 'conflict' && swapped.error.current) {
+      return this._classifyHead(swapped.error.current, batchId);
+    }
+    const found = await this._options.store.get(this._headKey);
+    if (found.isErr) return 'unknown';
+    if (!found.value) return expectedVersion === 0 ? 'unknown' : 'fenced';
+    return this._classifyHead(found.value, batchId);
+  }
+
+  private _classifyHead(found: IStoreValue, batchId: string): number | 'fenced' | 'unknown' {
+    if (decodeHead(found.value).batchId === batchId) return found.version;
+    return found.version === this._headVersion ? 'unknown' : 'fenced';
+  }
+
+  private async _readAll(keys: readonly string[]): Promise<Result<string[], JournalError>> {
+    const values: string[] = [];
+    for (const key of keys) {
+      const found = await this._options.store.get(key);
+      if (found.isErr) return Result.err(mapStoreError(found.error));
+      // The head moved on and its new owner deleted the key.
+      if (!found.value)
+        return Result.err({ kind: 'not-owner', message: 'The partition changed while read.' });
+      values.push(found.value.value);
+    }
+    return Result.ok(values);
+  }
+
+  private async _deleteKeys(keys: readonly string[]): Promise<void> {
+    for (const key of keys) {
+      const found = await this._options.store.get(key);
+      if (found.isOk && found.value) await this._options.store.delete(key, found.value.version);
+    }
+  }
+
+  private _waitToRetry(): Promise<void> {
+    return new Promise((resolve) => {
+      this._options.clock.schedule(this._options.retryDelayMs, resolve);
+    });
+  }
+
+  private _setHead(head: IPartitionHead, version: number): void {
+    this._head = head;
+    this._headVersion = version;
+  }
+
+  private get _headKey(): string {
+    return `journal/${this._options.partition}/head`;
+  }
+}
+
+function rebuildState(
+  checkpoint: readonly string[],
+  segments: readonly string[],
+  entries: readonly JournalEntry[],
+): IPartitionState {
+  const state =
+    checkpoint.length > 0
+      ? buildState(checkpoint.map((part) => JSON.parse(part) as IPartitionSnapshot))
+      : createPartitionState();
+  for (const segment of segments) applyAll(state, JSON.parse(segment) as JournalEntry[]);
+  applyAll(state, entries);
+  return state;
+}
+
+function applyAll(state: IPartitionState, entries: readonly JournalEntry[]): void {
+  for (const entry of entries) applyEntry(state, entry);
+}
+
+function decodeHead(value: string): IPartitionHead {
+  return JSON.parse(value) as IPartitionHead;
+}
+
+function sumLengths(values: readonly string[]): number {
+  return values.reduce((sum, value) => sum + value.length, 0);
+}
+
+function mapStoreError(error: StoreError): JournalError {
+  if (error.kind === 'conflict') return { kind: 'not-owner', message: 'Another host wrote the key.' };
+  return { kind: 'unavailable', message: error.message };
+}
--- /dev/null
+++ b/src/common/policy/Versions.ts
@@ -0,0 +1,86 @@
+import type { IRequestEntry } from '../blackboard/Types.js';
+import type { IServiceDocument, IVersionSpec } from '../config/Types.js';
+import type { IVersionView, VersionDecision } from '../request/Types.js';
+import { listAllowedVersions } from './Admission.js';
+
+/**
+ * Chooses the cheapest version that the document expects to meet the quality target, or the best one
+ * when none does. A session's pinned version is kept.
+ */
+export function chooseCheapestExpected(view: IVersionView): VersionDecision {
+  const usable = listUsableVersions(view);
+  if (usable.kind === 'refuse') return usable;
+  const target = view.service.document.qualityTarget;
+  const sufficient = usable.versions.filter((version) => version.expectedQuality >= target);
+  const chosen = sufficient.length > 0 ? pickCheapest(sufficient) : pickBest(usable.versions);
+  return { kind: 'use', version: chosen.name };
+}
+
+/** Baseline: always the version with the highest expected quality. */
+export function chooseStrongest(view: IVersionView): VersionDecision {
+  const usable = listUsableVersions(view);
+  return usable.kind === 'refuse' ? usable : { kind: 'use', version: pickBest(usable.versions).name };
+}
+
+/** Baseline: always the version with the lowest price. */
+export function chooseCheapest(view: IVersionView): VersionDecision {
+  const usable = listUsableVersions(view);
+  return usable.kind === 'refuse' ? usable : { kind: 'use', version: pickCheapest(usable.versions).name };
+}
+
+/** Versions that a request may be sent to now, at least one, or the refusal that says why there is none. */
+export type UsableVersions =
+  | { kind: 'use'; versions: readonly [IVersionSpec, ...IVersionSpec[]] }
+  | Extract<VersionDecision, { kind: 'refuse' }>;
+
+/** Lists the versions that document, account, stage, session and endpoints allow for a new request. */
+export function listUsableVersions(view: IVersionView): UsableVersions {
+  const { request, service, pinnedVersion } = view;
+  if (pinnedVersion !== undefined) return findPinnedVersion(view, pinnedVersion);
+  const allowed = listVersionsOf(request, service.document);
+  const open = allowed.filter((version) => isOpenForNewWork(view, version));
+  const [first, ...others] = open.filter((version) => view.hasEndpoint(version.name));
+  if (first) return { kind: 'use', versions: [first, ...others] };
+  if (open.length > 0) return refuseForCapacity(request);
+  const message = 'No allowed version takes new work.';
+  return { kind: 'refuse', refusal: { code: 'version_withdrawn', message, ran: request.ran } };
+}
+
+function findPinnedVersion(view: IVersionView, name: string): UsableVersions {
+  const { request, service } = view;
+  const version = listVersionsOf(request, service.document).find((allowed) => allowed.name === name);
+  if (!version || version.stage === 'withdrawn') {
+    const message = `The session's version '${name}' has been withdrawn or is not allowed.`;
+    return { kind: 'refuse', refusal: { code: 'session_version_withdrawn', message, ran: request.ran } };
+  }
+  return view.hasEndpoint(name) ? { kind: 'use', versions: [version] } : refuseForCapacity(request);
+}
+
+/** A version that is being withdrawn only serves sessions that are pinned to it. */
+function isOpenForNewWork(view: IVersionView, version: IVersionSpec): boolean {
+  if (version.stage === 'withdrawn' || version.stage === 'withdrawing') return false;
+  return view.service.rollouts[version.name]?.verdict !== 'halted';
+}
+
+function listVersionsOf(request: IRequestEntry, document: IServiceDocument): IVersionSpec[] {
+  const account = document.accounts[request.account];
+  if (!account || request.target.kind !== 'model') return [];
+  return listAllowedVersions(document, account, request.target.model);
+}
+
+function refuseForCapacity(request: IRequestEntry): UsableVersions {
+  const message = 'No endpoint has an allowed version loaded.';
+  return { kind: 'refuse', refusal: { code: 'no_capacity', message, ran: request.ran, retryAfterMs: 1000 } };
+}
+
+function pickCheapest(versions: readonly IVersionSpec[]): IVersionSpec {
+  return versions.reduce((best, version) =>
+    version.pricePerThousandTokens < best.pricePerThousandTokens ? version : best,
+  );
+}
+
+function pickBest(versions: readonly IVersionSpec[]): IVersionSpec {
+  return versions.reduce((best, version) =>
+    version.expectedQuality > best.expectedQuality ? version : best,
+  );
+}
--- /dev/null
+++ b/src/common/request/AttemptController.ts
@@ -0,0 +1,189 @@
+import type { Result } from 'true-myth';
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type {
+  IAnswer,
+  IAttemptEntry,
+  IAttemptError,
+  IEndpointEntry,
+  IRequestEntry,
+} from '../blackboard/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import type { IClock, Millis } from '../Types.js';
+import { hasEnded } from './Refusals.js';
+import type { AttemptPart, DeliverChunk, RunAttempt } from './Types.js';
+
+/** Options of the attempt controller. */
+export interface IAttemptOptions {
+  board: Blackboard;
+  clock: IClock;
+  runAttempt: RunAttempt;
+  deliverChunk: DeliverChunk;
+}
+
+/** Weight of the newest sample in smoothed latencies. */
+const LATENCY_WEIGHT = 0.2;
+
+/**
+ * Runs planned attempts through the adapter. Chunks go straight to the front end; the panels see
+ * phases, counts and latencies only, so that the cost per token stays small.
+ */
+export class AttemptController extends Disposable {
+  private readonly _running = new Map<string, AbortController>();
+
+  constructor(private readonly _options: IAttemptOptions) {
+    super();
+    const { board } = _options;
+    this._register(
+      board.attempts.onChange(({ before, after }) => {
+        if (after?.phase === 'planned' && !before) void this._run(after);
+        if (after?.phase === 'cancelled') this._abort(after.id);
+      }),
+    );
+    this._register(
+      board.requests.onChange(({ key, after }) => {
+        if (!after || hasEnded(after)) this._cancelAttempts(key);
+      }),
+    );
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    for (const id of [...this._running.keys()]) this._abort(id);
+  }
+
+  private async _run(attempt: IAttemptEntry): Promise<void> {
+    const { board, runAttempt } = this._options;
+    const request = board.requests.get(attempt.request);
+    const endpoint = board.endpoints.get(attempt.endpoint);
+    if (!request || !endpoint || hasEnded(request)) {
+      this._finish(attempt, 'cancelled', undefined, undefined);
+      return;
+    }
+    const controller = new AbortController();
+    this._running.set(attempt.id, controller);
+    board.attempts.update(attempt.id, { phase: 'sent' });
+    const progress = new AttemptProgress(this._options, attempt, request);
+    const result = await runAttempt({ attempt, request, endpoint, signal: controller.signal }, (part) => {
+      progress.handlePart(part);
+    });
+    this._running.delete(attempt.id);
+    progress.end();
+    this._settle(attempt, progress, result);
+  }
+
+  private _settle(
+    attempt: IAttemptEntry,
+    progress: AttemptProgress,
+    result: Result<IAnswer, IAttemptError>,
+  ): void {
+    this._observe(attempt, progress, result.isOk);
+    if (this._options.board.attempts.get(attempt.id)?.phase === 'cancelled') {
+      this._finish(attempt, 'cancelled', undefined, undefined);
+    } else if (result.isOk) this._finish(attempt, 'finished', result.value, undefined);
+    else this._finish(attempt, 'failed', undefined, result.error);
+  }
+
+  private _finish(
+    attempt: IAttemptEntry,
+    phase: 'finished' | 'failed' | 'cancelled',
+    answer: IAnswer | undefined,
+    error: IAttemptError | undefined,
+  ): void {
+    const { board, clock } = this._options;
+    this._releaseEndpoint(attempt);
+    board.attempts.update(attempt.id, { phase, answer, error, endedAt: clock.now() });
+  }
+
+  private _releaseEndpoint(attempt: IAttemptEntry): void {
+    const { board } = this._options;
+    const endpoint = board.endpoints.get(attempt.endpoint);
+    if (!endpoint) return;
+    const target = board.requests.get(attempt.request)?.target;
+    const tokens = target?.kind === 'model' ? target.maxTokens : 0;
+    board.endpoints.update(endpoint.id, {
+      inFlight: Math.max(0, endpoint.inFlight - 1),
+      inFlightTokens: Math.max(0, endpoint.inFlightTokens - tokens),
+    });
+  }
+
+  private _observe(attempt: IAttemptEntry, progress: AttemptProgress, isSuccess: boolean): void {
+    const { board } = this._options;
+    const endpoint = board.endpoints.get(attempt.endpoint);
+    if (!endpoint) return;
+    const patch: Partial<IEndpointEntry> = {
+      consecutiveFailures: isSuccess ? 0 : endpoint.consecutiveFailures + 1,
+    };
+    const { firstTokenMs, tokenMs } = progress;
+    if (firstTokenMs !== undefined) patch.firstTokenMs = computeSmoothed(endpoint.firstTokenMs, firstTokenMs);
+    if (tokenMs !== undefined) patch.tokenMs = computeSmoothed(endpoint.tokenMs, tokenMs);
+    board.endpoints.update(endpoint.id, patch);
+  }
+
+  private _cancelAttempts(request: string): void {
+    const { board } = this._options;
+    for (const id of this._running.keys()) {
+      if (board.attempts.get(id)?.request === request) board.attempts.update(id, { phase: 'cancelled' });
+    }
+  }
+
+  private _abort(id: string): void {
+    this._running.get(id)?.abort();
+  }
+}
+
+class AttemptProgress {
+  private _tokens = 0;
+  private _firstTokenAt: Millis | undefined;
+  private _lastTokenAt: Millis | undefined;
+  private _hasEnded = false;
+
+  constructor(
+    private readonly _options: IAttemptOptions,
+    private readonly _attempt: IAttemptEntry,
+    private readonly _request: IRequestEntry,
+  ) {}
+
+  public get firstTokenMs(): Millis | undefined {
+    return this._firstTokenAt === undefined ? undefined : this._firstTokenAt - this._attempt.plannedAt;
+  }
+
+  public get tokenMs(): Millis | undefined {
+    if (this._firstTokenAt === undefined || this._lastTokenAt === undefined || this._tokens < 2)
+      return undefined;
+    return (this._lastTokenAt - this._firstTokenAt) / (this._tokens - 1);
+  }
+
+  public handlePart(part: AttemptPart): void {
+    if (this._hasEnded) return;
+    if (part.kind === 'report') {
+      this._options.board.endpoints.update(this._attempt.endpoint, { report: part.report });
+      return;
+    }
+    this._lastTokenAt = this._options.clock.now();
+    if (this._firstTokenAt === undefined) this._handleFirstToken(this._lastTokenAt);
+    this._tokens += part.tokens;
+    if (this._isWinner()) this._options.deliverChunk(this._request.id, part.data);
+  }
+
+  public end(): void {
+    this._hasEnded = true;
+    this._options.board.attempts.update(this._attempt.id, { tokens: this._tokens });
+  }
+
+  private _handleFirstToken(now: Millis): void {
+    const { board } = this._options;
+    this._firstTokenAt = now;
+    board.attempts.update(this._attempt.id, { phase: 'streaming', firstTokenAt: now });
+    if (board.requests.get(this._request.id)?.winner !== undefined) return;
+    // The first attempt with output wins; a hedge that answers later is cancelled by its controller.
+    board.requests.update(this._request.id, { winner: this._attempt.id, ran: 'yes' });
+  }
+
+  private _isWinner(): boolean {
+    return this._options.board.requests.get(this._request.id)?.winner === this._attempt.id;
+  }
+}
+
+function computeSmoothed(previous: number | undefined, sample: number): number {
+  return previous === undefined ? sample : previous + LATENCY_WEIGHT * (sample - previous);
+}
--- /dev/null
+++ b/src/common/request/ClaimController.ts
@@ -0,0 +1,90 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IRequestEntry } from '../blackboard/Types.js';
+import type { IJournal, IJournalRecord, JournalError } from '../coordination/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import { refuseRequest } from './Refusals.js';
+
+/** Options of the claim controller. */
+export interface IClaimOptions {
+  board: Blackboard;
+  journal: IJournal;
+  /** Wall-clock time in milliseconds, for retention. */
+  readWallClock: () => number;
+  /** Hashes client account and idempotency key, or the request id where there is no key. */
+  hashKey: (request: IRequestEntry) => string;
+}
+
+/** How long a caller should wait before it repeats a request that the store could not claim. */
+const STORE_RETRY_AFTER_MS = 2000;
+
+/**
+ * Claims non-idempotent requests durably before anything is sent, and moves requests from `admitted`
+ * to `claimed`. A repeat gets the stored answer, or a refusal that says what is known.
+ */
+export class ClaimController extends Disposable {
+  constructor(private readonly _options: IClaimOptions) {
+    super();
+    this._register(
+      _options.board.requests.onChange(({ before, after }) => {
+        if (after?.phase === 'admitted' && before?.phase !== 'admitted') this._handleAdmitted(after);
+      }),
+    );
+  }
+
+  private _handleAdmitted(request: IRequestEntry): void {
+    if (request.isIdempotent) {
+      this._options.board.requests.update(request.id, { phase: 'claimed' });
+      return;
+    }
+    void this._claim(request);
+  }
+
+  private async _claim(request: IRequestEntry): Promise<void> {
+    const { board, hashKey, journal, readWallClock } = this._options;
+    const key = hashKey(request);
+    const result = await journal.append(key, [
+      { kind: 'claim', key, request: request.id, atMs: readWallClock() },
+    ]);
+    if (result.isErr) {
+      this._refuseUnclaimed(request, key, result.error);
+      return;
+    }
+    const outcome = result.value[0];
+    if (outcome?.kind === 'duplicate') this._handleDuplicate(request, outcome.record);
+    else if (board.requests.get(request.id)?.phase === 'admitted') {
+      board.requests.update(request.id, { phase: 'claimed' });
+    } else void this._release(request, key);
+  }
+
+  private _refuseUnclaimed(request: IRequestEntry, key: string, error: JournalError): void {
+    // The claim may still be committed later; without a release every repeat would be refused.
+    if (error.kind === 'unknown-outcome') void this._release(request, key);
+    refuseRequest(this._options.board, request.id, {
+      code: 'store_unavailable',
+      message: 'The request could not be claimed, so it was not run.',
+      ran: 'no',
+      retryAfterMs: STORE_RETRY_AFTER_MS,
+    });
+  }
+
+  private async _release(request: IRequestEntry, key: string): Promise<void> {
+    await this._options.journal.append(key, [{ kind: 'release', key, request: request.id }]);
+  }
+
+  private _handleDuplicate(request: IRequestEntry, record: IJournalRecord): void {
+    const { board } = this._options;
+    if (record.answer) {
+      board.requests.update(request.id, { phase: 'billed', answer: { kind: 'stored', ...record.answer } });
+      return;
+    }
+    const isRunning = board.requests.has(record.request ?? '');
+    refuseRequest(board, request.id, {
+      code: isRunning ? 'already_running' : 'outcome_unknown',
+      message: isRunning
+        ? 'The first request with this idempotency key is still running.'
+        : 'A request with this idempotency key was started before; its answer is not known.',
+      ran: record.claim === 'done' ? 'yes' : 'unknown',
+      ...(isRunning ? { retryAfterMs: STORE_RETRY_AFTER_MS } : {}),
+    });
+  }
+}
--- /dev/null
+++ b/src/common/request/CleanUpController.ts
@@ -0,0 +1,26 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import { Disposable } from '../Lifecycle.js';
+
+/** Removes the ended attempts of requests that have left the `requests` panel. */
+export class CleanUpController extends Disposable {
+  constructor(board: Blackboard) {
+    super();
+    this._register(
+      board.attempts.onChange(({ key, after }) => {
+        const hasEnded =
+          after?.phase === 'finished' || after?.phase === 'failed' || after?.phase === 'cancelled';
+        if (after && hasEnded && after.endedAt !== undefined && !board.requests.has(after.request)) {
+          board.attempts.delete(key);
+        }
+      }),
+    );
+    this._register(
+      board.requests.onChange(({ key, after }) => {
+        if (after) return;
+        for (const attempt of board.attempts.list()) {
+          if (attempt.request === key && attempt.endedAt !== undefined) board.attempts.delete(attempt.id);
+        }
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/src/common/request/DeadlineController.ts
@@ -0,0 +1,64 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import { Disposable, type IDisposable } from '../Lifecycle.js';
+import type { IClock } from '../Types.js';
+import { hasEnded, refuseRequest } from './Refusals.js';
+
+/** Options of the deadline controller. */
+export interface IDeadlineOptions {
+  board: Blackboard;
+  clock: IClock;
+}
+
+/**
+ * Ends requests whose deadline has passed or whose caller has gone. A non-idempotent request that may
+ * run at an endpoint is left to finish, so that its outcome is recorded for a repeat.
+ */
+export class DeadlineController extends Disposable {
+  private readonly _timers = new Map<string, IDisposable>();
+
+  constructor(private readonly _options: IDeadlineOptions) {
+    super();
+    const { board, clock } = _options;
+    this._register(
+      board.requests.onChange(({ key, before, after }) => {
+        if (after && !before) this._startTimer(key, after.deadlineAt - clock.now());
+        if (!after || hasEnded(after)) this._stopTimer(key);
+        if (after?.isCallerGone && !before?.isCallerGone) this._handleCallerGone(key);
+      }),
+    );
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    for (const timer of this._timers.values()) timer.dispose();
+    this._timers.clear();
+  }
+
+  private _startTimer(id: string, delay: number): void {
+    const timer = this._options.clock.schedule(Math.max(0, delay), () => {
+      this._handleDeadline(id);
+    });
+    this._timers.set(id, timer);
+  }
+
+  private _stopTimer(id: string): void {
+    this._timers.get(id)?.dispose();
+    this._timers.delete(id);
+  }
+
+  private _handleDeadline(id: string): void {
+    const request = this._options.board.requests.get(id);
+    if (!request || request.phase === 'answered') return;
+    const ran = request.phase === 'running' && request.ran === 'no' ? 'unknown' : request.ran;
+    const message = 'The deadline passed before the answer was complete.';
+    refuseRequest(this._options.board, id, { code: 'deadline_exceeded', message, ran });
+  }
+
+  private _handleCallerGone(id: string): void {
+    const request = this._options.board.requests.get(id);
+    if (!request || request.phase === 'answered') return;
+    if (!request.isIdempotent && request.phase === 'running') return;
+    const message = 'The caller closed its connection.';
+    refuseRequest(this._options.board, id, { code: 'cancelled', message, ran: request.ran });
+  }
+}
--- /dev/null
+++ b/src/common/request/OutcomeController.ts
@@ -0,0 +1,80 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
+import type { IJournal } from '../coordination/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import type { IClock } from '../Types.js';
+import { combineRan, hasEnded, refuseRequest } from './Refusals.js';
+import type { DecideRetry } from './Types.js';
+
+/** Options of the outcome controller. */
+export interface IOutcomeOptions {
+  board: Blackboard;
+  clock: IClock;
+  journal: IJournal;
+  decideRetry: DecideRetry;
+  /** Takes one attempt from the retry budget; false when it is used up. */
+  takeRetryBudget: () => boolean;
+  hashKey: (request: IRequestEntry) => string;
+}
+
+/** Turns ended attempts into an answer, a retry or a refusal. */
+export class OutcomeController extends Disposable {
+  constructor(private readonly _options: IOutcomeOptions) {
+    super();
+    this._register(
+      _options.board.attempts.onChange(({ before, after }) => {
+        if (!after || before?.phase === after.phase) return;
+        if (after.phase === 'finished') this._handleFinished(after);
+        if (after.phase === 'failed') this._handleFailed(after);
+      }),
+    );
+    this._register(
+      _options.board.requests.onChange(({ before, after }) => {
+        if (after?.phase === 'refused' && before?.phase !== 'refused') this._releaseClaim(after);
+      }),
+    );
+  }
+
+  private _handleFinished(attempt: IAttemptEntry): void {
+    const { board } = this._options;
+    const request = board.requests.get(attempt.request);
+    if (request?.phase !== 'running') return;
+    if (request.winner !== undefined && request.winner !== attempt.id) return;
+    const { answer } = attempt;
+    board.requests.update(request.id, { phase: 'answered', winner: attempt.id, ran: 'yes', answer });
+  }
+
+  private _handleFailed(attempt: IAttemptEntry): void {
+    const { board, clock, decideRetry, takeRetryBudget } = this._options;
+    const request = board.requests.get(attempt.request);
+    if (!request || !attempt.error || hasEnded(request) || this._hasOtherAttempt(attempt)) return;
+    const ran = combineRan(request.ran, attempt.error.ran);
+    board.requests.update(request.id, { ran });
+    const view = { request: { ...request, ran }, attempt, error: attempt.error, now: clock.now() };
+    const decision = decideRetry({ ...view, hasBudget: takeRetryBudget() });
+    if (decision.kind === 'refuse') {
+      refuseRequest(board, request.id, decision.refusal);
+      return;
+    }
+    clock.schedule(decision.delayMs, () => {
+      if (board.requests.get(request.id)?.phase === 'running') {
+        board.requests.update(request.id, { phase: 'queued', winner: undefined });
+      }
+    });
+  }
+
+  private _hasOtherAttempt(attempt: IAttemptEntry): boolean {
+    for (const other of this._options.board.attempts.list()) {
+      const isOpen = other.phase === 'planned' || other.phase === 'sent' || other.phase === 'streaming';
+      if (other.request === attempt.request && other.id !== attempt.id && isOpen) return true;
+    }
+    return false;
+  }
+
+  /** Frees the claim of a request that provably did not run, so that its repeat can run. */
+  private _releaseClaim(request: IRequestEntry): void {
+    if (request.isIdempotent || request.attemptCount === 0 || request.refusal?.ran !== 'no') return;
+    const key = this._options.hashKey(request);
+    void this._options.journal.append(key, [{ kind: 'release', key, request: request.id }]);
+  }
+}
--- /dev/null
+++ b/src/common/request/VersionController.ts
@@ -0,0 +1,92 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IRequestEntry } from '../blackboard/Types.js';
+import type { IJournal } from '../coordination/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import type { IClock } from '../Types.js';
+import { isAcceptingWork } from './Candidates.js';
+import { refuseRequest } from './Refusals.js';
+import type { ChooseVersion } from './Types.js';
+
+/** Options of the version controller. */
+export interface IVersionOptions {
+  board: Blackboard;
+  clock: IClock;
+  journal: IJournal;
+  chooseVersion: ChooseVersion;
+  /** Hashes client account and session into a journal key. */
+  hashSession: (request: IRequestEntry) => string;
+  readWallClock: () => number;
+}
+
+/** Moves requests from `claimed` to `queued` with a version; pins sessions to their first version. */
+export class VersionController extends Disposable {
+  constructor(private readonly _options: IVersionOptions) {
+    super();
+    this._register(
+      _options.board.requests.onChange(({ before, after }) => {
+        if (after?.phase === 'claimed' && before?.phase !== 'claimed') this._handleClaimed(after);
+      }),
+    );
+  }
+
+  private _handleClaimed(request: IRequestEntry): void {
+    if (request.target.kind === 'plain') this._queueRequest(request, undefined);
+    else if (request.session === undefined) this._choose(request, undefined);
+    else void this._chooseForSession(request);
+  }
+
+  private _choose(request: IRequestEntry, pinnedVersion: string | undefined): string | undefined {
+    const { board, chooseVersion } = this._options;
+    const service = board.services.get(request.service);
+    if (!service) {
+      const message = 'The service is no longer configured.';
+      refuseRequest(board, request.id, { code: 'unknown_service', message, ran: 'no' });
+      return undefined;
+    }
+    const endpoints = [...board.endpoints.list()];
+    const hasEndpoint = (version: string): boolean =>
+      endpoints.some((endpoint) => isAcceptingWork(endpoint) && endpoint.versions.includes(version));
+    const decision = chooseVersion({ request, service, pinnedVersion, hasEndpoint });
+    if (decision.kind === 'refuse') {
+      refuseRequest(board, request.id, decision.refusal);
+      return undefined;
+    }
+    if (request.session === undefined || pinnedVersion !== undefined) {
+      this._queueRequest(request, decision.version);
+    }
+    return decision.version;
+  }
+
+  private async _chooseForSession(request: IRequestEntry): Promise<void> {
+    const key = this._options.hashSession(request);
+    const pinned = this._options.board.sessions.get(key)?.version ?? (await this._readPin(key));
+    if (pinned !== undefined) {
+      this._choose(request, pinned);
+      return;
+    }
+    const version = this._choose(request, undefined);
+    if (version !== undefined) await this._writePin(request, key, version);
+  }
+
+  private async _readPin(key: string): Promise<string | undefined> {
+    const record = await this._options.journal.lookup(key);
+    return record.isOk ? record.value?.version : undefined;
+  }
+
+  /** Writes the pin before the request runs; another host's earlier pin wins. */
+  private async _writePin(request: IRequestEntry, key: string, version: string): Promise<void> {
+    const { board, clock, journal, readWallClock } = this._options;
+    const result = await journal.append(key, [{ kind: 'pin', key, version, atMs: readWallClock() }]);
+    const outcome = result.isOk ? result.value[0] : undefined;
+    const kept = outcome?.kind === 'duplicate' ? (outcome.record.version ?? version) : version;
+    board.sessions.set(key, { key, version: kept, pinnedAt: clock.now(), isDurable: result.isOk });
+    if (kept === version) this._queueRequest(request, version);
+    else this._choose(request, kept);
+  }
+
+  private _queueRequest(request: IRequestEntry, version: string | undefined): void {
+    const { board } = this._options;
+    if (board.requests.get(request.id)?.phase !== 'claimed') return;
+    board.requests.update(request.id, { phase: 'queued', version });
+  }
+}
--- /dev/null
+++ b/src/common/timeline/TimelineRecorder.ts
@@ -0,0 +1,111 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import { Disposable } from '../Lifecycle.js';
+import type { ITimelineEvent, TimelineFields } from './Types.js';
+
+/** Options of the time line recorder. */
+export interface ITimelineOptions {
+  host: string;
+  board: Blackboard;
+  /** Wall-clock time, ISO 8601. */
+  readWallClock: () => string;
+  writeEvent: (event: ITimelineEvent) => void;
+}
+
+/**
+ * Records what happens on the panels as events. The order does not depend on clocks: messages between
+ * processes carry the sender's Lamport time, and the receiver moves past it.
+ */
+export class TimelineRecorder extends Disposable {
+  private _lamport = 0;
+  private _sequence = 0;
+
+  constructor(private readonly _options: ITimelineOptions) {
+    super();
+    this._recordRequests();
+    this._recordAttempts();
+    this._recordEndpoints();
+    this._recordState();
+  }
+
+  /** Lamport time to send with a message. */
+  public get lamport(): number {
+    return this._lamport;
+  }
+
+  /** Moves past the Lamport time of a received message. */
+  public observeLamport(lamport: number): void {
+    this._lamport = Math.max(this._lamport, lamport);
+  }
+
+  /** Records an event that no panel shows. */
+  public record(kind: string, fields: TimelineFields): void {
+    this._lamport += 1;
+    this._sequence += 1;
+    const { host, readWallClock, writeEvent } = this._options;
+    writeEvent({ host, lamport: this._lamport, sequence: this._sequence, at: readWallClock(), kind, fields });
+  }
+
+  private _recordRequests(): void {
+    this._register(
+      this._options.board.requests.onChange(({ before, after }) => {
+        if (!after || before?.phase === after.phase) return;
+        this.record(`request.${after.phase}`, {
+          request: after.id,
+          service: after.service,
+          account: after.account,
+          version: after.version,
+          refusal: after.refusal?.code,
+          ran: after.refusal?.ran,
+        });
+      }),
+    );
+  }
+
+  private _recordAttempts(): void {
+    this._register(
+      this._options.board.attempts.onChange(({ before, after }) => {
+        if (!after || before?.phase === after.phase) return;
+        this.record(`attempt.${after.phase}`, {
+          request: after.request,
+          attempt: after.id,
+          role: after.role,
+          endpoint: after.endpoint,
+          version: after.version,
+          tokens: after.tokens,
+          error: after.error?.kind,
+        });
+      }),
+    );
+  }
+
+  private _recordEndpoints(): void {
+    this._register(
+      this._options.board.endpoints.onChange(({ key, before, after }) => {
+        if (before?.health === after?.health) return;
+        this.record('endpoint.health', { endpoint: key, health: after?.health ?? 'gone' });
+      }),
+    );
+  }
+
+  private _recordState(): void {
+    const { board } = this._options;
+    this._register(
+      board.services.onChange(({ key, before, after }) => {
+        if (before?.revision === after?.revision) return;
+        this.record('config.in-force', { service: key, revision: after?.revision });
+      }),
+    );
+    this._register(
+      board.partitions.onChange(({ key, before, after }) => {
+        if (before?.phase === after?.phase) return;
+        this.record(`partition.${after?.phase ?? 'unowned'}`, { partition: key, epoch: after?.epoch });
+      }),
+    );
+    this._register(
+      board.hosts.onChange(({ key, before, after }) => {
+        if (before?.state === after?.state) return;
+        this.record(`host.${after?.state ?? 'gone'}`, { member: key });
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/src/daemons/ResponseWriter.ts
@@ -0,0 +1,100 @@
+import type { ServerResponse } from 'node:http';
+import type { ChatChunk } from '../adapters/EngineClient.js';
+import type { IAnswer, IRefusal, IRequestEntry } from '../common/blackboard/Types.js';
+import { encodeCompletion, encodeRefusal, encodeUsage, REFUSAL_STATUS } from './Encoding.js';
+
+/** Writes the response of one request: chunks while it runs, then the end or a refusal. */
+export class ResponseWriter {
+  private _hasHeaders = false;
+
+  constructor(
+    private readonly _response: ServerResponse,
+    private readonly _requestId: string,
+    private readonly _createdAt: number,
+  ) {}
+
+  /** Writes a chunk of a streamed chat completion. The chunk with the usage is held for the end. */
+  public writeChunk(chunk: ChatChunk): void {
+    if (chunk.usage) return;
+    this._startStream();
+    this._writeEvent({ ...chunk, id: this._requestId, created: this._createdAt });
+  }
+
+  /** Completes the response with the whole answer. */
+  public endWithAnswer(request: IRequestEntry, answer: IAnswer): void {
+    if (answer.kind === 'plain') {
+      this._sendBody(
+        answer.status,
+        answer.contentType ?? 'application/octet-stream',
+        Buffer.from(answer.body),
+      );
+    } else if (answer.kind === 'stored') {
+      this._response.setHeader('x-mulberryweir-repeat', 'true');
+      this._sendBody(answer.status, answer.contentType, Buffer.from(answer.body, 'base64'));
+    } else if (request.target.kind === 'model' && request.target.isStreaming) this._endStream(answer);
+    else {
+      this._response.setHeader('x-mulberryweir-version', answer.version);
+      this._sendJson(200, encodeCompletion(request, answer, this._createdAt));
+    }
+  }
+
+  /** Completes the response with a refusal; in the middle of a stream it is sent as an event. */
+  public endWithRefusal(refusal: IRefusal): void {
+    const body = encodeRefusal(refusal);
+    if (this._hasHeaders) {
+      this._writeEvent(body);
+      this._response.end();
+      return;
+    }
+    if (refusal.retryAfterMs !== undefined) {
+      this._response.setHeader('retry-after', Math.ceil(refusal.retryAfterMs / 1000));
+    }
+    this._response.setHeader('x-mulberryweir-ran', refusal.ran);
+    this._sendJson(REFUSAL_STATUS[refusal.code], body);
+  }
+
+  private _endStream(answer: Extract<IAnswer, { kind: 'model' }>): void {
+    this._startStream();
+    const chunks = answer.content as readonly ChatChunk[];
+    const last = chunks.find((chunk) => chunk.usage);
+    const usage = encodeUsage(answer.usage);
+    this._writeEvent({
+      ...last,
+      id: this._requestId,
+      object: 'chat.completion.chunk',
+      created: this._createdAt,
+      model: answer.version,
+      choices: last?.choices ?? [],
+      usage,
+    });
+    this._response.end('data: [DONE]\n\n');
+  }
+
+  private _startStream(): void {
+    if (this._hasHeaders) return;
+    this._hasHeaders = true;
+    this._response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+      'x-request-id': this._requestId,
+    });
+  }
+
+  private _writeEvent(event: unknown): void {
+    this._response.write(`data: ${JSON.stringify(event)}\n\n`);
+  }
+
+  private _sendJson(status: number, body: unknown): void {
+    this._sendBody(status, 'application/json', Buffer.from(JSON.stringify(body)));
+  }
+
+  private _sendBody(status: number, contentType: string, body: Buffer): void {
+    this._hasHeaders = true;
+    this._response.writeHead(status, {
+      'content-type': contentType,
+      'content-length': body.length,
+      'x-request-id': this._requestId,
+    });
+    this._response.end(body);
+  }
+}
--- /dev/null
+++ b/src/daemons/Settings.ts
@@ -0,0 +1,58 @@
+import { Result } from 'true-myth';
+import { z } from 'zod';
+import { parseIni } from '../adapters/Ini.js';
+
+const ADDRESS = z.string().regex(/^https?:\/\/[0-9a-f.:[\]]+:\d+$/, 'must be http://IP:PORT');
+const PORT = z.coerce.number().int().min(0).max(65_535);
+
+const SETTINGS_SCHEMA = z.strictObject({
+  host: z.strictObject({
+    id: z.string().min(1),
+    ip: z.string().default('127.0.0.1'),
+    zone: z.string().min(1),
+    port: PORT,
+    peer_port: PORT,
+    peer_key: z.string().min(16, 'must have at least 16 characters'),
+  }),
+  platform: z.strictObject({
+    store: ADDRESS,
+    host_list: ADDRESS,
+    host_list_interval_ms: z.coerce.number().int().min(50).default(1000),
+    ratings: ADDRESS.optional(),
+  }),
+  limits: z
+    .strictObject({
+      max_body_bytes: z.coerce.number().int().min(1024).default(4_194_304),
+      body_timeout_ms: z.coerce.number().int().min(100).default(10_000),
+      drain_grace_ms: z.coerce.number().int().min(0).default(3000),
+    })
+    .prefault({}),
+  journal: z
+    .strictObject({
+      partitions: z.coerce.number().int().min(1).max(64).default(8),
+      commit_interval_ms: z.coerce.number().int().min(1).default(40),
+    })
+    .prefault({}),
+  logs: z.strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') }).prefault({}),
+  timeline: z.strictObject({ file: z.string().optional() }).prefault({}),
+  metrics: z
+    .strictObject({ statsd_host: z.string().optional(), statsd_port: PORT.default(8125) })
+    .prefault({}),
+});
+
+/** Settings of an entry host, from its INI file. */
+export type HostSettings = z.output<typeof SETTINGS_SCHEMA>;
+
+/** Parses and validates settings. The error has one line a problem, with line number and key. */
+export function parseSettings(text: string): Result<HostSettings, string> {
+  const { sections, findLine } = parseIni(text);
+  const parsed = SETTINGS_SCHEMA.safeParse(sections);
+  if (parsed.success) return Result.ok(parsed.data);
+  const problems = parsed.error.issues.map((issue) => {
+    const [section = '', key] = issue.path.map(String);
+    const line = findLine(section, key);
+    const place = line === undefined ? '' : `line ${line}, `;
+    return `${place}[${section}]${key === undefined ? '' : ` ${key}`}: ${issue.message}`;
+  });
+  return Result.err(problems.join('; '));
+}
--- /dev/null
+++ b/src/standins/HttpTools.ts
@@ -0,0 +1,42 @@
+import { createServer, type IncomingMessage, type RequestListener, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { IStandIn } from './Types.js';
+
+/** Serves requests on a loopback port; port 0 picks a free one. */
+export async function startServer(listener: RequestListener, port = 0): Promise<IStandIn> {
+  const server = createServer({ keepAliveTimeout: 60_000 }, listener);
+  await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
+  const bound = server.address() as AddressInfo;
+  return {
+    address: `http://127.0.0.1:${bound.port}`,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeAllConnections();
+      }),
+  };
+}
+
+/** Reads a whole request body. */
+export async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks);
+}
+
+/** Sends a JSON reply. */
+export function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+/** Waits; resolves at once for delays of zero. */
+export function waitFor(ms: number): Promise<void> {
+  return ms <= 0 ? Promise.resolve() : new Promise((resolve) => setTimeout(resolve, ms));
+}
