Add the signed peer protocol between hosts

Cause: partitions, configuration and membership need calls between hosts. Change: JSON-RPC 2.0 over HTTP with a keyed signature and Lamport times; errors are mapped to unreachable, rejected and unknown-outcome. json-rpc-2.0 replaces a transport error by one without its code, so the code is kept beside it. Conclusion: callers can tell what a peer may have handled.

--- /dev/null
+++ b/src/adapters/PeerRpc.ts
@@ -0,0 +1,200 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { JSONRPCClient, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse } from 'json-rpc-2.0';
+import { Result } from 'true-myth';
+import { Agent, request as sendRequest } from 'undici';
+import type { PeerError, PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
+import type { Millis } from '../common/Types.js';
+
+/** Carries causal order between processes; see the time line. */
+export interface ILamportClock {
+  read: () => number;
+  observe: (lamport: number) => void;
+}
+
+/** Options that client and server of the peer protocol share. */
+export interface IPeerRpcOptions {
+  host: string;
+  /** Key that all hosts share. */
+  key: string;
+  lamport: ILamportClock;
+}
+
+/** Options of the peer client. */
+export interface IPeerClientOptions extends IPeerRpcOptions {
+  /** Finds the peer port of a host, `ip:port`. */
+  findAddress: (host: string) => string | undefined;
+  /** Default 1000. */
+  timeoutMs?: Millis;
+  /** Called with the bytes of each message sent or received, for metrics. */
+  onTraffic?: (bytes: number) => void;
+}
+
+/** A peer client and its clean-up. */
+export interface IPeerClient {
+  send: SendToPeer;
+  close: () => Promise<void>;
+}
+
+/** Options of the peer server. */
+export interface IPeerServerOptions extends IPeerRpcOptions {
+  ip: string;
+  port: number;
+  handlers: PeerHandlers;
+}
+
+/** A running peer server. */
+export interface IPeerServer {
+  port: number;
+  close: () => Promise<void>;
+}
+
+const MAX_MESSAGE_BYTES = 8_388_608;
+const UNSENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'EHOSTUNREACH',
+]);
+
+/** Creates the client side of JSON-RPC 2.0 over HTTP between hosts. */
+export function createPeerClient(options: IPeerClientOptions): IPeerClient {
+  const agent = new Agent({ connections: 4, keepAliveTimeout: 30_000 });
+  return {
+    send: async (host, method, params) => {
+      const address = options.findAddress(host);
+      if (address === undefined) return failCall('unreachable', `The host '${host}' is not known.`);
+      // The client replaces an error of its transport by one without the code, so the code is kept here.
+      let transportError: unknown;
+      const client = new JSONRPCClient(async (message: JSONRPCRequest) => {
+        try {
+          client.receive(JSON.parse(await sendMessage(options, agent, address, message)) as JSONRPCResponse);
+        } catch (error) {
+          transportError = error;
+          throw error;
+        }
+      });
+      try {
+        return Result.ok((await client.request(method, params)) as unknown);
+      } catch (error) {
+        return Result.err(mapPeerError(transportError ?? error));
+      }
+    },
+    close: () => agent.close(),
+  };
+}
+
+/** Starts the server side of JSON-RPC 2.0 over HTTP between hosts. */
+export async function startPeerServer(options: IPeerServerOptions): Promise<IPeerServer> {
+  const rpc = new JSONRPCServer<string>({ errorListener: () => undefined });
+  for (const [method, handler] of Object.entries(options.handlers)) {
+    rpc.addMethod(method, (params, from) => handler(params, from));
+  }
+  const server = createServer((request, response) => {
+    void handleMessage(options, rpc, request, response);
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.port, options.ip, resolve);
+  });
+  return { port: (server.address() as AddressInfo).port, close: () => closeServer(server) };
+}
+
+async function sendMessage(
+  options: IPeerClientOptions,
+  agent: Agent,
+  address: string,
+  message: JSONRPCRequest,
+): Promise<string> {
+  const body = JSON.stringify(message);
+  const reply = await sendRequest(`http://${address}/rpc`, {
+    method: 'POST',
+    body,
+    headers: {
+      'content-type': 'application/json',
+      'x-peer-host': options.host,
+      'x-peer-lamport': String(options.lamport.read()),
+      'x-peer-signature': signMessage(options.key, options.host, body),
+    },
+    signal: AbortSignal.timeout(options.timeoutMs ?? 1000),
+    dispatcher: agent,
+  });
+  const text = await reply.body.text();
+  options.onTraffic?.(body.length + text.length);
+  if (reply.statusCode !== 200) throw new PeerStatusError(reply.statusCode);
+  options.lamport.observe(Number(reply.headers['x-peer-lamport'] ?? 0));
+  return text;
+}
+
+async function handleMessage(
+  options: IPeerServerOptions,
+  rpc: JSONRPCServer<string>,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  try {
+    const body = await readMessage(request);
+    const from = String(request.headers['x-peer-host'] ?? '');
+    if (!verifySignature(options.key, from, body, String(request.headers['x-peer-signature'] ?? ''))) {
+      response.writeHead(401).end();
+      return;
+    }
+    options.lamport.observe(Number(request.headers['x-peer-lamport'] ?? 0));
+    const reply = await rpc.receive(JSON.parse(body) as JSONRPCRequest, from);
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'x-peer-lamport': String(options.lamport.read()),
+    });
+    response.end(JSON.stringify(reply));
+  } catch {
+    response.writeHead(400).end();
+  }
+}
+
+async function readMessage(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of request) {
+    length += (chunk as Buffer).length;
+    if (length > MAX_MESSAGE_BYTES) throw new RangeError('The message is too large.');
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString();
+}
+
+function signMessage(key: string, host: string, body: string): string {
+  return createHmac('sha256', key).update(`${host}\n`).update(body).digest('hex');
+}
+
+function verifySignature(key: string, host: string, body: string, signature: string): boolean {
+  const expected = Buffer.from(signMessage(key, host, body));
+  const given = Buffer.from(signature);
+  return expected.length === given.length && timingSafeEqual(expected, given);
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeAllConnections();
+  });
+}
+
+class PeerStatusError extends Error {
+  constructor(public readonly status: number) {
+    super(`The peer answered with status ${status}.`);
+  }
+}
+
+function mapPeerError(error: unknown): PeerError {
+  const message = error instanceof Error ? error.message : String(error);
+  const code = error instanceof Error && 'code' in error ? String(error.code) : '';
+  if (UNSENT_CODES.has(code)) return { kind: 'unreachable', message };
+  if (error instanceof PeerStatusError && error.status < 500) return { kind: 'rejected', message };
+  return { kind: 'unknown-outcome', message };
+}
+
+function failCall(kind: PeerError['kind'], message: string): Result<never, PeerError> {
+  return Result.err({ kind, message });
+}
