Count a repeated outcome or bill of one request as committed

Cause: a sender that loses the reply of an append repeats it. The repeat of its own outcome or bill came back as a duplicate, as if another request had been first. Change: the record names the billed request; repeats change nothing and are not written to the log again. Records of unrepeatable keys can ask for short retention. Conclusion: an append may be repeated after an unknown outcome.

--- a/src/common/coordination/PartitionLog.ts
+++ b/src/common/coordination/PartitionLog.ts
@@ -19,8 +19,10 @@
   failFastAfterMs?: Millis;
   /** How long an append waits for its commit. Default 3000. */
   appendTimeoutMs?: Millis;
-  /** How long finished records are kept. Default 7 days. */
+  /** How long finished records of idempotency keys are kept. Default 7 days. */
   retentionMs?: Millis;
+  /** How long records of keys that no caller can repeat are kept. Default 1 hour. */
+  shortRetentionMs?: Millis;
 }
 
 interface IPendingAppend {
@@ -29,6 +31,9 @@
 }
 
 const DAY_MS = 86_400_000;
+const HOUR_MS = 3_600_000;
+/** A caller's clock may run ahead by this much; its UUIDv7 keys then look younger than their records. */
+const CLOCK_SKEW_MS = HOUR_MS;
 const MAX_PENDING_APPENDS = 20_000;
 
 /**
@@ -54,6 +59,7 @@
       failFastAfterMs: 500,
       appendTimeoutMs: 3000,
       retentionMs: 7 * DAY_MS,
+      shortRetentionMs: HOUR_MS,
       ...options,
     };
     this._storage = new PartitionStorage(options);
@@ -162,8 +168,10 @@
 
   private _applyEntries(entries: readonly JournalEntry[], written: JournalEntry[]): AppendOutcome[] {
     return entries.map((entry) => {
+      const before = this._state.records.get(entry.key);
       const outcome = applyEntry(this._state, entry);
-      if (outcome.kind === 'committed') written.push(entry);
+      // An entry that changed nothing is not written, so each bill is in the log once.
+      if (this._state.records.get(entry.key) !== before) written.push(entry);
       return outcome;
     });
   }
@@ -179,7 +187,11 @@
 
   private async _writeCheckpointIfDue(): Promise<boolean> {
     if (!this._storage.needsCheckpoint()) return true;
-    expireRecords(this._state, this._options.readWallClock() - this._options.retentionMs);
+    const now = this._options.readWallClock();
+    expireRecords(this._state, {
+      short: now - this._options.shortRetentionMs,
+      long: now - this._options.retentionMs - CLOCK_SKEW_MS,
+    });
     return (await this._storage.writeCheckpoint(this._state)) === 'committed';
   }
 
--- a/src/common/coordination/PartitionState.ts
+++ b/src/common/coordination/PartitionState.ts
@@ -1,4 +1,4 @@
-import type { AppendOutcome, IBill, IBillTotal, IJournalRecord, JournalEntry } from './Types.js';
+import type { AppendOutcome, IBill, IBillTotal, IJournalRecord, JournalEntry, Retention } from './Types.js';
 
 /** In-memory state of a journal partition; rebuilt from the checkpoint and the batches after it. */
 export interface IPartitionState {
@@ -40,7 +40,9 @@
 
 /**
  * Applies one entry. The owner calls it before the commit and every reader of the log calls it in
- * the same order, so both reach the same state. A duplicate changes nothing.
+ * the same order, so both reach the same state. A duplicate changes nothing. An entry that the same
+ * request appended before is `committed` again without a change, because a sender that lost the
+ * reply appends it again.
  */
 export function applyEntry(state: IPartitionState, entry: JournalEntry): AppendOutcome {
   const record = state.records.get(entry.key) ?? createRecord(entry);
@@ -50,23 +52,33 @@
     case 'release':
       return applyRelease(state, record, entry.request);
     case 'outcome':
+      if (record.claim === entry.outcome && record.request === entry.request) return { kind: 'committed' };
       if (record.claim !== 'claimed' || record.request !== entry.request)
         return { kind: 'duplicate', record };
       return writeRecord(state, { ...record, claim: entry.outcome, answer: entry.answer });
     case 'bill':
-      if (record.isBilled) return { kind: 'duplicate', record };
-      addBill(state, entry.bill);
-      return writeRecord(state, { ...record, isBilled: true });
+      if (record.billedRequest === entry.bill.request) return { kind: 'committed' };
+      if (record.billedRequest !== undefined) return { kind: 'duplicate', record };
+      addBill(state.totals, entry.bill);
+      return writeRecord(state, { ...record, billedRequest: entry.bill.request });
     case 'pin':
       if (record.version !== undefined) return { kind: 'duplicate', record };
       return writeRecord(state, { ...record, version: entry.version });
   }
 }
 
-/** Removes records that are older than the retention limit. Open claims stay. */
-export function expireRecords(state: IPartitionState, olderThanMs: number): void {
+/** Wall-clock times before which records are removed, by retention. */
+export type RetentionLimits = Readonly<Record<Retention, number>>;
+
+/**
+ * Removes records that are older than their retention limit. Open claims of keys that a caller can
+ * repeat stay.
+ */
+export function expireRecords(state: IPartitionState, limits: RetentionLimits): void {
   for (const [key, record] of state.records) {
-    if (record.claim !== 'claimed' && record.atMs < olderThanMs) state.records.delete(key);
+    const retention = record.retention ?? 'long';
+    const isOpen = record.claim === 'claimed' && retention === 'long';
+    if (!isOpen && record.atMs < limits[retention]) state.records.delete(key);
   }
 }
 
@@ -93,16 +105,18 @@
     claim: 'unclaimed',
     request: undefined,
     answer: undefined,
-    isBilled: false,
+    billedRequest: undefined,
     version: undefined,
     atMs: 'atMs' in entry ? entry.atMs : 0,
+    ...('retention' in entry ? { retention: entry.retention } : {}),
   };
 }
 
-function addBill(state: IPartitionState, bill: IBill): void {
+/** Adds a bill to the totals of its client account. */
+export function addBill(totals: Map<string, IBillTotal>, bill: IBill): void {
   const key = formatTotalKey(bill);
-  const total = state.totals.get(key);
-  state.totals.set(key, {
+  const total = totals.get(key);
+  totals.set(key, {
     service: bill.service,
     account: bill.account,
     count: (total?.count ?? 0) + 1,
--- a/src/common/coordination/Types.ts
+++ b/src/common/coordination/Types.ts
@@ -57,9 +57,15 @@
   body: string;
 }
 
+/**
+ * How long a record is kept. `short` is for keys that no caller can repeat because they come from
+ * the request id; `long` covers the retention of idempotency keys and sessions.
+ */
+export type Retention = 'short' | 'long';
+
 /** One entry of the journal. Keys are hashes of client account and idempotency key. */
 export type JournalEntry =
-  | { kind: 'claim'; key: string; request: string; atMs: number }
+  | { kind: 'claim'; key: string; request: string; atMs: number; retention?: Retention }
   | { kind: 'release'; key: string; request: string }
   | {
       kind: 'outcome';
@@ -68,7 +74,7 @@
       outcome: 'done' | 'failed';
       answer: IStoredAnswer | undefined;
     }
-  | { kind: 'bill'; key: string; bill: IBill; atMs: number }
+  | { kind: 'bill'; key: string; bill: IBill; atMs: number; retention?: Retention }
   | { kind: 'pin'; key: string; version: string; atMs: number };
 
 /** State of a claim. `unclaimed` is the state of a key without a record or after a release. */
@@ -81,12 +87,14 @@
   /** Request that holds or held the claim. */
   request: string | undefined;
   answer: IStoredAnswer | undefined;
-  /** Whether the key has been billed. */
-  isBilled: boolean;
+  /** Request whose bill was counted for the key; other requests' bills are not counted. */
+  billedRequest: string | undefined;
   /** Version that a session is pinned to. */
   version: string | undefined;
   /** Wall-clock time of the first entry, for retention. */
   atMs: number;
+  /** Default: `long`. */
+  retention?: Retention;
 }
 
 /** Result of one appended entry. `duplicate` entries changed nothing; the record stands as found. */
