--- a/src/common/coordination/PartitionLog.ts
+++ b/src/common/coordination/PartitionLog.ts
@@ -119,10 +119,11 @@
   }
 
   public override dispose(): void {
-    super.dispose();
+    if (this._isDisposed) return;
     this._storage.close();
     this._failPending({ kind: 'not-owner', message: 'The partition log is closed.' });
     this._movePhase('unowned');
+    super.dispose();
   }
 
   private _findRejection(): JournalError | undefined {
@@ -211,11 +212,14 @@
   }
 
   private _movePhase(phase: PartitionPhase): void {
+    if (this._isDisposed) return;
     this._phase = phase;
     this._writePanel();
   }
 
   private _writePanel(): void {
+    // The entry may describe a later log of the same partition by now.
+    if (this._isDisposed) return;
     const { partition, host, board } = this._options;
     const known = board.partitions.get(partition)?.owner;
     const other = known === host ? undefined : known;
