--- a/src/common/coordination/FencedOwner.ts
+++ b/src/common/coordination/FencedOwner.ts
@@ -128,6 +128,8 @@
     while (found.isOk && found.value && readHolder(found.value) !== undefined && !this._hasLeft()) {
       onHolder(readHolder(found.value));
       found = await store.watch(key, found.value.version, ttlMs);
+      // A watch that timed out says nothing about the key.
+      if (found.isOk && !found.value) found = await store.get(key);
     }
     if (this._hasLeft()) return false;
     if (found.isErr) {
--- a/src/common/coordination/PartitionOwnerController.ts
+++ b/src/common/coordination/PartitionOwnerController.ts
@@ -47,6 +47,7 @@
   private readonly _options: Required<IPartitionOwnerOptions>;
   private readonly _ranking: RendezvousRanking;
   private readonly _partitions: IOwnedPartition[];
+  private readonly _refreshes = new Map<number, Promise<boolean>>();
 
   constructor(options: IPartitionOwnerOptions) {
     super();
@@ -83,10 +84,16 @@
     return this._options.board.partitions.get(partition)?.phase === 'owned' ? log : undefined;
   }
 
-  /** Reads the lease of a partition that another host may own. */
-  public async refreshOwner(partition: number): Promise<void> {
-    const found = await this._options.store.get(Lease.formatKey(formatLeaseName(partition)));
-    if (found.isOk) this._handleHolder(partition, readHolder(found.value));
+  /**
+   * Reads the lease of a partition that another host may own. Resolves with false when the store did
+   * not answer. Calls that overlap share one read, so a takeover costs one read a host and partition.
+   */
+  public refreshOwner(partition: number): Promise<boolean> {
+    const running = this._refreshes.get(partition);
+    if (running) return running;
+    const refresh = this._readOwner(partition).finally(() => this._refreshes.delete(partition));
+    this._refreshes.set(partition, refresh);
+    return refresh;
   }
 
   /** Commits what was accepted, hands every partition over and takes no more. */
@@ -122,6 +129,12 @@
     });
   }
 
+  private async _readOwner(partition: number): Promise<boolean> {
+    const found = await this._options.store.get(Lease.formatKey(formatLeaseName(partition)));
+    if (found.isOk) this._handleHolder(partition, readHolder(found.value));
+    return found.isOk;
+  }
+
   private async _startLog(partition: number): Promise<boolean> {
     const owned = this._partitions[partition];
     if (!owned || this._isDisposed) return false;
