Hold bills through a store outage with copies at two peers

Change: BillCustodyController copies it to peers in other zones before the answer's last part leaves, appends it when the store is back, and appends copies of hosts that are gone. A shortage of copies is an event and a count. Held bills get long retention, since an outage can outlast the short one.

--- a/src/adapters/JournalMessages.ts
+++ b/src/adapters/JournalMessages.ts
@@ -1,5 +1,11 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
+import type {
+  BillCustodyController,
+  IBillToHold,
+  SendHold,
+  SendRelease,
+} from '../common/coordination/BillCustody.js';
 import type { PartitionLog } from '../common/coordination/PartitionLog.js';
 import type { PeerError, PeerHandler, SendToPeer } from '../common/coordination/Peers.js';
 import type { SendAppend, SendLookup } from '../common/coordination/RoutedJournal.js';
@@ -129,6 +135,43 @@
   };
 }
 
+const HOLD_SCHEMA = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('hold'),
+    bills: z.array(z.object({ id: z.string(), key: KEY, entries: z.array(ENTRY_SCHEMA) })),
+  }),
+  z.object({ kind: z.literal('release'), ids: z.array(z.string()) }),
+]);
+const HELD_SCHEMA = z.object({ held: z.array(z.string()) });
+
+/** Creates the handler of `bill.hold`. */
+export function createHoldHandler(custody: BillCustodyController): PeerHandler {
+  return (params, from) => {
+    const message = HOLD_SCHEMA.parse(params);
+    if (message.kind === 'release') {
+      custody.dropCopies(message.ids);
+      return Promise.resolve({ held: [] });
+    }
+    return Promise.resolve({ held: custody.acceptCopies(from, message.bills as IBillToHold[]) });
+  };
+}
+
+/** Creates the sender of copies with `bill.hold`. */
+export function createSendHold(send: SendToPeer): SendHold {
+  return async (peer, bills) => {
+    const reply = await send(peer, 'bill.hold', { kind: 'hold', bills });
+    if (reply.isErr) return Result.err(reply.error);
+    const parsed = HELD_SCHEMA.safeParse(reply.value);
+    if (parsed.success) return Result.ok(parsed.data.held);
+    return Result.err({ kind: 'rejected', message: 'The peer sent a malformed reply.' });
+  };
+}
+
+/** Creates the sender of releases with `bill.hold`. */
+export function createSendRelease(send: SendToPeer): SendRelease {
+  return (peer, ids) => send(peer, 'bill.hold', { kind: 'release', ids });
+}
+
 const MALFORMED: JournalError = { kind: 'unknown-outcome', message: 'The owner sent a malformed reply.' };
 
 function mapPeerError(error: PeerError): JournalError {
--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -3,6 +3,7 @@
   IAccountEntry,
   IAttemptEntry,
   IEndpointEntry,
+  IHeldBillEntry,
   IHostEntry,
   IPartitionEntry,
   IQualityEntry,
@@ -39,6 +40,7 @@
   public readonly partitions = this._createPanel<number, IPartitionEntry>();
   public readonly sessions = this._createPanel<string, ISessionEntry>();
   public readonly suspects = this._createPanel<string, ISuspectEntry>();
+  public readonly heldBills = this._createPanel<string, IHeldBillEntry>();
   public readonly quality = this._createPanel<string, IQualityEntry>();
 
   constructor(private readonly _options: IBlackboardOptions = {}) {}
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -1,4 +1,5 @@
 import type { IServiceDocument, IRolloutState } from '../config/Types.js';
+import type { JournalEntry } from '../coordination/Types.js';
 import type { Millis, Priority, Ran } from '../Types.js';
 
 /** State of a request on its way from the caller to the delivered and billed answer. */
@@ -271,3 +272,29 @@
   /** Smoothed total latency, in milliseconds. */
   latencyMs: number;
 }
+
+/** State of a bill that the journal could not take: being copied to peers, or waiting for the store. */
+export type HeldBillPhase = 'copying' | 'held';
+
+/** Whether this host served the request or keeps a copy for the host that did. */
+export type HeldBillRole = 'origin' | 'copy';
+
+/** A peer that confirmed a copy. A restarted peer has a higher incarnation and no copies. */
+export interface IBillCopy {
+  host: string;
+  incarnation: number;
+}
+
+/** Journal entries of an answered request that wait for the store. */
+export interface IHeldBillEntry {
+  id: string;
+  phase: HeldBillPhase;
+  role: HeldBillRole;
+  /** Host that served the request. */
+  origin: string;
+  key: string;
+  entries: readonly JournalEntry[];
+  /** Peers that confirmed a copy; empty for a copy. */
+  copies: readonly IBillCopy[];
+  heldAt: Millis;
+}
--- a/src/common/coordination/PartitionState.ts
+++ b/src/common/coordination/PartitionState.ts
@@ -60,7 +60,11 @@
       if (record.billedRequest === entry.bill.request) return { kind: 'committed' };
       if (record.billedRequest !== undefined) return { kind: 'duplicate', record };
       addBill(state.totals, entry.bill);
-      return writeRecord(state, { ...record, billedRequest: entry.bill.request });
+      return writeRecord(state, {
+        ...record,
+        billedRequest: entry.bill.request,
+        ...(entry.retention === undefined ? {} : { retention: entry.retention }),
+      });
     case 'pin':
       if (record.version !== undefined) return { kind: 'duplicate', record };
       return writeRecord(state, { ...record, version: entry.version });
