--- /dev/null
+++ b/src/common/coordination/IdempotencyKeys.test.ts
@@ -0,0 +1,15 @@
+import test from 'ava';
+import { isBeyondRetention, readKeyTime } from './IdempotencyKeys.js';
+
+// A key that the journal has forgotten would run a second time.
+test('only keys in UUIDv7 form have a time, and expire after retention', (t) => {
+  const key = '019a0000-0000-7abc-8def-0123456789ab';
+  const at = readKeyTime(key) ?? 0;
+  t.snapshot({
+    at,
+    version4: readKeyTime('019a0000-0000-4abc-8def-0123456789ab'),
+    other: readKeyTime('refund-1'),
+    young: isBeyondRetention(key, at + 1000, 1000),
+    old: isBeyondRetention(key, at + 1001, 1000),
+  });
+});
--- a/src/common/request/BillController.ts
+++ b/src/common/request/BillController.ts
@@ -58,7 +58,10 @@
       });
     }
     const bill = this._computeBill(request, answer);
-    if (bill) entries.push({ kind: 'bill', key, bill, atMs: this._options.readWallClock() });
+    if (bill) {
+      const retention = request.idempotencyKey === undefined ? 'short' : 'long';
+      entries.push({ kind: 'bill', key, bill, atMs: this._options.readWallClock(), retention });
+    }
     return entries;
   }
 
--- a/src/common/request/ClaimController.ts
+++ b/src/common/request/ClaimController.ts
@@ -1,7 +1,9 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IRequestEntry } from '../blackboard/Types.js';
+import { isBeyondRetention } from '../coordination/IdempotencyKeys.js';
 import type { IJournal, IJournalRecord, JournalError } from '../coordination/Types.js';
 import { Disposable } from '../Lifecycle.js';
+import type { Millis } from '../Types.js';
 import { refuseRequest } from './Refusals.js';
 
 /** Options of the claim controller. */
@@ -12,6 +14,8 @@
   readWallClock: () => number;
   /** Hashes client account and idempotency key, or the request id where there is no key. */
   hashKey: (request: IRequestEntry) => string;
+  /** How long the journal remembers idempotency keys. */
+  retentionMs: Millis;
 }
 
 /** How long a caller should wait before it repeats a request that the store could not claim. */
@@ -32,6 +36,14 @@
   }
 
   private _handleAdmitted(request: IRequestEntry): void {
+    if (this._isForgotten(request)) {
+      refuseRequest(this._options.board, request.id, {
+        code: 'outcome_unknown',
+        message: 'The idempotency key is older than the time for which keys are remembered.',
+        ran: 'unknown',
+      });
+      return;
+    }
     if (request.isIdempotent) {
       this._options.board.requests.update(request.id, { phase: 'claimed' });
       return;
@@ -39,11 +51,18 @@
     void this._claim(request);
   }
 
+  private _isForgotten({ idempotencyKey }: IRequestEntry): boolean {
+    const { readWallClock, retentionMs } = this._options;
+    return idempotencyKey !== undefined && isBeyondRetention(idempotencyKey, readWallClock(), retentionMs);
+  }
+
   private async _claim(request: IRequestEntry): Promise<void> {
     const { board, hashKey, journal, readWallClock } = this._options;
     const key = hashKey(request);
+    // A key that comes from the request id is never repeated by a caller.
+    const retention = request.idempotencyKey === undefined ? 'short' : 'long';
     const result = await journal.append(key, [
-      { kind: 'claim', key, request: request.id, atMs: readWallClock() },
+      { kind: 'claim', key, request: request.id, atMs: readWallClock(), retention },
     ]);
     if (result.isErr) {
       this._refuseUnclaimed(request, key, result.error);
--- a/src/daemons/Settings.ts
+++ b/src/daemons/Settings.ts
@@ -31,6 +31,7 @@
     .strictObject({
       partitions: z.coerce.number().int().min(1).max(64).default(8),
       commit_interval_ms: z.coerce.number().int().min(1).default(40),
+      claim_retention_hours: z.coerce.number().int().min(1).default(168),
     })
     .prefault({}),
   logs: z.strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') }).prefault({}),
