Keep bills per request readable until they are trimmed

Cause: a checkpoint folded bills into totals, so bills per request were lost. A trim swaps the head without changing its batch id, which is how the owner tells it from another owner and commits on.

--- a/src/common/coordination/PartitionStorage.ts
+++ b/src/common/coordination/PartitionStorage.ts
@@ -8,7 +8,15 @@
   type IPartitionSnapshot,
   type IPartitionState,
 } from './PartitionState.js';
-import type { IStore, IStoreValue, JournalEntry, JournalError, StoreError } from './Types.js';
+import type {
+  IBill,
+  IBillTotal,
+  IStore,
+  IStoreValue,
+  JournalEntry,
+  JournalError,
+  StoreError,
+} from './Types.js';
 
 /**
  * Value of the key `journal/<partition>/head`. Its compare-and-swap is both the commit of a batch and
@@ -16,7 +24,7 @@
  * swap the head again, however long it was paused.
  */
 export interface IPartitionHead {
-  /** Tells the writer's own swap from another's when a reply was lost. */
+  /** Tells the writer's own swap from another's when a reply was lost. A trim leaves it unchanged. */
   batchId: string;
   owner: string;
   /** Grows with each change of owner. */
@@ -29,6 +37,31 @@
   segments: readonly string[];
   /** Entries after the last segment. */
   entries: readonly JournalEntry[];
+  /** Bills that a checkpoint has folded and nobody has trimmed yet, oldest first. */
+  billParts: readonly IBillPart[];
+  /** Key of the totals of trimmed bills; empty before the first trim. */
+  trimmed: string;
+  /** Number of trimmed bills, which are the oldest ones. */
+  trimmedCount: number;
+}
+
+/** A key with bills that left the segments. Bills of a partition are numbered in journal order from 0. */
+export interface IBillPart {
+  key: string;
+  /** Number of the part's first bill. */
+  first: number;
+  count: number;
+  /** Wall-clock time of the oldest bill in the part. */
+  fromMs: number;
+  /** Wall-clock time of the newest bill in the part. */
+  toMs: number;
+}
+
+/** A bill in the journal. */
+export interface IJournalBill {
+  key: string;
+  bill: IBill;
+  atMs: number;
 }
 
 /** Options of a partition's storage. */
@@ -51,7 +84,8 @@
 /** Result of a swap: whether this host is still the owner. */
 export type SwapOutcome = 'committed' | 'fenced';
 
-const EMPTY_HEAD: IPartitionHead = {
+/** Head of a partition that nobody has opened. */
+export const EMPTY_HEAD: IPartitionHead = {
   batchId: '',
   owner: '',
   epoch: 0,
@@ -59,6 +93,9 @@
   checkpoint: [],
   segments: [],
   entries: [],
+  billParts: [],
+  trimmed: '',
+  trimmedCount: 0,
 };
 
 /** Reads and writes the store keys of one journal partition. Owns no timing and no entries in waiting. */
@@ -123,10 +160,13 @@
   /** Replaces checkpoint and segments by a new checkpoint of the committed state. */
   public async writeCheckpoint(state: IPartitionState): Promise<SwapOutcome> {
     const parts = toSnapshots(state, this._options.recordsPerPart).map((part) => JSON.stringify(part));
+    const folded = await this._readFoldedBills();
+    if (folded === 'fenced') return 'fenced';
     const keys: string[] = [];
     for (const part of parts) keys.push(await this._createPart('checkpoint', part));
+    const billParts = [...this._head.billParts, ...(await this._createBillParts(state, folded))];
     const replaced = [...this._head.checkpoint, ...this._head.segments];
-    const outcome = await this._swapHead({ checkpoint: keys, segments: [], entries: [] });
+    const outcome = await this._swapHead({ checkpoint: keys, segments: [], entries: [] }, billParts);
     if (outcome === 'fenced') return outcome;
     this._checkpointBytes = sumLengths(parts);
     this._segmentBytes = 0;
@@ -140,6 +180,44 @@
     this._isClosed = true;
   }
 
+  /** Reads the bills of the segments and entries that the next checkpoint replaces. */
+  private async _readFoldedBills(): Promise<IJournalBill[] | 'fenced'> {
+    const bills: IJournalBill[] = [];
+    for (const key of this._head.segments) {
+      const segment = await this._readPart(key);
+      if (segment === undefined) return 'fenced';
+      bills.push(...selectBills(JSON.parse(segment) as JournalEntry[]));
+    }
+    return [...bills, ...selectBills(this._head.entries)];
+  }
+
+  private async _createBillParts(
+    state: IPartitionState,
+    bills: readonly IJournalBill[],
+  ): Promise<IBillPart[]> {
+    const parts: IBillPart[] = [];
+    let first = sumCounts(state.totals.values()) - bills.length;
+    for (let start = 0; start < bills.length; start += this._options.recordsPerPart) {
+      const slice = bills.slice(start, start + this._options.recordsPerPart);
+      const key = await this._createPart('bills', JSON.stringify(slice));
+      const times = slice.map((bill) => bill.atMs);
+      const range = { fromMs: Math.min(...times), toMs: Math.max(...times) };
+      parts.push({ key, first, count: slice.length, ...range });
+      first += slice.length;
+    }
+    return parts;
+  }
+
+  /** Reads a key that the head names. The key is absent only when the head has moved on. */
+  private async _readPart(key: string): Promise<string | undefined> {
+    while (!this._isClosed) {
+      const found = await this._options.store.get(key);
+      if (found.isOk) return found.value?.value;
+      await this._waitToRetry();
+    }
+    return undefined;
+  }
+
   private async _commitWithNewSegment(entries: readonly JournalEntry[], bytes: number): Promise<SwapOutcome> {
     const key = await this._createPart('segment', JSON.stringify(this._head.entries));
     this._segmentBytes += this._entryBytes;
@@ -148,7 +226,7 @@
   }
 
   /** Creates a key with a unique name; it has no effect until the head names it. */
-  private async _createPart(kind: 'checkpoint' | 'segment', value: string): Promise<string> {
+  private async _createPart(kind: 'bills' | 'checkpoint' | 'segment', value: string): Promise<string> {
     const key = `journal/${this._options.partition}/${kind}/${this._options.createId()}`;
     for (;;) {
       const created = await this._options.store.put(key, value, { expectedVersion: 0 });
@@ -158,43 +236,58 @@
     }
   }
 
-  private async _swapHead(patch: Partial<IPartitionHead>): Promise<SwapOutcome> {
-    const head: IPartitionHead = {
-      ...this._head,
-      ...patch,
-      batchId: this._options.createId(),
-      sequence: this._head.sequence + 1,
-    };
-    const value = JSON.stringify(head);
+  /** Swaps the head. A trim in between removes its parts from `billParts`. */
+  private async _swapHead(
+    patch: Partial<IPartitionHead>,
+    billParts?: readonly IBillPart[],
+  ): Promise<SwapOutcome> {
+    const batchId = this._options.createId();
+    const sequence = this._head.sequence + 1;
     while (!this._isClosed) {
-      const version = await this._trySwap(value, head.batchId);
-      if (version === 'fenced') return 'fenced';
-      if (version !== 'unknown') {
-        this._setHead(head, version);
-        return 'committed';
-      }
-      await this._waitToRetry();
+      // Built for each try, as a trim may have changed the head since the last one.
+      const head: IPartitionHead = {
+        ...this._head,
+        ...patch,
+        ...(billParts ? { billParts: dropTrimmed(billParts, this._head.trimmedCount) } : {}),
+        batchId,
+        sequence,
+      };
+      const outcome = await this._trySwap(head);
+      if (outcome === 'committed' || outcome === 'fenced') return outcome;
+      if (outcome === 'unknown') await this._waitToRetry();
     }
     return 'fenced';
   }
 
   /** Swaps once and resolves a lost reply by reading the head back. */
-  private async _trySwap(value: string, batchId: string): Promise<number | 'fenced' | 'unknown'> {
+  private async _trySwap(head: IPartitionHead): Promise<SwapOutcome | 'trimmed' | 'unknown'> {
+    const { store } = this._options;
     const expectedVersion = this._headVersion;
-    const swapped = await this._options.store.put(this._headKey, value, { expectedVersion });
-    if (swapped.isOk) return swapped.value;
+    const swapped = await store.put(this._headKey, JSON.stringify(head), { expectedVersion });
+    if (swapped.isOk) {
+      this._setHead(head, swapped.value);
+      return 'committed';
+    }
     if (swapped.error.kind === 'conflict' && swapped.error.current) {
-      return this._classifyHead(swapped.error.current, batchId);
+      return this._classifyHead(swapped.error.current, head.batchId);
     }
-    const found = await this._options.store.get(this._headKey);
+    const found = await store.get(this._headKey);
     if (found.isErr) return 'unknown';
     if (!found.value) return expectedVersion === 0 ? 'unknown' : 'fenced';
-    return this._classifyHead(found.value, batchId);
+    return this._classifyHead(found.value, head.batchId);
   }
 
-  private _classifyHead(found: IStoreValue, batchId: string): number | 'fenced' | 'unknown' {
-    if (decodeHead(found.value).batchId === batchId) return found.version;
-    return found.version === this._headVersion ? 'unknown' : 'fenced';
+  /** A trim keeps the batch id, so the id tells whether the last commit in the head is this host's own. */
+  private _classifyHead(found: IStoreValue, batchId: string): SwapOutcome | 'trimmed' | 'unknown' {
+    const current = decodeHead(found.value);
+    if (current.batchId === batchId) {
+      this._setHead(current, found.version);
+      return 'committed';
+    }
+    if (found.version === this._headVersion) return 'unknown';
+    if (this._headVersion === 0 || current.batchId !== this._head.batchId) return 'fenced';
+    this._setHead(current, found.version);
+    return 'trimmed';
   }
 
   private async _readAll(keys: readonly string[]): Promise<Result<string[], JournalError>> {
@@ -229,7 +322,7 @@
   }
 
   private get _headKey(): string {
-    return `journal/${this._options.partition}/head`;
+    return formatHeadKey(this._options.partition);
   }
 }
 
@@ -251,10 +344,34 @@
   for (const entry of entries) applyEntry(state, entry);
 }
 
-function decodeHead(value: string): IPartitionHead {
+/** Formats the key of a partition's head. */
+export function formatHeadKey(partition: number): string {
+  return `journal/${partition}/head`;
+}
+
+/** Decodes the value of a partition's head. */
+export function decodeHead(value: string): IPartitionHead {
   return JSON.parse(value) as IPartitionHead;
 }
 
+/** Selects the bills among entries of the log, which has each counted bill once. */
+export function selectBills(entries: readonly JournalEntry[]): IJournalBill[] {
+  return entries.flatMap((entry) =>
+    entry.kind === 'bill' ? [{ key: entry.key, bill: entry.bill, atMs: entry.atMs }] : [],
+  );
+}
+
+/** Removes the parts that have been trimmed. */
+function dropTrimmed(billParts: readonly IBillPart[], trimmedCount: number): IBillPart[] {
+  return billParts.filter((part) => part.first >= trimmedCount);
+}
+
+function sumCounts(totals: Iterable<IBillTotal>): number {
+  let sum = 0;
+  for (const total of totals) sum += total.count;
+  return sum;
+}
+
 function sumLengths(values: readonly string[]): number {
   return values.reduce((sum, value) => sum + value.length, 0);
 }
