Add membership, gossip, distribution of the configuration, and drain

Cause: hosts did not know one another, each watched the index itself, and a stop refused requests that the load balancer still sent.

--- a/src/adapters/EngineClient.ts
+++ b/src/adapters/EngineClient.ts
@@ -30,7 +30,10 @@
   usage: z.looseObject({ prompt_tokens: z.number(), completion_tokens: z.number() }).nullish(),
 });
 
-const REFUSAL_SCHEMA = z.looseObject({ ran: z.enum(['no', 'yes', 'unknown']).optional() });
+const REFUSAL_SCHEMA = z.looseObject({
+  ran: z.enum(['no', 'yes', 'unknown']).optional(),
+  error: z.looseObject({ message: z.string().optional() }).optional(),
+});
 
 /** A chunk of a chat completion as the engine sent it. */
 export type ChatChunk = z.output<typeof CHUNK_SCHEMA>;
@@ -147,18 +150,21 @@
 }
 
 async function mapRefusal(reply: Dispatcher.ResponseData): Promise<Result<IAnswer, IAttemptError>> {
-  const text = await reply.body.text();
-  const ran = decodeRan(text);
+  const refusal = decodeRefusal(await reply.body.text());
+  const ran = refusal?.ran;
   if (reply.statusCode === 400) return failAttempt('rejected', 'no', 'The endpoint rejected the request.');
   if (reply.statusCode === 429) return failAttempt('overloaded', ran ?? 'no', 'The endpoint is overloaded.');
+  if (reply.statusCode === 503 && refusal?.error?.message === 'leaving') {
+    return failAttempt('leaving', ran ?? 'no', 'The endpoint is leaving.');
+  }
   if (reply.statusCode === 503)
     return failAttempt('refused', ran ?? 'no', 'The endpoint refused the request.');
   return failAttempt('malformed', ran ?? 'unknown', `The endpoint answered with status ${reply.statusCode}.`);
 }
 
-function decodeRan(text: string): Ran | undefined {
+function decodeRefusal(text: string): z.output<typeof REFUSAL_SCHEMA> | undefined {
   try {
-    return REFUSAL_SCHEMA.safeParse(JSON.parse(text)).data?.ran;
+    return REFUSAL_SCHEMA.safeParse(JSON.parse(text)).data;
   } catch {
     return undefined;
   }
--- a/src/adapters/HostListClient.ts
+++ b/src/adapters/HostListClient.ts
@@ -12,6 +12,8 @@
       service: z.string(),
       versions: z.array(z.string()),
       state: z.enum(['live', 'leaving']),
+      /** Start of the machine; grows with each start. */
+      incarnation: z.number().int().min(0).optional(),
     }),
   ),
 });
--- a/src/cli/commands/QuickstartCommand.ts
+++ b/src/cli/commands/QuickstartCommand.ts
@@ -31,6 +31,8 @@
 
 function createDemoHost(platform: IDemoPlatform, events: ITimelineEvent[]): EntryHost {
   const text = `[host]\nid = host-1\nzone = zone-a\nport = 0\npeer_port = 0\npeer_key = quickstart-peer-key\n
+[limits]\ndrain_grace_ms = 0
+
 [platform]\nstore = ${platform.store}\nhost_list = ${platform.hostList}\n`;
   const settings = parseSettings(text);
   if (settings.isErr) throw new Error(settings.error);
--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -2,14 +2,19 @@
 import type {
   IAccountEntry,
   IAttemptEntry,
+  IConfigurationEntry,
+  IContactEntry,
   IEndpointEntry,
   IHostEntry,
+  ILifecycleEntry,
+  IListedHost,
   IPartitionEntry,
   IQualityEntry,
   IRequestEntry,
   IServiceEntry,
   ISessionEntry,
   ISuspectEntry,
+  IUpdateEntry,
 } from './Types.js';
 
 /** Called with an error thrown by a controller, so that one fault does not stop the others. */
@@ -40,6 +45,11 @@
   public readonly sessions = this._createPanel<string, ISessionEntry>();
   public readonly suspects = this._createPanel<string, ISuspectEntry>();
   public readonly quality = this._createPanel<string, IQualityEntry>();
+  public readonly listedHosts = this._createPanel<string, IListedHost>();
+  public readonly updates = this._createPanel<string, IUpdateEntry>();
+  public readonly contacts = this._createPanel<'store' | 'peer', IContactEntry>();
+  public readonly lifecycle = this._createPanel<'host', ILifecycleEntry>();
+  public readonly configuration = this._createPanel<'offered' | 'in-force', IConfigurationEntry>();
 
   constructor(private readonly _options: IBlackboardOptions = {}) {}
 
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -1,4 +1,5 @@
 import type { IServiceDocument, IRolloutState } from '../config/Types.js';
+import type { GossipUpdate, UpdateUrgency } from '../coordination/Gossip.js';
 import type { Millis, Priority, Ran } from '../Types.js';
 
 /** State of a request on its way from the caller to the delivered and billed answer. */
@@ -185,6 +186,8 @@
   report: ILoadReport | undefined;
   /** Whether the engine rejects orders with an old fencing token. */
   checksFencing: boolean;
+  /** Start of the endpoint as the host list gives it; grows with each start. Default 0. */
+  incarnation?: number;
 }
 
 /** A service as configured by its document. */
@@ -210,6 +213,54 @@
   /** Raised by the host itself to refute a suspicion; higher wins. */
   incarnation: number;
   changedAt: Millis;
+  /** Configuration revision that the host told last. */
+  revision?: number;
+  /** Set when this host decided the state while it was cut off, and so did not publish it. */
+  isOwnVerdict?: boolean;
+}
+
+/** An entry host in the platform's list, which lags. */
+export interface IListedHost {
+  id: string;
+  /** Address of the peer port, `ip:port`. */
+  address: string;
+  zone: string;
+  state: 'live' | 'leaving';
+}
+
+/** An update on its way to the other hosts. */
+export interface IUpdateEntry {
+  update: GossipUpdate;
+  /** Whether this host or a peer observed the change. */
+  origin: 'own' | 'peer';
+  urgency: UpdateUrgency;
+  /** Messages that have carried the update. */
+  sends: number;
+  changedAt: Millis;
+}
+
+/** When this host last had an answer from the store, or a message or an answer from a peer. */
+export interface IContactEntry {
+  at: Millis;
+}
+
+/** Phases of the host process, in this order. */
+export type LifecyclePhase = 'serving' | 'leaving' | 'closing' | 'finishing' | 'stopped';
+
+/** State of the host process. */
+export interface ILifecycleEntry {
+  phase: LifecyclePhase;
+  changedAt: Millis;
+}
+
+/** A whole configuration in its encoded form: the index and every document that it names. */
+export interface IConfigurationEntry {
+  /** Store version of the index. */
+  revision: number;
+  index: string;
+  /** Documents by store key. */
+  records: Readonly<Record<string, string>>;
+  from: 'store' | 'peer';
 }
 
 /** Use of a client account's limits on this host. */
--- a/src/common/config/ConfigFeed.ts
+++ b/src/common/config/ConfigFeed.ts
@@ -1,12 +1,10 @@
 import type { Result } from 'true-myth';
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { IStore, IStoreValue } from '../coordination/Types.js';
-import { Emitter } from '../Event.js';
+import type { IConfigurationEntry } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
-import type { IClock, Millis } from '../Types.js';
 import type { IConfigIndex, IConfigRecord, IDocumentProblem, IServiceDocument } from './Types.js';
 
-/** How the feed reads what the store holds. */
+/** How the feed reads what the store holds. The decoders throw on malformed input. */
 export interface IConfigCodec {
   indexKey: string;
   formatDocumentKey: (service: string, number: number) => string;
@@ -18,82 +16,80 @@
 /** Options of the configuration feed. */
 export interface IConfigFeedOptions {
   board: Blackboard;
-  store: IStore;
-  clock: IClock;
   codec: IConfigCodec;
-  /** Longest wait of one watch call. Default 30,000. */
-  watchTimeoutMs?: Millis;
-  /** Wait after a failed call. Default 250. */
-  retryDelayMs?: Millis;
+  /** Called when a configuration is offered that cannot be put in force. Default: nothing. */
+  onProblem?: (message: string) => void;
 }
 
-/** Follows the configuration index and writes the `services` panel. Revisions only ever grow. */
+/**
+ * Puts offered configurations in force: validates all of one, whether it comes from the store or from
+ * a peer, then writes the `services` panel. Revisions only ever grow.
+ */
 export class ConfigFeed extends Disposable {
-  private readonly _revisionEmitter = this._register(new Emitter<number>());
-  private readonly _options: Required<IConfigFeedOptions>;
-  private _revision = 0;
+  private _documents = new Map<string, IServiceDocument>();
 
-  /** Fires after a revision is in force on this host. */
-  public readonly onRevision = this._revisionEmitter.event;
-
-  constructor(options: IConfigFeedOptions) {
+  constructor(private readonly _options: IConfigFeedOptions) {
     super();
-    this._options = { watchTimeoutMs: 30_000, retryDelayMs: 250, ...options };
-  }
-
-  /** Revision in force; 0 before the first one. */
-  public get revision(): number {
-    return this._revision;
+    this._register(
+      _options.board.configuration.onChange(({ key, after }) => {
+        if (key === 'offered' && after) this._applyOffer(after);
+      }),
+    );
   }
 
-  /** Watches the index until the feed is disposed. */
-  public async run(): Promise<void> {
-    const { codec, store, watchTimeoutMs } = this._options;
-    while (!this._isDisposed) {
-      const found = await store.watch(codec.indexKey, this._revision, watchTimeoutMs);
-      if (found.isErr) await this._waitToRetry();
-      else if (found.value && !(await this._applyIndex(found.value))) await this._waitToRetry();
+  private _applyOffer(offer: IConfigurationEntry): void {
+    const revision = this._options.board.configuration.get('in-force')?.revision ?? 0;
+    if (offer.revision <= revision) return;
+    try {
+      const index = this._options.codec.decodeIndex(offer.index);
+      this._putInForce(offer, index, this._readDocuments(offer, index));
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      this._options.onProblem?.(`Revision ${offer.revision} from the ${offer.from}: ${message}`);
     }
   }
 
-  /** Reads every document that the index names, then puts all of them in force at once. */
-  private async _applyIndex(found: IStoreValue): Promise<boolean> {
-    if (found.version <= this._revision) return true;
-    const index = this._options.codec.decodeIndex(found.value);
+  /** Documents never change under their key, so those of the revision in force are not parsed again. */
+  private _readDocuments(offer: IConfigurationEntry, index: IConfigIndex): Map<string, IServiceDocument> {
     const documents = new Map<string, IServiceDocument>();
     for (const [service, number] of Object.entries(index.services)) {
-      const document = await this._readDocument(service, number);
-      if (!document) return false;
-      documents.set(service, document);
+      const key = this._options.codec.formatDocumentKey(service, number);
+      documents.set(key, this._documents.get(key) ?? this._parseRecord(offer.records[key], service, number));
     }
-    if (found.version > this._revision) this._writeServices(index, documents, found.version);
-    return true;
+    return documents;
   }
 
-  private async _readDocument(service: string, number: number): Promise<IServiceDocument | undefined> {
-    const { codec, store } = this._options;
-    const found = await store.get(codec.formatDocumentKey(service, number));
-    if (found.isErr || !found.value) return undefined;
-    const parsed = codec.parseText(codec.decodeRecord(found.value.value).text);
-    return parsed.isOk ? parsed.value : undefined;
+  private _parseRecord(value: string | undefined, service: string, number: number): IServiceDocument {
+    const { codec } = this._options;
+    if (value === undefined) throw new Error(`The document ${number} of '${service}' is missing.`);
+    const record = codec.decodeRecord(value);
+    const parsed = codec.parseText(record.text);
+    if (parsed.isErr) {
+      throw new Error(`The document ${number} of '${service}' is invalid: ${JSON.stringify(parsed.error)}`);
+    }
+    const isNamed = record.service === service && record.number === number && parsed.value.name === service;
+    if (!isNamed) throw new Error(`The document ${number} of '${service}' names another document.`);
+    return parsed.value;
   }
 
-  private _writeServices(
+  private _putInForce(
+    offer: IConfigurationEntry,
     index: IConfigIndex,
-    documents: ReadonlyMap<string, IServiceDocument>,
-    revision: number,
+    documents: Map<string, IServiceDocument>,
   ): void {
     const { board } = this._options;
-    this._revision = revision;
-    for (const [name, document] of documents) {
-      board.services.set(name, { name, document, revision, rollouts: index.rollouts[name] ?? {} });
+    this._documents = documents;
+    const records = Object.fromEntries([...documents.keys()].map((key) => [key, offer.records[key] ?? '']));
+    for (const { name } of [...board.services.list()]) {
+      if (!(name in index.services)) board.services.delete(name);
     }
-    this._revisionEmitter.fire(revision);
-  }
-
-  private _waitToRetry(): Promise<void> {
-    return new Promise((resolve) => {
-      this._options.clock.schedule(this._options.retryDelayMs, resolve);
-    });
+    for (const document of documents.values()) {
+      const { name } = document;
+      board.services.set(name, {
+        ...{ name, document, revision: offer.revision },
+        rollouts: index.rollouts[name] ?? {},
+      });
+    }
+    board.configuration.set('in-force', { ...offer, records });
   }
 }
--- /dev/null
+++ b/src/common/coordination/DrainController.ts
@@ -0,0 +1,62 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { LifecyclePhase } from '../blackboard/Types.js';
+import type { IClock, Millis } from '../Types.js';
+
+/** Options of the drain controller. */
+export interface IDrainOptions {
+  board: Blackboard;
+  clock: IClock;
+  /** Time to keep accepting while the load balancer still sends requests here. Default 3000. */
+  graceMs?: Millis;
+  /** Stops accepting; resolves when every open response has ended. */
+  closeFrontEnd: () => Promise<void>;
+  /** Steps after the last response, in this order: journal, leases, peer server. */
+  finishSteps: readonly (() => Promise<void>)[];
+  /** Called with the error of a step; the remaining steps still run. Default: nothing. */
+  onStepError?: (error: unknown) => void;
+}
+
+/**
+ * Stops a host without cutting off a request. Each phase is written to the `lifecycle` panel, from
+ * which readiness, admission and membership take theirs.
+ */
+export class DrainController {
+  private readonly _options: Required<IDrainOptions>;
+  private _drained: Promise<void> | undefined;
+
+  constructor(options: IDrainOptions) {
+    this._options = { graceMs: 3000, onStepError: () => undefined, ...options };
+    this._setPhase('serving');
+  }
+
+  /** Drains the host; later calls wait for the same drain. */
+  public drain(): Promise<void> {
+    this._drained ??= this._runPhases();
+    return this._drained;
+  }
+
+  private async _runPhases(): Promise<void> {
+    const { clock, closeFrontEnd, finishSteps, graceMs } = this._options;
+    this._setPhase('leaving');
+    await new Promise<void>((resolve) => {
+      clock.schedule(graceMs, resolve);
+    });
+    this._setPhase('closing');
+    await this._runStep(closeFrontEnd);
+    this._setPhase('finishing');
+    for (const finish of finishSteps) await this._runStep(finish);
+    this._setPhase('stopped');
+  }
+
+  private async _runStep(run: () => Promise<void>): Promise<void> {
+    try {
+      await run();
+    } catch (error) {
+      this._options.onStepError(error);
+    }
+  }
+
+  private _setPhase(phase: LifecyclePhase): void {
+    this._options.board.lifecycle.set('host', { phase, changedAt: this._options.clock.now() });
+  }
+}
--- /dev/null
+++ b/src/common/coordination/EndpointStateController.ts
@@ -0,0 +1,112 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IAttemptEntry, IEndpointEntry } from '../blackboard/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import type { IClock, Millis } from '../Types.js';
+import {
+  formatUpdateKey,
+  type EndpointCondition,
+  type IEndpointUpdate,
+  type PublishUpdate,
+  type UpdateUrgency,
+} from './Gossip.js';
+
+/** Options of the endpoint state controller. */
+export interface IEndpointStateOptions {
+  board: Blackboard;
+  clock: IClock;
+  publish: PublishUpdate;
+}
+
+/**
+ * After the return of an endpoint whose start the list does not give, peers' updates about its earlier
+ * life may still be under way for as long as hosts remember them.
+ */
+const LATE_UPDATE_MS = 60_000;
+
+/**
+ * Takes an endpoint out of use at the first sign that it is leaving: the host list, its own load
+ * report, its refusal, or a peer's update. What this host sees first is told to the peers at once. An
+ * endpoint in trouble is told with the next exchanges; a peer's word about that stays on the `updates`
+ * panel as a hint, since trouble may lie between the peer and the endpoint.
+ */
+export class EndpointStateController extends Disposable {
+  private readonly _returnedAt = new Map<string, Millis>();
+
+  constructor(private readonly _options: IEndpointStateOptions) {
+    super();
+    const { board } = _options;
+    this._register(
+      board.endpoints.onChange(({ before, after }) => {
+        if (after) this._handleEndpoint(before, after);
+      }),
+    );
+    this._register(
+      board.attempts.onChange(({ before, after }) => {
+        if (after?.phase === 'failed' && before?.phase !== 'failed') this._handleFailed(after);
+      }),
+    );
+    this._register(
+      board.updates.onChange(({ before, after }) => {
+        if (after?.update.kind !== 'endpoint' || before?.update === after.update) return;
+        this._applyUpdate(after.update);
+      }),
+    );
+    for (const endpoint of [...board.endpoints.list()]) this._handleEndpoint(undefined, endpoint);
+  }
+
+  private _handleEndpoint(before: IEndpointEntry | undefined, endpoint: IEndpointEntry): void {
+    if (before?.health !== endpoint.health) {
+      this._trackReturn(before, endpoint);
+      this._publishHealth(endpoint);
+    }
+    const known = this._options.board.updates.get(formatUpdateKey({ kind: 'endpoint', id: endpoint.id }));
+    // The list may introduce an endpoint, or its new start, after a peer has told that it leaves.
+    if (known?.update.kind === 'endpoint') this._applyUpdate(known.update);
+    if (endpoint.report?.isLeaving === true) this._markLeaving(endpoint.id);
+  }
+
+  private _handleFailed(attempt: IAttemptEntry): void {
+    if (attempt.error?.kind === 'leaving') this._markLeaving(attempt.endpoint);
+  }
+
+  private _applyUpdate({ condition, id, incarnation }: IEndpointUpdate): void {
+    const endpoint = this._options.board.endpoints.get(id);
+    const isCurrent = endpoint !== undefined && incarnation >= (endpoint.incarnation ?? 0);
+    if (condition === 'leaving' && isCurrent && !this._isLate(id)) this._markLeaving(id);
+  }
+
+  private _trackReturn(before: IEndpointEntry | undefined, endpoint: IEndpointEntry): void {
+    this._returnedAt.delete(endpoint.id);
+    const wasOut = before?.health === 'leaving' || before?.health === 'gone';
+    const hasStart = (endpoint.incarnation ?? 0) > 0;
+    if (wasOut && endpoint.health === 'healthy' && !hasStart) {
+      this._returnedAt.set(endpoint.id, this._options.clock.now());
+    }
+  }
+
+  private _isLate(id: string): boolean {
+    const returnedAt = this._returnedAt.get(id);
+    return returnedAt !== undefined && this._options.clock.now() - returnedAt < LATE_UPDATE_MS;
+  }
+
+  private _markLeaving(id: string): void {
+    const { board, clock } = this._options;
+    const endpoint = board.endpoints.get(id);
+    if (!endpoint || endpoint.health === 'leaving' || endpoint.health === 'gone') return;
+    board.endpoints.update(id, { health: 'leaving', healthChangedAt: clock.now() });
+  }
+
+  private _publishHealth({ health, id, incarnation = 0 }: IEndpointEntry): void {
+    if (health === 'leaving') this._publish(id, 'leaving', incarnation, 'now');
+    if (health === 'suspect') this._publish(id, 'suspect', incarnation, 'next-exchange');
+  }
+
+  private _publish(
+    id: string,
+    condition: EndpointCondition,
+    incarnation: number,
+    urgency: UpdateUrgency,
+  ): void {
+    this._options.publish({ kind: 'endpoint', id, condition, incarnation }, urgency);
+  }
+}
--- a/src/common/policy/Versions.ts
+++ b/src/common/policy/Versions.ts
@@ -1,4 +1,4 @@
-import type { IRequestEntry } from '../blackboard/Types.js';
+import type { IRequestEntry, IServiceEntry } from '../blackboard/Types.js';
 import type { IServiceDocument, IVersionSpec } from '../config/Types.js';
 import type { IVersionView, VersionDecision } from '../request/Types.js';
 import { listAllowedVersions } from './Admission.js';
@@ -46,6 +46,18 @@
   return { kind: 'refuse', refusal: { code: 'version_withdrawn', message, ran: request.ran } };
 }
 
+/**
+ * Tells whether a version that was chosen earlier may still receive the request: the document may have
+ * changed while the request was queued.
+ */
+export function isVersionInUse(request: IRequestEntry, service: IServiceEntry | undefined): boolean {
+  if (request.target.kind === 'plain') return true;
+  if (!service) return false;
+  const version = listVersionsOf(request, service.document).find(({ name }) => name === request.version);
+  if (!version || version.stage === 'withdrawn') return false;
+  return request.session !== undefined || service.rollouts[version.name]?.verdict !== 'halted';
+}
+
 function findPinnedVersion(view: IVersionView, name: string): UsableVersions {
   const { request, service } = view;
   const version = listVersionsOf(request, service.document).find((allowed) => allowed.name === name);
--- a/src/common/request/RouteController.ts
+++ b/src/common/request/RouteController.ts
@@ -1,6 +1,7 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { AttemptRole, IRequestEntry } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
+import { isVersionInUse } from '../policy/Versions.js';
 import type { IClock } from '../Types.js';
 import { isCandidate } from './Candidates.js';
 import { refuseRequest } from './Refusals.js';
@@ -42,6 +43,21 @@
         if (hasRoom || before?.health !== after?.health) this._assignQueued();
       }),
     );
+    this._register(
+      board.services.onChange(() => {
+        this._assignQueued();
+      }),
+    );
+  }
+
+  /** A version that was withdrawn after it was chosen gets no request; another one is chosen. */
+  private _rejectWithdrawn(request: IRequestEntry): boolean {
+    const { board } = this._options;
+    if (isVersionInUse(request, board.services.get(request.service))) return false;
+    this._queue.delete(request.id);
+    const isQueued = board.requests.get(request.id)?.phase === 'queued';
+    if (isQueued) board.requests.update(request.id, { phase: 'claimed', version: undefined });
+    return true;
   }
 
   private _addToQueue(request: IRequestEntry): void {
@@ -66,6 +82,7 @@
   }
 
   private _tryAssign(request: IRequestEntry): void {
+    if (this._rejectWithdrawn(request)) return;
     const { board, chooseEndpoint, clock, zone } = this._options;
     const candidates = [...board.endpoints.list()].filter((endpoint) => isCandidate(endpoint, request));
     if (candidates.length === 0) {
--- a/src/daemons/EndpointTracker.ts
+++ b/src/daemons/EndpointTracker.ts
@@ -1,7 +1,8 @@
 import { fetchHostList, type ListedMachine } from '../adapters/HostListClient.js';
 import type { WriteLog } from '../adapters/Logs.js';
 import type { Blackboard } from '../common/blackboard/Blackboard.js';
-import type { IEndpointEntry } from '../common/blackboard/Types.js';
+import type { IEndpointEntry, IListedHost } from '../common/blackboard/Types.js';
+import { reconcileEndpoint, type IListedEndpointState } from '../common/coordination/EndpointStates.js';
 import { Disposable, type IDisposable } from '../common/Lifecycle.js';
 import type { IClock, Millis } from '../common/Types.js';
 
@@ -15,8 +16,9 @@
   log: WriteLog;
 }
 
-/** Copies endpoints from the platform's list to the `endpoints` panel. */
+/** Copies the platform's list to the `endpoints` and `listedHosts` panels. */
 export class EndpointTracker extends Disposable {
+  private readonly _listed = new Map<string, IListedEndpointState>();
   private _timer: IDisposable | undefined;
 
   constructor(private readonly _options: IEndpointTrackerOptions) {
@@ -44,28 +46,39 @@
     const { board, clock } = this._options;
     const listed = new Set<string>();
     for (const machine of machines) {
-      if (machine.role === 'entry-host') continue;
       listed.add(machine.id);
-      this._applyMachine(machine);
+      if (machine.role === 'entry-host') this._applyHost(machine);
+      else this._applyEndpoint(machine);
     }
-    for (const endpoint of board.endpoints.list()) {
+    for (const endpoint of [...board.endpoints.list()]) {
       if (listed.has(endpoint.id) || endpoint.health === 'gone') continue;
+      this._listed.delete(endpoint.id);
       board.endpoints.update(endpoint.id, { health: 'gone', healthChangedAt: clock.now() });
     }
+    for (const { id } of [...board.listedHosts.list()]) if (!listed.has(id)) board.listedHosts.delete(id);
   }
 
-  private _applyMachine(machine: ListedMachine): void {
+  private _applyHost({ address, id, state, zone }: ListedMachine): void {
+    const { listedHosts } = this._options.board;
+    const known = listedHosts.get(id);
+    const entry: IListedHost = { id, address, zone, state };
+    if (known?.address !== address || known.state !== state) listedHosts.set(id, entry);
+  }
+
+  private _applyEndpoint(machine: ListedMachine): void {
     const { board, clock } = this._options;
-    const known = board.endpoints.get(machine.id);
+    const { address, id, incarnation, state } = machine;
+    const known = board.endpoints.get(id);
+    const listedBefore = this._listed.get(id);
+    this._listed.set(id, { state, incarnation });
     if (!known) {
-      board.endpoints.set(machine.id, createEndpoint(machine, clock.now()));
+      board.endpoints.set(id, createEndpoint(machine, clock.now()));
       return;
     }
-    const health =
-      machine.state === 'leaving' ? 'leaving' : known.health === 'gone' ? 'healthy' : known.health;
-    const isSame = known.health === health && known.address === machine.address;
-    if (!isSame)
-      board.endpoints.update(machine.id, { health, address: machine.address, healthChangedAt: clock.now() });
+    const next = reconcileEndpoint(known, listedBefore, { state, incarnation }, clock.now());
+    const isSame =
+      next.health === known.health && next.incarnation === known.incarnation && known.address === address;
+    if (!isSame) board.endpoints.set(id, { ...next, address });
   }
 }
 
@@ -86,5 +99,6 @@
     consecutiveFailures: 0,
     report: undefined,
     checksFencing: false,
+    incarnation: machine.incarnation ?? 0,
   };
 }
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -1,5 +1,4 @@
 import { Agent } from 'undici';
-import { configCodec } from '../adapters/ConfigStore.js';
 import { runEngineAttempt } from '../adapters/EngineClient.js';
 import { createHttpStore } from '../adapters/HttpStore.js';
 import type { WriteLog } from '../adapters/Logs.js';
@@ -8,9 +7,10 @@
 import { systemClock } from '../adapters/SystemClock.js';
 import { Blackboard } from '../common/blackboard/Blackboard.js';
 import type { IRequestEntry } from '../common/blackboard/Types.js';
-import { ConfigFeed } from '../common/config/ConfigFeed.js';
+import { DrainController } from '../common/coordination/DrainController.js';
 import { combineTotals, createLocalJournal } from '../common/coordination/LocalJournal.js';
 import { PartitionLog } from '../common/coordination/PartitionLog.js';
+import { isHostReady } from '../common/coordination/Readiness.js';
 import type { IBillTotal, IJournal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
@@ -32,6 +32,7 @@
 import { EndpointTracker } from './EndpointTracker.js';
 import { encodeStoredAnswer } from './Encoding.js';
 import { FrontEnd } from './FrontEnd.js';
+import { MembershipWiring } from './MembershipWiring.js';
 import type { HostSettings } from './Settings.js';
 
 /** Options of an entry host. */
@@ -46,11 +47,11 @@
   private readonly _board: Blackboard;
   private readonly _store: IStore;
   private readonly _logs: PartitionLog[];
-  private readonly _feed: ConfigFeed;
+  private readonly _membership: MembershipWiring;
+  private readonly _drain: DrainController;
   private readonly _frontEnd: FrontEnd;
   private readonly _tracker: EndpointTracker;
   private readonly _agent = new Agent({ connections: 256, pipelining: 1 });
-  private _isDraining = false;
 
   constructor(private readonly _options: IEntryHostOptions) {
     super();
@@ -63,19 +64,29 @@
     this._board = board;
     this._store = createHttpStore({ address: settings.platform.store });
     this._logs = this._createLogs();
-    this._feed = this._register(
-      new ConfigFeed({ board, store: this._store, clock: systemClock, codec: configCodec }),
-    );
     this._frontEnd = this._createFrontEnd();
     this._tracker = this._createTracker();
     this._registerControllers(createLocalJournal({ logs: this._logs }));
     const readWallClock = (): string => new Date().toISOString();
-    this._register(new TimelineRecorder({ host: settings.host.id, board, readWallClock, writeEvent }));
+    const timeline = new TimelineRecorder({ host: settings.host.id, board, readWallClock, writeEvent });
+    this._register(timeline);
+    this._membership = this._register(
+      new MembershipWiring({
+        ...{ board, store: this._store, settings, log },
+        lamport: {
+          read: () => timeline.lamport,
+          observe: (lamport) => {
+            timeline.observeLamport(lamport);
+          },
+        },
+      }),
+    );
+    this._drain = this._createDrain();
   }
 
   /** Starts all parts; resolves with the port for callers. */
   public async start(): Promise<number> {
-    void this._feed.run();
+    await this._membership.start({});
     await this._tracker.run();
     await Promise.all(this._logs.map((log) => log.open()));
     return this._frontEnd.startListening();
@@ -83,9 +94,8 @@
 
   /** Finishes every request and stops. */
   public async stop(): Promise<void> {
-    this._isDraining = true;
-    await this._frontEnd.drain();
-    await Promise.all(this._logs.map((log) => log.drain()));
+    await this._drain.drain();
+    await this._membership.stop();
     this.dispose();
   }
 
@@ -99,6 +109,18 @@
     void this._agent.close();
   }
 
+  private _createDrain(): DrainController {
+    const { log, settings } = this._options;
+    return new DrainController({
+      ...{ board: this._board, clock: systemClock, graceMs: settings.limits.drain_grace_ms },
+      closeFrontEnd: () => this._frontEnd.drain(),
+      finishSteps: this._logs.map((partition) => () => partition.drain()),
+      onStepError: (error) => {
+        log('error', 'A step of the drain failed', { error: String(error) });
+      },
+    });
+  }
+
   private _createLogs(): PartitionLog[] {
     const { settings } = this._options;
     return Array.from({ length: settings.journal.partitions }, (_, partition) =>
@@ -127,7 +149,8 @@
         port: host.port,
         createId: createUniqueId,
         readWallClock: Date.now,
-        isReady: () => this._feed.revision > 0 && !this._isDraining,
+        isReady: () => isHostReady(this._board, systemClock.now()),
+        isClosing: () => this._board.lifecycle.get('host')?.phase !== 'serving',
         maxBodyBytes: limits.max_body_bytes,
         bodyTimeoutMs: limits.body_timeout_ms,
       }),
@@ -155,7 +178,7 @@
         ...common,
         decideAdmission,
         takeRateShare: () => true,
-        isDraining: () => this._isDraining,
+        isDraining: () => hasStoppedAccepting(this._board),
       }),
     );
     this._register(new ClaimController({ ...common, hashKey }));
@@ -188,6 +211,12 @@
       : runEngineAttempt({ clock: systemClock, dispatcher: this._agent }, call, onPart);
 }
 
+/** Requests on connections that were open before the front end closed are still served. */
+function hasStoppedAccepting(board: Blackboard): boolean {
+  const phase = board.lifecycle.get('host')?.phase;
+  return phase === 'finishing' || phase === 'stopped';
+}
+
 function hashKey(request: IRequestEntry): string {
   return hashTexts('request', request.service, request.account, request.idempotencyKey ?? request.id);
 }
--- a/src/daemons/FrontEnd.ts
+++ b/src/daemons/FrontEnd.ts
@@ -20,11 +20,16 @@
   readWallClock: () => number;
   /** Whether the balancer should send requests here. */
   isReady: () => boolean;
+  /** Whether callers should send their next requests elsewhere. */
+  isClosing: () => boolean;
   maxBodyBytes: number;
   /** Longest time for the headers and the body of a request to arrive. */
   bodyTimeoutMs: Millis;
 }
 
+/** Time between two looks for connections that became idle during a drain. */
+const IDLE_CHECK_MS = 100;
+
 interface IAuthenticated {
   document: IServiceDocument;
   account: string;
@@ -66,11 +71,19 @@
 
   /** Stops accepting connections and resolves when every open response has ended. */
   public async drain(): Promise<void> {
+    let hasClosed = false;
     await new Promise<void>((resolve) => {
       this._server.close(() => {
+        hasClosed = true;
         resolve();
       });
-      this._server.closeIdleConnections();
+      const closeIdle = (): void => {
+        if (hasClosed) return;
+        // A connection whose response began before the drain stays open after it.
+        this._server.closeIdleConnections();
+        this._options.clock.schedule(IDLE_CHECK_MS, closeIdle);
+      };
+      closeIdle();
     });
   }
 
@@ -93,6 +106,7 @@
     response.on('error', () => {
       this._writers.delete(id);
     });
+    if (this._options.isClosing()) response.setHeader('connection', 'close');
     try {
       await this._route(id, request, response, writer);
     } catch {
--- a/src/standins/HostListServer.ts
+++ b/src/standins/HostListServer.ts
@@ -12,6 +12,8 @@
   service: string;
   versions: string[];
   state: 'live' | 'leaving';
+  /** Start of the machine; grows with each start. */
+  incarnation?: number;
 }
 
 /** A running host-list stand-in. */
--- a/src/testing/ManualClock.ts
+++ b/src/testing/ManualClock.ts
@@ -36,9 +36,12 @@
   }
 
   private _findDue(end: Millis): ITimer | undefined {
-    const due = [...this._timers].filter((timer) => timer.at <= end);
-    due.sort((first, second) => first.at - second.at || first.order - second.order);
-    return due[0];
+    let first: ITimer | undefined;
+    for (const timer of this._timers) {
+      if (timer.at > end) continue;
+      if (!first || timer.at < first.at || (timer.at === first.at && timer.order < first.order)) first = timer;
+    }
+    return first;
   }
 }
 
