--- a/src/testing/ManualClock.ts
+++ b/src/testing/ManualClock.ts
@@ -39,7 +39,8 @@
     let first: ITimer | undefined;
     for (const timer of this._timers) {
       if (timer.at > end) continue;
-      if (!first || timer.at < first.at || (timer.at === first.at && timer.order < first.order)) first = timer;
+      if (!first || timer.at < first.at || (timer.at === first.at && timer.order < first.order))
+        first = timer;
     }
     return first;
   }
