--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -1,20 +1,14 @@
 import { Agent } from 'undici';
-import { configCodec } from '../adapters/ConfigStore.js';
 import { runEngineAttempt } from '../adapters/EngineClient.js';
 import { createHttpStore } from '../adapters/HttpStore.js';
 import type { WriteLog } from '../adapters/Logs.js';
 import { runPlainAttempt } from '../adapters/PlainClient.js';
-import {
-  createPeerClient,
-  startPeerServer,
-  type IPeerClient,
-  type IPeerServer,
-} from '../adapters/PeerRpc.js';
 import { createUniqueId, hashTexts } from '../adapters/Random.js';
 import { systemClock } from '../adapters/SystemClock.js';
 import { Blackboard } from '../common/blackboard/Blackboard.js';
 import type { IRequestEntry } from '../common/blackboard/Types.js';
-import { ConfigFeed } from '../common/config/ConfigFeed.js';
+import { DrainController } from '../common/coordination/DrainController.js';
+import { isHostReady } from '../common/coordination/Readiness.js';
 import type { IBillTotal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
@@ -36,8 +30,8 @@
 import { EndpointTracker } from './EndpointTracker.js';
 import { encodeStoredAnswer } from './Encoding.js';
 import { FrontEnd } from './FrontEnd.js';
-import { HostTracker } from './HostTracker.js';
 import { JournalWiring } from './JournalWiring.js';
+import { MembershipWiring } from './MembershipWiring.js';
 import type { HostSettings } from './Settings.js';
 
 /** Options of an entry host. */
@@ -51,16 +45,13 @@
 export class EntryHost extends Disposable {
   private readonly _board: Blackboard;
   private readonly _store: IStore;
-  private readonly _peers: IPeerClient;
+  private readonly _membership: MembershipWiring;
   private readonly _journal: JournalWiring;
-  private readonly _hosts: HostTracker;
-  private readonly _feed: ConfigFeed;
+  private readonly _drain: DrainController;
   private readonly _frontEnd: FrontEnd;
   private readonly _tracker: EndpointTracker;
   private readonly _agent = new Agent({ connections: 256, pipelining: 1 });
   private readonly _timeline: TimelineRecorder;
-  private _peerServer: IPeerServer | undefined;
-  private _isDraining = false;
 
   constructor(private readonly _options: IEntryHostOptions) {
     super();
@@ -76,34 +67,27 @@
     this._timeline = this._register(
       new TimelineRecorder({ host: settings.host.id, board, readWallClock, writeEvent }),
     );
-    this._peers = this._createPeers();
-    this._journal = this._register(
-      new JournalWiring({ settings, board, store: this._store, send: this._peers.send, log }),
-    );
-    this._hosts = this._createHostTracker();
-    this._feed = this._register(
-      new ConfigFeed({ board, store: this._store, clock: systemClock, codec: configCodec }),
-    );
+    const common = { settings, board, store: this._store, log };
+    this._membership = this._register(new MembershipWiring({ ...common, lamport: this._lamport }));
+    this._journal = this._register(new JournalWiring({ ...common, send: this._membership.send }));
     this._frontEnd = this._createFrontEnd();
     this._tracker = this._createTracker();
     this._registerControllers();
+    this._drain = this._createDrain();
   }
 
   /** Starts all parts; resolves with the port for callers. */
   public async start(): Promise<number> {
-    void this._feed.run();
+    await this._membership.start(this._journal.handlers);
     await this._tracker.run();
-    await this._hosts.run(await this._startPeerServer());
     await this._journal.start();
     return this._frontEnd.startListening();
   }
 
   /** Finishes every request and stops. */
   public async stop(): Promise<void> {
-    this._isDraining = true;
-    await this._frontEnd.drain();
-    this._hosts.markLeaving();
-    await this._journal.drain();
+    await this._drain.drain();
+    await this._membership.stop();
     this.dispose();
   }
 
@@ -115,23 +99,6 @@
   public override dispose(): void {
     super.dispose();
     void this._agent.close();
-    void this._peers.close();
-    void this._peerServer?.close();
-  }
-
-  private _createPeers(): IPeerClient {
-    const { host } = this._options.settings;
-    const findAddress = (id: string): string | undefined => this._board.hosts.get(id)?.address;
-    return createPeerClient({ host: host.id, key: host.peer_key, lamport: this._lamport, findAddress });
-  }
-
-  /** Resolves with the address of the peer port. */
-  private async _startPeerServer(): Promise<string> {
-    const { id, ip, peer_key, peer_port } = this._options.settings.host;
-    const { handlers } = this._journal;
-    const common = { host: id, key: peer_key, lamport: this._lamport };
-    this._peerServer = await startPeerServer({ ...common, ip, port: peer_port, handlers });
-    return `${ip}:${this._peerServer.port}`;
   }
 
   private readonly _lamport = {
@@ -141,19 +108,16 @@
     },
   };
 
-  private _createHostTracker(): HostTracker {
+  private _createDrain(): DrainController {
     const { log, settings } = this._options;
-    return this._register(
-      new HostTracker({
-        board: this._board,
-        clock: systemClock,
-        hostList: settings.platform.host_list,
-        intervalMs: settings.platform.host_list_interval_ms,
-        host: settings.host.id,
-        zone: settings.host.zone,
-        log,
-      }),
-    );
+    return new DrainController({
+      ...{ board: this._board, clock: systemClock, graceMs: settings.limits.drain_grace_ms },
+      closeFrontEnd: () => this._frontEnd.drain(),
+      finishSteps: [() => this._journal.drain()],
+      onStepError: (error) => {
+        log('error', 'A step of the drain failed', { error: String(error) });
+      },
+    });
   }
 
   private _createFrontEnd(): FrontEnd {
@@ -166,7 +130,8 @@
         port: host.port,
         createId: createUniqueId,
         readWallClock: Date.now,
-        isReady: () => this._feed.revision > 0 && this._journal.isReady() && !this._isDraining,
+        isReady: () => isHostReady(this._board, systemClock.now()) && this._journal.isReady(),
+        isClosing: () => this._board.lifecycle.get('host')?.phase !== 'serving',
         maxBodyBytes: limits.max_body_bytes,
         bodyTimeoutMs: limits.body_timeout_ms,
       }),
@@ -195,7 +160,7 @@
         ...common,
         decideAdmission,
         takeRateShare: () => true,
-        isDraining: () => this._isDraining,
+        isDraining: () => hasStoppedAccepting(this._board),
       }),
     );
     const retentionMs = this._options.settings.journal.claim_retention_hours * 3_600_000;
@@ -228,6 +193,12 @@
       : runEngineAttempt({ clock: systemClock, dispatcher: this._agent }, call, onPart);
 }
 
+/** Requests on connections that were open before the front end closed are still served. */
+function hasStoppedAccepting(board: Blackboard): boolean {
+  const phase = board.lifecycle.get('host')?.phase;
+  return phase === 'finishing' || phase === 'stopped';
+}
+
 function hashKey(request: IRequestEntry): string {
   return hashTexts('request', request.service, request.account, request.idempotencyKey ?? request.id);
 }
