--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -5,11 +5,13 @@
   IEndpointEntry,
   IHostEntry,
   IPartitionEntry,
+  IPrefixEntry,
   IQualityEntry,
   IRequestEntry,
   IServiceEntry,
   ISessionEntry,
   ISuspectEntry,
+  IWorkEstimate,
 } from './Types.js';
 
 /** Called with an error thrown by a controller, so that one fault does not stop the others. */
@@ -39,6 +41,8 @@
   public readonly partitions = this._createPanel<number, IPartitionEntry>();
   public readonly sessions = this._createPanel<string, ISessionEntry>();
   public readonly suspects = this._createPanel<string, ISuspectEntry>();
+  public readonly prefixes = this._createPanel<string, IPrefixEntry>();
+  public readonly estimates = this._createPanel<string, IWorkEstimate>();
   public readonly quality = this._createPanel<string, IQualityEntry>();
 
   constructor(private readonly _options: IBlackboardOptions = {}) {}
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -84,6 +84,10 @@
   winner: string | undefined;
   /** Number of attempts planned so far. */
   attemptCount: number;
+  /** Ids of the attempts planned so far, oldest first. Absent before the first. */
+  attemptIds?: readonly string[];
+  /** Endpoints whose attempts for this request failed; a retry avoids them. */
+  failedEndpoints?: readonly string[];
   /** Versions tried before an escalation. */
   escalatedFrom: readonly string[];
   /** Whether any attempt may have been run by an endpoint. */
@@ -141,6 +145,10 @@
   endpoint: string;
   version: string | undefined;
   plannedAt: Millis;
+  /** Completion tokens that routing expects; counted into the endpoint's `inFlightTokens`. */
+  expectedTokens?: number;
+  /** Whether the attempt counts into the endpoint's `longInFlight`. */
+  isLong?: boolean;
   firstTokenAt: Millis | undefined;
   endedAt: Millis | undefined;
   tokens: number;
@@ -182,6 +190,16 @@
   /** Smoothed time between tokens, in milliseconds. */
   tokenMs: number | undefined;
   consecutiveFailures: number;
+  /** Attempts of this host that may be in flight at once; adapted from latency and reports. */
+  inFlightLimit?: number;
+  /** Attempts in flight whose expected length is far above the usual. */
+  longInFlight?: number;
+  /** Recent time between tokens of the streams in flight, also of those that stand still. */
+  paceMs?: number | undefined;
+  /** Age of the oldest attempt in flight that has no output. */
+  firstTokenWaitMs?: number | undefined;
+  /** Attempt that tests the endpoint while it is `probing`. */
+  probe?: string | undefined;
   report: ILoadReport | undefined;
   /** Whether the engine rejects orders with an old fencing token. */
   checksFencing: boolean;
@@ -259,6 +277,28 @@
   changedAt: Millis;
 }
 
+/** Where prompts with a prefix were sent lately; the engine may have evicted it since. */
+export interface IPrefixEntry {
+  /** Version and hash of the prefix. */
+  key: string;
+  endpoint: string;
+  sentAt: Millis;
+}
+
+/** What finished work tells about work to come, for a pool of endpoints or a client account. */
+export interface IWorkEstimate {
+  key: string;
+  /** Usual completion tokens; unusually long work counts only up to a bound. */
+  tokens: number;
+  /** Share of `maxTokens` that completions use, 0 to 1. */
+  limitUse: number;
+  firstTokenMs: Millis;
+  tokenMs: Millis;
+  /** Time from the start to the end of short and of long work. */
+  shortMs: Millis;
+  longMs: Millis | undefined;
+}
+
 /** Observed quality of a version for one kind of request. */
 export interface IQualityEntry {
   service: string;
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'true-myth';
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type {
+  AttemptErrorKind,
   IAnswer,
   IAttemptEntry,
   IAttemptError,
@@ -9,6 +10,8 @@
 } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
+import { releaseAttempt } from './AttemptPlan.js';
+import { EndpointMeter } from './EndpointMeter.js';
 import { hasEnded } from './Refusals.js';
 import type { AttemptPart, DeliverChunk, RunAttempt } from './Types.js';
 
@@ -20,6 +23,16 @@
   deliverChunk: DeliverChunk;
 }
 
+type AttemptOutcome = 'ok' | AttemptErrorKind;
+
+/** Outcomes that say nothing against the endpoint's health. */
+const BLAMELESS_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  'cancelled',
+  'rejected',
+  'overloaded',
+  'leaving',
+]);
+
 /** Weight of the newest sample in smoothed latencies. */
 const LATENCY_WEIGHT = 0.2;
 
@@ -29,10 +42,12 @@
  */
 export class AttemptController extends Disposable {
   private readonly _running = new Map<string, AbortController>();
+  private readonly _meter: EndpointMeter;
 
   constructor(private readonly _options: IAttemptOptions) {
     super();
-    const { board } = _options;
+    const { board, clock } = _options;
+    this._meter = this._register(new EndpointMeter({ board, clock }));
     this._register(
       board.attempts.onChange(({ before, after }) => {
         if (after?.phase === 'planned' && !before) void this._run(after);
@@ -40,8 +55,8 @@
       }),
     );
     this._register(
-      board.requests.onChange(({ key, after }) => {
-        if (!after || hasEnded(after)) this._cancelAttempts(key);
+      board.requests.onChange(({ before, after }) => {
+        if (before && (!after || hasEnded(after))) this._cancelAttempts(before);
       }),
     );
   }
@@ -55,14 +70,15 @@
     const { board, runAttempt } = this._options;
     const request = board.requests.get(attempt.request);
     const endpoint = board.endpoints.get(attempt.endpoint);
-    if (!request || !endpoint || hasEnded(request)) {
+    const isPlanned = board.attempts.get(attempt.id)?.phase === 'planned';
+    if (!request || !endpoint || !isPlanned || hasEnded(request)) {
       this._finish(attempt, 'cancelled', undefined, undefined);
       return;
     }
     const controller = new AbortController();
     this._running.set(attempt.id, controller);
     board.attempts.update(attempt.id, { phase: 'sent' });
-    const progress = new AttemptProgress(this._options, attempt, request);
+    const progress = new AttemptProgress(this._options, this._meter, attempt, request);
     const result = await runAttempt({ attempt, request, endpoint, signal: controller.signal }, (part) => {
       progress.handlePart(part);
     });
@@ -76,10 +92,10 @@
     progress: AttemptProgress,
     result: Result<IAnswer, IAttemptError>,
   ): void {
-    this._observe(attempt, progress, result.isOk);
-    if (this._options.board.attempts.get(attempt.id)?.phase === 'cancelled') {
-      this._finish(attempt, 'cancelled', undefined, undefined);
-    } else if (result.isOk) this._finish(attempt, 'finished', result.value, undefined);
+    const isCancelled = this._options.board.attempts.get(attempt.id)?.phase === 'cancelled';
+    this._observe(attempt, progress, isCancelled ? 'cancelled' : result.isOk ? 'ok' : result.error.kind);
+    if (isCancelled) this._finish(attempt, 'cancelled', undefined, undefined);
+    else if (result.isOk) this._finish(attempt, 'finished', result.value, undefined);
     else this._finish(attempt, 'failed', undefined, result.error);
   }
 
@@ -90,39 +106,29 @@
     error: IAttemptError | undefined,
   ): void {
     const { board, clock } = this._options;
-    this._releaseEndpoint(attempt);
+    releaseAttempt(board, attempt.id);
     board.attempts.update(attempt.id, { phase, answer, error, endedAt: clock.now() });
   }
 
-  private _releaseEndpoint(attempt: IAttemptEntry): void {
-    const { board } = this._options;
-    const endpoint = board.endpoints.get(attempt.endpoint);
-    if (!endpoint) return;
-    const target = board.requests.get(attempt.request)?.target;
-    const tokens = target?.kind === 'model' ? target.maxTokens : 0;
-    board.endpoints.update(endpoint.id, {
-      inFlight: Math.max(0, endpoint.inFlight - 1),
-      inFlightTokens: Math.max(0, endpoint.inFlightTokens - tokens),
-    });
-  }
-
-  private _observe(attempt: IAttemptEntry, progress: AttemptProgress, isSuccess: boolean): void {
+  private _observe(attempt: IAttemptEntry, progress: AttemptProgress, outcome: AttemptOutcome): void {
     const { board } = this._options;
     const endpoint = board.endpoints.get(attempt.endpoint);
     if (!endpoint) return;
-    const patch: Partial<IEndpointEntry> = {
-      consecutiveFailures: isSuccess ? 0 : endpoint.consecutiveFailures + 1,
-    };
+    const patch: Partial<IEndpointEntry> = {};
+    if (outcome === 'ok') patch.consecutiveFailures = 0;
+    else if (!BLAMELESS_OUTCOMES.has(outcome)) patch.consecutiveFailures = endpoint.consecutiveFailures + 1;
     const { firstTokenMs, tokenMs } = progress;
     if (firstTokenMs !== undefined) patch.firstTokenMs = computeSmoothed(endpoint.firstTokenMs, firstTokenMs);
     if (tokenMs !== undefined) patch.tokenMs = computeSmoothed(endpoint.tokenMs, tokenMs);
     board.endpoints.update(endpoint.id, patch);
   }
 
-  private _cancelAttempts(request: string): void {
+  private _cancelAttempts(request: IRequestEntry): void {
     const { board } = this._options;
-    for (const id of this._running.keys()) {
-      if (board.attempts.get(id)?.request === request) board.attempts.update(id, { phase: 'cancelled' });
+    for (const id of request.attemptIds ?? []) {
+      const phase = board.attempts.get(id)?.phase;
+      const isOpen = phase === 'planned' || phase === 'sent' || phase === 'streaming';
+      if (isOpen && this._running.has(id)) board.attempts.update(id, { phase: 'cancelled' });
     }
   }
 
@@ -139,9 +145,12 @@
 
   constructor(
     private readonly _options: IAttemptOptions,
+    private readonly _meter: EndpointMeter,
     private readonly _attempt: IAttemptEntry,
     private readonly _request: IRequestEntry,
-  ) {}
+  ) {
+    _meter.startWait(_attempt.endpoint, _attempt.id);
+  }
 
   public get firstTokenMs(): Millis | undefined {
     return this._firstTokenAt === undefined ? undefined : this._firstTokenAt - this._attempt.plannedAt;
@@ -162,21 +171,29 @@
     this._lastTokenAt = this._options.clock.now();
     if (this._firstTokenAt === undefined) this._handleFirstToken(this._lastTokenAt);
     this._tokens += part.tokens;
+    this._meter.countTokens(this._attempt.endpoint, part.tokens);
     if (this._isWinner()) this._options.deliverChunk(this._request.id, part.data);
   }
 
   public end(): void {
     this._hasEnded = true;
+    if (this._firstTokenAt === undefined) this._meter.endWait(this._attempt.endpoint, this._attempt.id);
+    else this._meter.endStream(this._attempt.endpoint);
     this._options.board.attempts.update(this._attempt.id, { tokens: this._tokens });
   }
 
   private _handleFirstToken(now: Millis): void {
     const { board } = this._options;
     this._firstTokenAt = now;
+    this._meter.endWait(this._attempt.endpoint, this._attempt.id);
+    this._meter.startStream(this._attempt.endpoint);
     board.attempts.update(this._attempt.id, { phase: 'streaming', firstTokenAt: now });
-    if (board.requests.get(this._request.id)?.winner !== undefined) return;
-    // The first attempt with output wins; a hedge that answers later is cancelled by its controller.
-    board.requests.update(this._request.id, { winner: this._attempt.id, ran: 'yes' });
+    const request = board.requests.get(this._request.id);
+    if (!request || request.winner !== undefined) return;
+    // The first output of a stream goes to the caller and decides. A whole answer is decided when it is
+    // complete, so that another attempt can still overtake a slow one.
+    const isStreaming = request.target.kind === 'model' && request.target.isStreaming;
+    board.requests.update(request.id, { ran: 'yes', ...(isStreaming ? { winner: this._attempt.id } : {}) });
   }
 
   private _isWinner(): boolean {
--- /dev/null
+++ b/src/common/request/AttemptPlan.ts
@@ -0,0 +1,65 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { AttemptRole, IRequestEntry } from '../blackboard/Types.js';
+import type { Millis } from '../Types.js';
+import type { LengthClass } from './Types.js';
+
+/** What is needed to plan an attempt. */
+export interface IAttemptPlan {
+  id: string;
+  role: AttemptRole;
+  request: IRequestEntry;
+  endpoint: string;
+  expectedTokens: number;
+  length: LengthClass;
+  now: Millis;
+}
+
+/**
+ * Writes a planned attempt and counts it at its endpoint. It is counted here, not when it is sent:
+ * several requests are assigned before the first is sent.
+ */
+export function planAttempt(board: Blackboard, plan: IAttemptPlan): void {
+  const { endpoint, expectedTokens, id, length, now, request, role } = plan;
+  const isLong = length === 'long';
+  board.requests.update(request.id, {
+    phase: 'running',
+    attemptCount: request.attemptCount + 1,
+    attemptIds: [...(request.attemptIds ?? []), id],
+  });
+  const entry = board.endpoints.get(endpoint);
+  board.endpoints.update(endpoint, {
+    inFlight: (entry?.inFlight ?? 0) + 1,
+    inFlightTokens: (entry?.inFlightTokens ?? 0) + expectedTokens,
+    longInFlight: (entry?.longInFlight ?? 0) + (isLong ? 1 : 0),
+    ...(entry?.health === 'probing' && entry.probe === undefined ? { probe: id } : {}),
+  });
+  board.attempts.set(id, {
+    id,
+    phase: 'planned',
+    role,
+    request: request.id,
+    endpoint,
+    version: request.version,
+    plannedAt: now,
+    expectedTokens,
+    isLong,
+    firstTokenAt: undefined,
+    endedAt: undefined,
+    tokens: 0,
+    answer: undefined,
+    error: undefined,
+  });
+}
+
+/** Releases what a planned attempt counts at its endpoint. */
+export function releaseAttempt(board: Blackboard, id: string): void {
+  const attempt = board.attempts.get(id);
+  const entry = attempt && board.endpoints.get(attempt.endpoint);
+  if (!attempt || !entry) return;
+  board.endpoints.update(entry.id, {
+    inFlight: Math.max(0, entry.inFlight - 1),
+    inFlightTokens: Math.max(0, entry.inFlightTokens - (attempt.expectedTokens ?? 0)),
+    longInFlight: Math.max(0, (entry.longInFlight ?? 0) - (attempt.isLong ? 1 : 0)),
+    ...(entry.probe === id ? { probe: undefined } : {}),
+  });
+}
--- a/src/common/request/CleanUpController.ts
+++ b/src/common/request/CleanUpController.ts
@@ -15,10 +15,10 @@
       }),
     );
     this._register(
-      board.requests.onChange(({ key, after }) => {
+      board.requests.onChange(({ before, after }) => {
         if (after) return;
-        for (const attempt of board.attempts.list()) {
-          if (attempt.request === key && attempt.endedAt !== undefined) board.attempts.delete(attempt.id);
+        for (const id of before?.attemptIds ?? []) {
+          if (board.attempts.get(id)?.endedAt !== undefined) board.attempts.delete(id);
         }
       }),
     );
--- /dev/null
+++ b/src/common/request/EndpointIndex.ts
@@ -0,0 +1,131 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import { isAcceptingWork } from './Candidates.js';
+
+/** Options of the endpoint index. */
+export interface IEndpointIndexOptions {
+  board: Blackboard;
+  /** Id of this host; hosts differ in their subsets. */
+  host: string;
+  zone: string;
+  /** Hashes texts to a text whose order is unrelated to them. */
+  hashTexts: (...texts: readonly string[]) => string;
+  /** Endpoints per pool that this host uses. Default 12. */
+  subsetSize?: number;
+}
+
+/** Share of the subset that is filled from the local zone first, so that other zones stay within reach. */
+const LOCAL_SUBSET_SHARE = 2 / 3;
+
+/**
+ * Endpoints that take new work, by pool: one pool per version and one per plain service. A pool with more
+ * endpoints than the subset size is cut to a rendezvous subset, the local availability zone first.
+ */
+export class EndpointIndex extends Disposable {
+  private readonly _pools = new Map<string, Set<string>>();
+  private readonly _subsets = new Map<string, readonly string[]>();
+
+  constructor(private readonly _options: IEndpointIndexOptions) {
+    super();
+    const { board } = _options;
+    for (const endpoint of board.endpoints.list()) this._apply(undefined, endpoint);
+    this._register(
+      board.endpoints.onChange(({ before, after }) => {
+        if (!before || !after || !hasSamePools(before, after)) this._apply(before, after);
+      }),
+    );
+  }
+
+  /** Lists the current entries of the endpoints that can run a request. */
+  public listCandidates(request: IRequestEntry): Readonly<IEndpointEntry>[] {
+    return this.listPool(formatPool(request));
+  }
+
+  /** Lists the current entries of a pool's subset. */
+  public listPool(pool: string): Readonly<IEndpointEntry>[] {
+    const { board } = this._options;
+    const entries: Readonly<IEndpointEntry>[] = [];
+    for (const id of this._listSubset(pool)) {
+      const entry = board.endpoints.get(id);
+      // The panel may be ahead of this index while notifications are pending.
+      if (entry && isAcceptingWork(entry) && listPoolsOf(entry).includes(pool)) entries.push(entry);
+    }
+    return entries;
+  }
+
+  /** Tells whether any endpoint that takes new work has a version. */
+  public hasVersion(version: string): boolean {
+    return (this._pools.get(`version:${version}`)?.size ?? 0) > 0;
+  }
+
+  /** Iterates over the names of the pools that have endpoints. */
+  public listPools(): IterableIterator<string> {
+    return this._pools.keys();
+  }
+
+  private _listSubset(pool: string): readonly string[] {
+    const known = this._subsets.get(pool);
+    if (known) return known;
+    const subset = this._chooseSubset([...(this._pools.get(pool) ?? [])]);
+    this._subsets.set(pool, subset);
+    return subset;
+  }
+
+  private _chooseSubset(ids: readonly string[]): readonly string[] {
+    const { board, hashTexts, host, subsetSize = 12, zone } = this._options;
+    if (ids.length <= subsetSize) return ids;
+    const ranked = ids
+      .map((id) => ({ id, rank: hashTexts(host, id), isLocal: board.endpoints.get(id)?.zone === zone }))
+      .sort((first, second) => (first.rank < second.rank ? -1 : 1));
+    const local = ranked
+      .filter(({ isLocal }) => isLocal)
+      .slice(0, Math.ceil(subsetSize * LOCAL_SUBSET_SHARE));
+    const chosen = new Set(local.map(({ id }) => id));
+    const rest = ranked
+      .filter(({ id }) => !chosen.has(id))
+      .sort((a, b) => Number(a.isLocal) - Number(b.isLocal));
+    for (const { id } of rest.slice(0, subsetSize - chosen.size)) chosen.add(id);
+    return [...chosen];
+  }
+
+  private _apply(before: IEndpointEntry | undefined, after: IEndpointEntry | undefined): void {
+    if (before) for (const pool of listPoolsOf(before)) this._removeFrom(pool, before.id);
+    if (!after || !isAcceptingWork(after)) return;
+    for (const pool of listPoolsOf(after)) {
+      const members = this._pools.get(pool) ?? new Set<string>();
+      members.add(after.id);
+      this._pools.set(pool, members);
+      this._subsets.delete(pool);
+    }
+  }
+
+  private _removeFrom(pool: string, id: string): void {
+    this._pools.get(pool)?.delete(id);
+    this._subsets.delete(pool);
+  }
+}
+
+/** Formats the pool that a request is routed in. */
+export function formatPool(request: IRequestEntry): string {
+  return request.target.kind === 'plain'
+    ? `plain:${request.target.plainService}`
+    : `version:${request.version ?? ''}`;
+}
+
+/** Lists the pools that an endpoint belongs to. */
+export function listPoolsOf(endpoint: IEndpointEntry): string[] {
+  return endpoint.kind === 'plain'
+    ? [`plain:${endpoint.service}`]
+    : endpoint.versions.map((version) => `version:${version}`);
+}
+
+function hasSamePools(before: IEndpointEntry, after: IEndpointEntry): boolean {
+  return (
+    isAcceptingWork(before) === isAcceptingWork(after) &&
+    before.zone === after.zone &&
+    before.kind === after.kind &&
+    before.service === after.service &&
+    (before.versions === after.versions || before.versions.join() === after.versions.join())
+  );
+}
--- /dev/null
+++ b/src/common/request/EndpointMeter.ts
@@ -0,0 +1,128 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IEndpointEntry } from '../blackboard/Types.js';
+import { Disposable, type IDisposable } from '../Lifecycle.js';
+import type { IClock, Millis } from '../Types.js';
+
+/** Options of the endpoint meter. */
+export interface IEndpointMeterOptions {
+  board: Blackboard;
+  clock: IClock;
+}
+
+/** Interval at which figures of attempts in flight are written to the panel. */
+const SAMPLE_INTERVAL_MS = 100;
+
+/** Share of the older figures that is kept at each sample: a time constant of about 0.3 s. */
+const SAMPLE_DECAY = 0.7;
+
+/** Time of streams that must have been seen before a pace without tokens is believed. */
+const MIN_STREAM_MS = 150;
+
+/** Tokens that must have been seen before a pace is believed sooner. */
+const MIN_TOKENS = 4;
+
+interface IEndpointCounts {
+  /** Attempts without output, oldest first, with the time when they were sent. */
+  waiting: Map<string, Millis>;
+  streams: number;
+  newTokens: number;
+  streamMs: Millis;
+  tokens: number;
+}
+
+/**
+ * Measures what endpoints do for the attempts that are still in flight: the time between tokens, with
+ * silent streams included, and the wait of the oldest attempt without output. Counts are kept per
+ * endpoint, so that a sample costs one step per endpoint in use and none per attempt.
+ */
+export class EndpointMeter extends Disposable {
+  private readonly _counts = new Map<string, IEndpointCounts>();
+  private _timer: IDisposable | undefined;
+  private _sampledAt: Millis = 0;
+
+  constructor(private readonly _options: IEndpointMeterOptions) {
+    super();
+  }
+
+  /** Notes that an attempt was sent and has no output yet. */
+  public startWait(endpoint: string, attempt: string): void {
+    this._getCounts(endpoint).waiting.set(attempt, this._options.clock.now());
+  }
+
+  /** Notes that an attempt no longer waits for its first output. */
+  public endWait(endpoint: string, attempt: string): void {
+    this._getCounts(endpoint).waiting.delete(attempt);
+  }
+
+  /** Notes that an attempt has its first output. */
+  public startStream(endpoint: string): void {
+    this._getCounts(endpoint).streams += 1;
+  }
+
+  /** Notes that an attempt with output has ended. */
+  public endStream(endpoint: string): void {
+    this._getCounts(endpoint).streams -= 1;
+  }
+
+  /** Counts tokens that arrived. */
+  public countTokens(endpoint: string, tokens: number): void {
+    this._getCounts(endpoint).newTokens += tokens;
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    this._timer?.dispose();
+  }
+
+  private _getCounts(endpoint: string): IEndpointCounts {
+    let counts = this._counts.get(endpoint);
+    if (!counts) {
+      counts = { waiting: new Map(), streams: 0, newTokens: 0, streamMs: 0, tokens: 0 };
+      this._counts.set(endpoint, counts);
+    }
+    this._startTimer();
+    return counts;
+  }
+
+  private _startTimer(): void {
+    if (this._timer || this._isDisposed) return;
+    const { clock } = this._options;
+    this._sampledAt = clock.now();
+    this._timer = clock.schedule(SAMPLE_INTERVAL_MS, this._sampleAll);
+  }
+
+  private readonly _sampleAll = (): void => {
+    const { clock } = this._options;
+    const elapsedMs = clock.now() - this._sampledAt;
+    this._sampledAt = clock.now();
+    for (const [endpoint, counts] of this._counts) this._sample(endpoint, counts, elapsedMs);
+    this._timer = this._counts.size > 0 ? clock.schedule(SAMPLE_INTERVAL_MS, this._sampleAll) : undefined;
+  };
+
+  private _sample(endpoint: string, counts: IEndpointCounts, elapsedMs: Millis): void {
+    counts.streamMs = counts.streamMs * SAMPLE_DECAY + counts.streams * elapsedMs;
+    counts.tokens = counts.tokens * SAMPLE_DECAY + counts.newTokens;
+    counts.newTokens = 0;
+    if (counts.streams === 0 && counts.waiting.size === 0 && counts.streamMs < 1)
+      this._counts.delete(endpoint);
+    const isKnown = counts.streamMs >= MIN_STREAM_MS || (counts.streamMs > 0 && counts.tokens >= MIN_TOKENS);
+    // No token at all counts as half a one, which gives a lower bound of the pace.
+    this._write(endpoint, {
+      paceMs: isKnown ? counts.streamMs / Math.max(0.5, counts.tokens) : undefined,
+      firstTokenWaitMs: this._measureWait(counts),
+    });
+  }
+
+  private _measureWait({ waiting }: IEndpointCounts): Millis | undefined {
+    for (const sentAt of waiting.values()) return this._options.clock.now() - sentAt;
+    return undefined;
+  }
+
+  private _write(endpoint: string, figures: Pick<IEndpointEntry, 'paceMs' | 'firstTokenWaitMs'>): void {
+    const { board } = this._options;
+    const entry = board.endpoints.get(endpoint);
+    if (!entry) return;
+    const isSame = entry.paceMs === figures.paceMs && entry.firstTokenWaitMs === figures.firstTokenWaitMs;
+    if (!isSame) board.endpoints.update(endpoint, figures);
+  }
+}
--- /dev/null
+++ b/src/common/request/HedgeController.ts
@@ -0,0 +1,165 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
+import { Disposable, type IDisposable } from '../Lifecycle.js';
+import type { IClock, Millis } from '../Types.js';
+import { planAttempt } from './AttemptPlan.js';
+import type { EndpointIndex } from './EndpointIndex.js';
+import { formatPrefixKey } from './PrefixController.js';
+import { estimateWork } from './RouteController.js';
+import type { ChooseEndpoint, DecideHedge } from './Types.js';
+
+/** Options of the hedge controller. */
+export interface IHedgeOptions {
+  board: Blackboard;
+  clock: IClock;
+  index: EndpointIndex;
+  decideHedge: DecideHedge;
+  chooseEndpoint: ChooseEndpoint;
+  /** Takes one attempt from the budget that hedges share with retries; false when it is used up. */
+  takeRetryBudget: () => boolean;
+  createId: () => string;
+  zone: string;
+}
+
+/** Times to first token remembered per version. */
+const SAMPLE_COUNT = 256;
+
+/** Samples between two sorts of the remembered times. */
+const SORT_INTERVAL = 32;
+
+/**
+ * Sends a second attempt of an idempotent request to another endpoint when the first has no output after
+ * a high quantile of the time to first token, or at once when its endpoint turns out slow. The attempt
+ * that wins is kept; the others are cancelled.
+ */
+export class HedgeController extends Disposable {
+  private readonly _timers = new Map<string, IDisposable>();
+  private readonly _undelivered = new Map<string, Set<string>>();
+  private readonly _samples = new Map<string, FirstTokenSamples>();
+
+  constructor(private readonly _options: IHedgeOptions) {
+    super();
+    const { board } = _options;
+    this._register(
+      board.attempts.onChange(({ before, after }) => {
+        if (!before && after) this._watchAttempt(after);
+        if (after && before?.phase !== after.phase) this._handlePhase(after);
+      }),
+    );
+    this._register(
+      board.requests.onChange(({ before, after }) => {
+        if (after?.winner !== undefined && before?.winner !== after.winner) this._cancelLosers(after);
+      }),
+    );
+    this._register(
+      board.endpoints.onChange(({ before, after }) => {
+        if (after?.health === 'suspect' && before?.health !== 'suspect') this._planHedges(after.id);
+      }),
+    );
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    for (const timer of this._timers.values()) timer.dispose();
+    this._timers.clear();
+  }
+
+  private _watchAttempt(attempt: IAttemptEntry): void {
+    const { board, clock, decideHedge } = this._options;
+    const request = board.requests.get(attempt.request);
+    if (!request?.isIdempotent) return;
+    const waiting = this._undelivered.get(attempt.endpoint) ?? new Set<string>();
+    waiting.add(attempt.id);
+    this._undelivered.set(attempt.endpoint, waiting);
+    const firstTokenTimes = this._samples.get(attempt.version ?? '')?.sorted ?? [];
+    const delay = decideHedge({ request, attempt, firstTokenTimes });
+    if (delay === undefined) return;
+    const timer = clock.schedule(delay, () => {
+      this._timers.delete(attempt.id);
+      this._planHedge(attempt.id, 'no-output');
+    });
+    this._timers.set(attempt.id, timer);
+  }
+
+  private _handlePhase(attempt: IAttemptEntry): void {
+    if (attempt.phase === 'planned' || attempt.phase === 'sent') return;
+    this._timers.get(attempt.id)?.dispose();
+    this._timers.delete(attempt.id);
+    const { firstTokenAt, phase, plannedAt, version } = attempt;
+    if (phase === 'streaming' && firstTokenAt !== undefined) {
+      this._getSamples(version ?? '').add(firstTokenAt - plannedAt);
+    }
+    const request = this._options.board.requests.get(attempt.request);
+    const isDelivered = phase !== 'streaming' || request?.winner !== undefined;
+    if (isDelivered) this._undelivered.get(attempt.endpoint)?.delete(attempt.id);
+  }
+
+  /** Hedges what has delivered nothing to its caller yet, as far as the budget allows. */
+  private _planHedges(endpoint: string): void {
+    for (const id of [...(this._undelivered.get(endpoint) ?? [])]) this._planHedge(id, 'slow-endpoint');
+  }
+
+  private _planHedge(id: string, cause: 'no-output' | 'slow-endpoint'): void {
+    const { board, chooseEndpoint, clock, createId, index, takeRetryBudget, zone } = this._options;
+    const attempt = board.attempts.get(id);
+    const request = attempt && board.requests.get(attempt.request);
+    if (!attempt || !request || !isHedgeable(request, attempt, cause)) return;
+    const now = clock.now();
+    const work = estimateWork(board, request);
+    const candidates = index
+      .listCandidates(request)
+      .filter((endpoint) => endpoint.id !== attempt.endpoint && endpoint.health === 'healthy');
+    const endpoint = chooseEndpoint({
+      request,
+      candidates,
+      length: work.length,
+      findPrefix: (version, hash) => board.prefixes.get(formatPrefixKey(version, hash)),
+      zone,
+      now,
+    });
+    if (endpoint === undefined || !takeRetryBudget()) return;
+    planAttempt(board, { id: createId(), role: 'hedge', request, endpoint, ...work, now });
+  }
+
+  private _cancelLosers(request: IRequestEntry): void {
+    const { board } = this._options;
+    for (const id of request.attemptIds ?? []) {
+      const phase = board.attempts.get(id)?.phase;
+      const isOpen = phase === 'planned' || phase === 'sent' || phase === 'streaming';
+      if (id !== request.winner && isOpen) board.attempts.update(id, { phase: 'cancelled' });
+    }
+  }
+
+  private _getSamples(version: string): FirstTokenSamples {
+    const known = this._samples.get(version);
+    if (known) return known;
+    const created = new FirstTokenSamples();
+    this._samples.set(version, created);
+    return created;
+  }
+}
+
+/** Ring of recent times to first token, sorted now and then. */
+class FirstTokenSamples {
+  private readonly _ring: Millis[] = [];
+  private _count = 0;
+  public sorted: readonly Millis[] = [];
+
+  public add(sample: Millis): void {
+    this._ring[this._count % SAMPLE_COUNT] = sample;
+    this._count += 1;
+    if (this._count % SORT_INTERVAL === 0)
+      this.sorted = [...this._ring].sort((first, second) => first - second);
+  }
+}
+
+function isHedgeable(
+  request: IRequestEntry,
+  attempt: IAttemptEntry,
+  cause: 'no-output' | 'slow-endpoint',
+): boolean {
+  if (request.phase !== 'running' || request.winner !== undefined || !request.isIdempotent) return false;
+  if (request.target.kind !== 'model' || (request.attemptIds?.length ?? 0) > 1) return false;
+  if (attempt.phase === 'sent' || attempt.phase === 'planned') return true;
+  return cause === 'slow-endpoint' && attempt.phase === 'streaming';
+}
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -47,11 +47,16 @@
   private _handleFailed(attempt: IAttemptEntry): void {
     const { board, clock, decideRetry, takeRetryBudget } = this._options;
     const request = board.requests.get(attempt.request);
-    if (!request || !attempt.error || hasEnded(request) || this._hasOtherAttempt(attempt)) return;
+    if (!request || !attempt.error || hasEnded(request)) return;
     const ran = combineRan(request.ran, attempt.error.ran);
-    board.requests.update(request.id, { ran });
+    const failedEndpoints = [...(request.failedEndpoints ?? []), attempt.endpoint];
+    board.requests.update(request.id, { ran, failedEndpoints });
+    if (this._hasOtherAttempt(request, attempt)) return;
     const view = { request: { ...request, ran }, attempt, error: attempt.error, now: clock.now() };
-    const decision = decideRetry({ ...view, hasBudget: takeRetryBudget() });
+    // The budget is charged only when the retry is allowed otherwise.
+    const allowed = decideRetry({ ...view, hasBudget: true });
+    const decision =
+      allowed.kind === 'retry' && !takeRetryBudget() ? decideRetry({ ...view, hasBudget: false }) : allowed;
     if (decision.kind === 'refuse') {
       refuseRequest(board, request.id, decision.refusal);
       return;
@@ -63,12 +68,11 @@
     });
   }
 
-  private _hasOtherAttempt(attempt: IAttemptEntry): boolean {
-    for (const other of this._options.board.attempts.list()) {
-      const isOpen = other.phase === 'planned' || other.phase === 'sent' || other.phase === 'streaming';
-      if (other.request === attempt.request && other.id !== attempt.id && isOpen) return true;
-    }
-    return false;
+  private _hasOtherAttempt(request: IRequestEntry, attempt: IAttemptEntry): boolean {
+    return (request.attemptIds ?? []).some((id) => {
+      const phase = this._options.board.attempts.get(id)?.phase;
+      return id !== attempt.id && (phase === 'planned' || phase === 'sent' || phase === 'streaming');
+    });
   }
 
   /** Frees the claim of a request that provably did not run, so that its repeat can run. */
--- /dev/null
+++ b/src/common/request/RetryBudget.ts
@@ -0,0 +1,36 @@
+/** Options of the retry budget. */
+export interface IRetryBudgetOptions {
+  /** Extra attempts earned per request. Default 0.05. */
+  share?: number;
+  /** Extra attempts at start and the most that can be saved up. Default 10. */
+  capacity?: number;
+}
+
+/**
+ * Token bucket that retries and hedges of this host share. Each new request earns a share of an attempt,
+ * so extra attempts stay within `capacity + share * requests` whatever fails.
+ */
+export class RetryBudget {
+  private readonly _share: number;
+  private readonly _capacity: number;
+  private _tokens: number;
+
+  constructor({ capacity = 10, share = 0.05 }: IRetryBudgetOptions = {}) {
+    this._share = share;
+    this._capacity = capacity;
+    this._tokens = capacity;
+  }
+
+  /** Earns the share of one request. */
+  public addRequest(): void {
+    this._tokens = Math.min(this._capacity, this._tokens + this._share);
+  }
+
+  /** Takes one extra attempt; false when the budget is used up. */
+  public readonly takeAttempt = (): boolean => {
+    // The tolerance covers the rounding error of added shares.
+    if (this._tokens < 1 - 1e-9) return false;
+    this._tokens -= 1;
+    return true;
+  };
+}
--- a/src/common/request/RouteController.ts
+++ b/src/common/request/RouteController.ts
@@ -1,115 +1,274 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { AttemptRole, IRequestEntry } from '../blackboard/Types.js';
+import type { AttemptRole, IRequestEntry, RefusalCode } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
-import type { IClock } from '../Types.js';
-import { isCandidate } from './Candidates.js';
+import { classifyLength, estimateTokens, FAIR_ORDER, refuseUnreachable } from '../policy/Queueing.js';
+import { INITIAL_IN_FLIGHT_LIMIT } from '../policy/Endpoints.js';
+import type { IClock, Millis } from '../Types.js';
+import { planAttempt } from './AttemptPlan.js';
+import { formatPool, listPoolsOf, type EndpointIndex } from './EndpointIndex.js';
+import { formatPrefixKey } from './PrefixController.js';
 import { refuseRequest } from './Refusals.js';
-import type { ChooseEndpoint, CompareQueued } from './Types.js';
+import { formatAccount, RequestQueue } from './RequestQueue.js';
+import type {
+  ChooseEndpoint,
+  ChooseSpill,
+  DecideQueued,
+  FindPrefix,
+  IQueuedRequest,
+  IQueueOrder,
+  LengthClass,
+} from './Types.js';
+import { formatAccountEstimate } from './WorkEstimateController.js';
 
 /** Options of the route controller. */
 export interface IRouteOptions {
   board: Blackboard;
   clock: IClock;
+  index: EndpointIndex;
   chooseEndpoint: ChooseEndpoint;
-  compareQueued: CompareQueued;
+  /** Default: priority, fairness, deadline and expected length. */
+  queueOrder?: IQueueOrder;
+  /** Default: refuses a request that would miss its deadline. */
+  decideQueued?: DecideQueued;
+  /** Default: no other version is tried. */
+  chooseSpill?: ChooseSpill;
   createId: () => string;
   /** Availability zone of this host. */
   zone: string;
-  /** Longest queue; a request beyond it is refused. Default 10,000. */
+  /** Longest queue of this host; a request beyond it is refused. Default 10,000. */
   maxQueue?: number;
 }
 
 const QUEUE_RETRY_AFTER_MS = 1000;
 
-/** Moves requests from `queued` to `running` by planning an attempt at an endpoint with room. */
+/** Waiting time after which long work goes before short work, within its share of the slots. */
+const LONG_WORK_AGING_MS = 2000;
+
+type Lanes = Readonly<Record<LengthClass, RequestQueue>>;
+
+/**
+ * Moves requests from `queued` to `running` by planning an attempt at an endpoint with room. There is one
+ * queue per pool of endpoints, with a lane for short and one for long work.
+ */
 export class RouteController extends Disposable {
-  private readonly _queue = new Set<string>();
+  private readonly _pools = new Map<string, Lanes>();
+  private readonly _poolOfRequest = new Map<string, string>();
   private readonly _options: Required<IRouteOptions>;
 
   constructor(options: IRouteOptions) {
     super();
-    this._options = { maxQueue: 10_000, ...options };
+    this._options = {
+      maxQueue: 10_000,
+      queueOrder: FAIR_ORDER,
+      decideQueued: refuseUnreachable,
+      chooseSpill: () => undefined,
+      ...options,
+    };
     const { board } = options;
     this._register(
       board.requests.onChange(({ key, before, after }) => {
-        if (after?.phase === 'queued' && before?.phase !== 'queued') this._addToQueue(after);
-        else if (after?.phase !== 'queued') this._queue.delete(key);
+        if (after?.phase === 'queued' && before?.phase !== 'queued') this._queueRequest(key);
+        else if (after?.phase !== 'queued') this._removeRequest(key);
       }),
     );
     this._register(
       board.endpoints.onChange(({ before, after }) => {
-        const hasRoom = after !== undefined && after.inFlight < (before?.inFlight ?? Infinity);
-        if (hasRoom || before?.health !== after?.health) this._assignQueued();
+        if (!after) return;
+        const hasRoom =
+          after.inFlight < (before?.inFlight ?? Infinity) ||
+          (after.inFlightLimit ?? 0) > (before?.inFlightLimit ?? 0) ||
+          before?.health !== after.health;
+        if (hasRoom) for (const pool of listPoolsOf(after)) this._assignQueued(pool);
+        if (before && after.health !== before.health) this._refuseStranded(listPoolsOf(after));
       }),
     );
   }
 
-  private _addToQueue(request: IRequestEntry): void {
-    if (this._queue.size >= this._options.maxQueue) {
-      this._refuseForCapacity(request, 'The queue is full.');
+  private _queueRequest(id: string): void {
+    const { board, clock, decideQueued, index, maxQueue } = this._options;
+    const request = board.requests.get(id);
+    if (request?.phase !== 'queued') return;
+    if (index.listCandidates(request).length === 0) {
+      this._moveOrRefuse(request, 'no_capacity', 'No endpoint can run the request.', QUEUE_RETRY_AFTER_MS);
       return;
     }
-    this._queue.add(request.id);
-    if (this._queue.size === 1) this._tryAssign(request);
-    else this._assignQueued();
+    if (this._poolOfRequest.size >= maxQueue) {
+      this._moveOrRefuse(request, 'no_capacity', 'The queue is full.', QUEUE_RETRY_AFTER_MS);
+      return;
+    }
+    const now = clock.now();
+    const item = this._describeWork(request, now);
+    const weight = this._findWeight(request);
+    const waitMs = this._estimateWait(request, item.length, weight);
+    const decision = decideQueued({ item, waitMs, now });
+    if (decision.kind === 'refuse') {
+      this._refuseUnreachable(request, decision.retryAfterMs);
+      return;
+    }
+    const pool = formatPool(request);
+    this._poolOfRequest.set(id, pool);
+    this._getLanes(pool)[item.length].add(item, weight);
+    this._assignQueued(pool);
   }
 
-  private _assignQueued(): void {
-    if (this._queue.size === 0) return;
-    const { board, clock, compareQueued } = this._options;
-    const now = clock.now();
-    const waiting = [...this._queue]
-      .map((id) => board.requests.get(id))
-      .filter((entry) => entry !== undefined);
-    waiting.sort((first, second) => compareQueued(first, second, now));
-    for (const request of waiting) this._tryAssign(request);
+  private _removeRequest(id: string): void {
+    const pool = this._poolOfRequest.get(id);
+    if (pool === undefined) return;
+    this._poolOfRequest.delete(id);
+    const lanes = this._pools.get(pool);
+    if (!lanes?.short.remove(id)) lanes?.long.remove(id);
   }
 
-  private _tryAssign(request: IRequestEntry): void {
-    const { board, chooseEndpoint, clock, zone } = this._options;
-    const candidates = [...board.endpoints.list()].filter((endpoint) => isCandidate(endpoint, request));
-    if (candidates.length === 0) {
-      this._refuseForCapacity(request, 'No endpoint can run the request.');
-      return;
+  private _assignQueued(pool: string): void {
+    const lanes = this._pools.get(pool);
+    if (!lanes || lanes.short.size + lanes.long.size === 0) return;
+    const now = this._options.clock.now();
+    const long = lanes.long.findFirst(now);
+    const isLongDue = long !== undefined && now - long.queuedAt > LONG_WORK_AGING_MS;
+    if (isLongDue) this._assignFirst(lanes.long, now);
+    this._assignLane(lanes.short, now);
+    this._assignLane(lanes.long, now);
+  }
+
+  private _assignLane(lane: RequestQueue, now: Millis): void {
+    while (lane.size > 0 && this._assignFirst(lane, now));
+  }
+
+  /** Starts or refuses the first request of a lane; false when it has to wait. */
+  private _assignFirst(lane: RequestQueue, now: Millis): boolean {
+    const { board, chooseEndpoint, decideQueued, index, zone } = this._options;
+    const item = lane.findFirst(now);
+    if (!item) return false;
+    const request = board.requests.get(item.request.id);
+    if (request?.phase !== 'queued') {
+      this._removeRequest(item.request.id);
+      return true;
+    }
+    const decision = decideQueued({ item, waitMs: 0, now });
+    if (decision.kind === 'refuse') {
+      this._removeRequest(request.id);
+      this._refuseUnreachable(request, decision.retryAfterMs);
+      return true;
     }
-    const endpoint = chooseEndpoint({ request, candidates, zone, now: clock.now() });
-    if (endpoint !== undefined) this._planAttempt(request, endpoint);
+    const candidates = index.listCandidates(request);
+    const { length } = item;
+    const findPrefix = this._findPrefix;
+    const endpoint = chooseEndpoint({ request, candidates, length, findPrefix, zone, now });
+    if (endpoint === undefined) return false;
+    lane.take(item);
+    this._poolOfRequest.delete(request.id);
+    this._planAttempt(request, item, endpoint, now);
+    return true;
   }
 
-  private _planAttempt(request: IRequestEntry, endpoint: string): void {
-    const { board, clock, createId } = this._options;
-    this._queue.delete(request.id);
-    const id = createId();
+  private _planAttempt(request: IRequestEntry, item: IQueuedRequest, endpoint: string, now: Millis): void {
+    const { board, createId } = this._options;
     const role: AttemptRole =
       request.attemptCount === 0 ? 'primary' : request.escalatedFrom.length > 0 ? 'escalation' : 'retry';
-    board.requests.update(request.id, { phase: 'running', attemptCount: request.attemptCount + 1 });
-    // Counted here, not when it is sent: several requests are assigned before the first is sent.
-    const { inFlight = 0, inFlightTokens = 0 } = board.endpoints.get(endpoint) ?? {};
-    const tokens = request.target.kind === 'model' ? request.target.maxTokens : 0;
-    board.endpoints.update(endpoint, { inFlight: inFlight + 1, inFlightTokens: inFlightTokens + tokens });
-    board.attempts.set(id, {
-      id,
-      phase: 'planned',
-      role,
-      request: request.id,
-      endpoint,
-      version: request.version,
-      plannedAt: clock.now(),
-      firstTokenAt: undefined,
-      endedAt: undefined,
-      tokens: 0,
-      answer: undefined,
-      error: undefined,
-    });
+    const { expectedTokens, length } = item;
+    planAttempt(board, { id: createId(), role, request, endpoint, expectedTokens, length, now });
   }
 
-  private _refuseForCapacity(request: IRequestEntry, message: string): void {
-    const retryAfterMs = QUEUE_RETRY_AFTER_MS;
-    refuseRequest(this._options.board, request.id, {
-      code: 'no_capacity',
-      message,
-      ran: request.ran,
-      retryAfterMs,
-    });
+  private readonly _findPrefix: FindPrefix = (version, hash) =>
+    this._options.board.prefixes.get(formatPrefixKey(version, hash));
+
+  private _describeWork(request: IRequestEntry, now: Millis): Omit<IQueuedRequest, 'rank' | 'startTag'> {
+    const { estimates } = this._options.board;
+    const pool = estimates.get(formatPool(request));
+    const { expectedTokens, length } = estimateWork(this._options.board, request);
+    const expectedMs = pool ? pool.firstTokenMs + (expectedTokens - 1) * pool.tokenMs : 0;
+    return { request, length, expectedTokens, expectedMs, queuedAt: now };
+  }
+
+  /** Little's law over the slots of the pool: requests ahead, times their duration, over slots. */
+  private _estimateWait(request: IRequestEntry, length: LengthClass, weight: number): Millis {
+    const { board, index } = this._options;
+    const pool = formatPool(request);
+    const lane = this._pools.get(pool)?.[length];
+    const estimate = board.estimates.get(pool);
+    if (!lane || lane.size === 0 || !estimate) return 0;
+    let slots = 0;
+    for (const endpoint of index.listPool(pool)) {
+      if (endpoint.health !== 'healthy') continue;
+      slots += endpoint.inFlightLimit ?? INITIAL_IN_FLIGHT_LIMIT;
+      if (length === 'short') slots -= endpoint.longInFlight ?? 0;
+    }
+    const durationMs = length === 'short' ? estimate.shortMs : (estimate.longMs ?? estimate.shortMs);
+    return (lane.countAhead(formatAccount(request), weight) * durationMs) / Math.max(1, slots);
   }
+
+  private _findWeight(request: IRequestEntry): number {
+    const service = this._options.board.services.get(request.service);
+    return service?.document.accounts[request.account]?.weight ?? 1;
+  }
+
+  private _getLanes(pool: string): Lanes {
+    const known = this._pools.get(pool);
+    if (known) return known;
+    const { queueOrder } = this._options;
+    const lanes: Lanes = { short: new RequestQueue(queueOrder), long: new RequestQueue(queueOrder) };
+    this._pools.set(pool, lanes);
+    return lanes;
+  }
+
+  /** Refuses the requests of pools that have lost their last endpoint. */
+  private _refuseStranded(pools: readonly string[]): void {
+    const { board, index } = this._options;
+    for (const pool of pools) {
+      const lanes = this._pools.get(pool);
+      if (!lanes || lanes.short.size + lanes.long.size === 0 || index.listPool(pool).length > 0) continue;
+      for (const { request } of [...lanes.short.list(), ...lanes.long.list()]) {
+        this._removeRequest(request.id);
+        const entry = board.requests.get(request.id);
+        const message = 'The last endpoint that could run the request has left.';
+        if (entry) this._moveOrRefuse(entry, 'no_capacity', message, QUEUE_RETRY_AFTER_MS);
+      }
+    }
+  }
+
+  private _refuseUnreachable(request: IRequestEntry, retryAfterMs: Millis): void {
+    const message = 'The request cannot be finished before its deadline.';
+    this._moveOrRefuse(request, 'deadline_unreachable', message, retryAfterMs);
+  }
+
+  private _moveOrRefuse(
+    request: IRequestEntry,
+    code: RefusalCode,
+    message: string,
+    retryAfterMs: Millis,
+  ): void {
+    const { board, chooseSpill } = this._options;
+    const service = board.services.get(request.service);
+    const hasRoom = (version: string): boolean => this._hasRoom(version);
+    const version = service ? chooseSpill({ request, service, hasRoom }) : undefined;
+    if (version === undefined || version === request.version) {
+      refuseRequest(board, request.id, { code, message, ran: request.ran, retryAfterMs });
+      return;
+    }
+    board.requests.update(request.id, { version });
+    this._queueRequest(request.id);
+  }
+
+  private _hasRoom(version: string): boolean {
+    const lanes = this._pools.get(`version:${version}`);
+    if (lanes && lanes.short.size > 0) return false;
+    return this._options.index
+      .listPool(`version:${version}`)
+      .some(
+        ({ health, inFlight, inFlightLimit }) =>
+          health === 'healthy' && inFlight < (inFlightLimit ?? INITIAL_IN_FLIGHT_LIMIT),
+      );
+  }
+}
+
+/** Estimates the length of a request from its limit, its account's history and its pool's usual work. */
+export function estimateWork(
+  board: Blackboard,
+  request: IRequestEntry,
+): { expectedTokens: number; length: LengthClass } {
+  if (request.target.kind === 'plain') return { expectedTokens: 1, length: 'short' };
+  const limitUse = board.estimates.get(formatAccountEstimate(request))?.limitUse;
+  const expectedTokens = estimateTokens(request.target.maxTokens, limitUse);
+  const usual = board.estimates.get(formatPool(request))?.tokens;
+  return { expectedTokens, length: classifyLength(expectedTokens, usual) };
 }
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -3,7 +3,9 @@
   IAnswer,
   IAttemptEntry,
   IAttemptError,
+  EndpointHealth,
   IEndpointEntry,
+  IPrefixEntry,
   ILoadReport,
   IRefusal,
   IRequestEntry,
@@ -77,18 +79,121 @@
 /** Chooses an endpoint among candidates; `undefined` keeps the request in the queue. */
 export type ChooseEndpoint = (view: IEndpointView) => string | undefined;
 
+/** Length class of a request. Long work has its own queue lane and a limit of slots per endpoint. */
+export type LengthClass = 'short' | 'long';
+
+/** Finds the endpoint that was last sent a prefix, by version and hash. */
+export type FindPrefix = (version: string, hash: string) => Readonly<IPrefixEntry> | undefined;
+
 /** What the choice of an endpoint looks at. */
 export interface IEndpointView {
   request: IRequestEntry;
   /** Endpoints that take new work and have the version, or belong to the plain service. */
   candidates: readonly Readonly<IEndpointEntry>[];
+  length: LengthClass;
+  findPrefix: FindPrefix;
   /** Availability zone of this host. */
   zone: string;
   now: Millis;
 }
 
-/** Compares two queued requests; negative when the first goes first. */
-export type CompareQueued = (first: IRequestEntry, second: IRequestEntry, now: Millis) => number;
+/** A queued request with what its order depends on. */
+export interface IQueuedRequest {
+  request: IRequestEntry;
+  length: LengthClass;
+  /** Expected completion tokens; 1 for plain services. */
+  expectedTokens: number;
+  /** Expected time from the start of the attempt to its end. */
+  expectedMs: Millis;
+  queuedAt: Millis;
+  /** Rank within the account; the lowest goes first. */
+  rank: number;
+  /** Start tag of the account in weighted fair queueing; the lowest goes first. */
+  startTag: number;
+}
+
+/** Ranks a request among those of its account; computed once, when it is queued. */
+export type RankQueued = (item: Omit<IQueuedRequest, 'rank' | 'startTag'>) => number;
+
+/** Compares the first requests of two accounts; negative when the first goes first. */
+export type CompareHeads = (first: IQueuedRequest, second: IQueuedRequest, now: Millis) => number;
+
+/** Order of the queue. */
+export interface IQueueOrder {
+  rankQueued: RankQueued;
+  compareHeads: CompareHeads;
+}
+
+/** Decision on a request that waits or is about to wait. */
+export type QueueDecision = { kind: 'wait' } | { kind: 'refuse'; retryAfterMs: Millis };
+
+/** Decides whether a request can still meet its deadline. */
+export type DecideQueued = (view: IQueueView) => QueueDecision;
+
+/** What the decision on a queued request looks at. */
+export interface IQueueView {
+  item: Omit<IQueuedRequest, 'rank' | 'startTag'>;
+  /** Expected time in the queue from now. */
+  waitMs: Millis;
+  now: Millis;
+}
+
+/** Chooses another version for a request whose version has no capacity in time. */
+export type ChooseSpill = (view: ISpillView) => string | undefined;
+
+/** What the choice of another version looks at. */
+export interface ISpillView {
+  request: IRequestEntry;
+  service: IServiceEntry;
+  /** Tells whether a version has an endpoint with room now. */
+  hasRoom: (version: string) => boolean;
+}
+
+/** Decides on the health of an endpoint from its own figures and those of its peers. */
+export type DecideHealth = (view: IHealthView) => EndpointHealth;
+
+/** What the decision on an endpoint's health looks at. */
+export interface IHealthView {
+  endpoint: Readonly<IEndpointEntry>;
+  /** Median of the peers of the same versions; `undefined` when too few are measured. */
+  peerPaceMs: number | undefined;
+  peerFirstTokenMs: number | undefined;
+  /** Endpoints with the same versions that take new work, this one included. */
+  poolSize: number;
+  /** How many of them are `suspect` or `probing`. */
+  ejected: number;
+  /** Whether an attempt planned while the endpoint was `probing` has just finished. */
+  hasProbeSucceeded: boolean;
+  /** Unsuccessful probes in a row. */
+  failedProbes: number;
+  now: Millis;
+}
+
+/** Computes the limit of attempts in flight at an endpoint after an attempt has shown its first token. */
+export type AdaptLimit = (view: ILimitView) => number;
+
+/** What the adaptation of an in-flight limit looks at. */
+export interface ILimitView {
+  endpoint: Readonly<IEndpointEntry>;
+  limit: number;
+  firstTokenMs: Millis;
+  /** Lowest smoothed time to first token lately seen at the endpoint's peers. */
+  baseFirstTokenMs: Millis;
+  /** Time since the limit was last lowered. */
+  sinceDecreaseMs: Millis;
+  now: Millis;
+}
+
+/** Decides how long to wait for output before a hedge; `undefined` for none. */
+export type DecideHedge = (view: IHedgeView) => Millis | undefined;
+
+/** What the decision on a hedge looks at. */
+export interface IHedgeView {
+  request: IRequestEntry;
+  attempt: IAttemptEntry;
+  /** Recent times to first token of the version, ascending. */
+  firstTokenTimes: readonly Millis[];
+}
 
 /** Decides what follows a failed attempt. */
 export type DecideRetry = (view: IRetryView) => RetryDecision;
--- a/src/common/request/VersionController.ts
+++ b/src/common/request/VersionController.ts
@@ -3,7 +3,6 @@
 import type { IJournal } from '../coordination/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
-import { isAcceptingWork } from './Candidates.js';
 import { refuseRequest } from './Refusals.js';
 import type { ChooseVersion } from './Types.js';
 
@@ -16,6 +15,8 @@
   /** Hashes client account and session into a journal key. */
   hashSession: (request: IRequestEntry) => string;
   readWallClock: () => number;
+  /** Tells whether any endpoint that takes new work has a version. */
+  hasVersion: (version: string) => boolean;
 }
 
 /** Moves requests from `claimed` to `queued` with a version; pins sessions to their first version. */
@@ -36,17 +37,14 @@
   }
 
   private _choose(request: IRequestEntry, pinnedVersion: string | undefined): string | undefined {
-    const { board, chooseVersion } = this._options;
+    const { board, chooseVersion, hasVersion } = this._options;
     const service = board.services.get(request.service);
     if (!service) {
       const message = 'The service is no longer configured.';
       refuseRequest(board, request.id, { code: 'unknown_service', message, ran: 'no' });
       return undefined;
     }
-    const endpoints = [...board.endpoints.list()];
-    const hasEndpoint = (version: string): boolean =>
-      endpoints.some((endpoint) => isAcceptingWork(endpoint) && endpoint.versions.includes(version));
-    const decision = chooseVersion({ request, service, pinnedVersion, hasEndpoint });
+    const decision = chooseVersion({ request, service, pinnedVersion, hasEndpoint: hasVersion });
     if (decision.kind === 'refuse') {
       refuseRequest(board, request.id, decision.refusal);
       return undefined;
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -14,7 +14,6 @@
 import type { IBillTotal, IJournal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
-import { compareByPriority, createChooseLeastInFlight } from '../common/policy/Endpoints.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
 import { chooseCheapestExpected } from '../common/policy/Versions.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
@@ -24,7 +23,6 @@
 import { CleanUpController } from '../common/request/CleanUpController.js';
 import { DeadlineController } from '../common/request/DeadlineController.js';
 import { OutcomeController } from '../common/request/OutcomeController.js';
-import { RouteController } from '../common/request/RouteController.js';
 import type { RunAttempt } from '../common/request/Types.js';
 import { VersionController } from '../common/request/VersionController.js';
 import { TimelineRecorder } from '../common/timeline/TimelineRecorder.js';
@@ -32,6 +30,7 @@
 import { EndpointTracker } from './EndpointTracker.js';
 import { encodeStoredAnswer } from './Encoding.js';
 import { FrontEnd } from './FrontEnd.js';
+import { Routing } from './RoutingWiring.js';
 import type { HostSettings } from './Settings.js';
 
 /** Options of an entry host. */
@@ -149,7 +148,11 @@
 
   private _registerControllers(journal: IJournal): void {
     const common = { board: this._board, clock: systemClock, journal, readWallClock: Date.now };
-    const { zone } = this._options.settings.host;
+    const { id: host, zone } = this._options.settings.host;
+    const routing = this._register(
+      new Routing({ ...common, random: Math.random, createId: createUniqueId, hashTexts, host, zone }),
+    );
+    const { takeRetryBudget } = routing;
     this._register(
       new AdmissionController({
         ...common,
@@ -159,11 +162,9 @@
       }),
     );
     this._register(new ClaimController({ ...common, hashKey }));
-    this._register(new VersionController({ ...common, chooseVersion: chooseCheapestExpected, hashSession }));
-    const chooseEndpoint = createChooseLeastInFlight(Math.random);
-    const createId = createUniqueId;
+    const hasVersion = (version: string): boolean => routing.index.hasVersion(version);
     this._register(
-      new RouteController({ ...common, chooseEndpoint, compareQueued: compareByPriority, createId, zone }),
+      new VersionController({ ...common, chooseVersion: chooseCheapestExpected, hashSession, hasVersion }),
     );
     this._register(
       new AttemptController({
@@ -175,7 +176,7 @@
       }),
     );
     const decideRetry = createDecideRetry(Math.random);
-    this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget: () => true, hashKey }));
+    this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget, hashKey }));
     const holdBill = (): Promise<void> => Promise.resolve();
     this._register(new BillController({ ...common, hashKey, encodeAnswer: encodeStoredAnswer, holdBill }));
     this._register(new DeadlineController(common));
--- /dev/null
+++ b/src/daemons/RoutingWiring.ts
@@ -0,0 +1,92 @@
+import type { Blackboard } from '../common/blackboard/Blackboard.js';
+import { Disposable } from '../common/Lifecycle.js';
+import { createChooseExpectedDelay } from '../common/policy/Endpoints.js';
+import { decideHealth } from '../common/policy/Health.js';
+import { decideHedgeByQuantile } from '../common/policy/Hedging.js';
+import { computeLimitByQueueing } from '../common/policy/InFlightLimits.js';
+import { FAIR_ORDER, refuseUnreachable } from '../common/policy/Queueing.js';
+import { chooseSpillByTarget } from '../common/policy/Spill.js';
+import { EndpointIndex } from '../common/request/EndpointIndex.js';
+import { HealthController } from '../common/request/HealthController.js';
+import { HedgeController } from '../common/request/HedgeController.js';
+import { InFlightLimitController } from '../common/request/InFlightLimitController.js';
+import { PrefixController } from '../common/request/PrefixController.js';
+import { RetryBudget } from '../common/request/RetryBudget.js';
+import { RouteController } from '../common/request/RouteController.js';
+import type {
+  AdaptLimit,
+  ChooseEndpoint,
+  ChooseSpill,
+  DecideHealth,
+  DecideHedge,
+  DecideQueued,
+  IQueueOrder,
+} from '../common/request/Types.js';
+import { WorkEstimateController } from '../common/request/WorkEstimateController.js';
+import type { IClock, RandomSource } from '../common/Types.js';
+
+/** Routing policies; a baseline replaces some of them. */
+export interface IRoutingPolicies {
+  chooseEndpoint: ChooseEndpoint;
+  queueOrder: IQueueOrder;
+  decideQueued: DecideQueued;
+  chooseSpill: ChooseSpill;
+  decideHealth: DecideHealth;
+  adaptLimit: AdaptLimit;
+  decideHedge: DecideHedge;
+}
+
+/** Options of the routing controllers. */
+export interface IRoutingOptions {
+  board: Blackboard;
+  clock: IClock;
+  random: RandomSource;
+  createId: () => string;
+  hashTexts: (...texts: readonly string[]) => string;
+  host: string;
+  zone: string;
+  /** Default: the policies of `createRoutingPolicies`. */
+  policies?: Partial<IRoutingPolicies>;
+}
+
+/** Creates the policies that an entry host runs with. */
+export function createRoutingPolicies(random: RandomSource): IRoutingPolicies {
+  return {
+    chooseEndpoint: createChooseExpectedDelay(random),
+    queueOrder: FAIR_ORDER,
+    decideQueued: refuseUnreachable,
+    chooseSpill: chooseSpillByTarget,
+    decideHealth,
+    adaptLimit: computeLimitByQueueing,
+    decideHedge: decideHedgeByQuantile,
+  };
+}
+
+/** The routing controllers of one host: endpoint index, queue, health, limits, hedges and their budget. */
+export class Routing extends Disposable {
+  public readonly index: EndpointIndex;
+  private readonly _budget = new RetryBudget();
+
+  /** Takes one extra attempt from the budget that retries and hedges share. */
+  public readonly takeRetryBudget = this._budget.takeAttempt;
+
+  constructor(options: IRoutingOptions) {
+    super();
+    const { board, random } = options;
+    const policies = { ...createRoutingPolicies(random), ...options.policies };
+    this._register(
+      board.requests.onChange(({ before, after }) => {
+        if (!before && after) this._budget.addRequest();
+      }),
+    );
+    // The index comes first: the other controllers read it in the same notification.
+    this.index = this._register(new EndpointIndex(options));
+    const common = { ...options, ...policies, index: this.index, takeRetryBudget: this.takeRetryBudget };
+    this._register(new WorkEstimateController(board));
+    this._register(new PrefixController(board));
+    this._register(new InFlightLimitController(common));
+    this._register(new HealthController(common));
+    this._register(new RouteController(common));
+    this._register(new HedgeController(common));
+  }
+}
