--- a/src/common/policy/Endpoints.ts
+++ b/src/common/policy/Endpoints.ts
@@ -14,6 +14,12 @@
 /** Age at which a load report counts for 1/e; the engines' reports lag by seconds. */
 const REPORT_FADING_MS = 1500;
 
+/**
+ * Weight of the other hosts' reported work relative to own work in flight. All hosts see the same late
+ * report, so a full weight sends them all to the endpoint that was least loaded seconds ago.
+ */
+const REPORT_WEIGHT = 0.2;
+
 /** Score of a remote endpoint relative to an equal local one. Zones are close, so a small load outweighs it. */
 const REMOTE_ZONE_FACTOR = 1.2;
 
@@ -43,8 +49,9 @@
     const probed = view.request.isIdempotent ? open.find(({ health }) => health === 'probing') : undefined;
     if (probed) return probed.id;
     const typical = measureTypical(view.candidates);
+    const typicalOtherWork = computeMedian(view.candidates.map(estimateOtherWork));
     const score: ScoreEndpoint = (endpoint) =>
-      (1 + estimateLoad(endpoint, view.now)) *
+      (1 + estimateLoad(endpoint, typicalOtherWork, view.now)) *
       computeSlowness(endpoint, typical) *
       (endpoint.zone === view.zone ? 1 : REMOTE_ZONE_FACTOR) *
       (1 - PREFIX_CREDIT * estimateCacheHit(view, endpoint.id)) *
@@ -89,12 +96,25 @@
   );
 }
 
-/** Estimates the work at an endpoint: this host's exactly, the other hosts' from the last report. */
-export function estimateLoad(endpoint: Readonly<IEndpointEntry>, now: Millis): number {
+/** Estimates the reported work of the other hosts at an endpoint. */
+export function estimateOtherWork({ inFlight, report }: Readonly<IEndpointEntry>): number | undefined {
+  return report ? Math.max(0, report.running + report.waiting - inFlight) : undefined;
+}
+
+/**
+ * Estimates the work at an endpoint relative to the others: this host's own work, moved by how far the
+ * reported work of the other hosts is from that at the typical candidate, discounted by the report's age.
+ */
+export function estimateLoad(
+  endpoint: Readonly<IEndpointEntry>,
+  typicalOtherWork: number | undefined,
+  now: Millis,
+): number {
   const { inFlight, report } = endpoint;
-  if (!report) return inFlight;
-  const others = Math.max(0, report.running + report.waiting - inFlight);
-  return inFlight + others * Math.exp(-Math.max(0, now - report.receivedAt) / REPORT_FADING_MS);
+  const otherWork = estimateOtherWork(endpoint);
+  if (!report || otherWork === undefined || typicalOtherWork === undefined) return inFlight;
+  const fading = Math.exp(-Math.max(0, now - report.receivedAt) / REPORT_FADING_MS);
+  return Math.max(0, inFlight + REPORT_WEIGHT * fading * (otherWork - typicalOtherWork));
 }
 
 /** Finds the median of some measurements; `undefined` when there is none. */
