Estimate queue waits from each account's own starts; start limits at 4

Cause: 2251 of 3089 refusals at the crest came after 4 s or more in the queue. Little's law over the pool ignores requests of other accounts that overtake. Change: the wait is the longer of Little's law and the account's own pace of starts. Seven hosts at 16 each overfilled an engine, so limits start at 4.

--- a/src/common/policy/Endpoints.ts
+++ b/src/common/policy/Endpoints.ts
@@ -3,7 +3,7 @@
 import type { Millis, RandomSource } from '../Types.js';
 
 /** Attempts of this host in flight at one endpoint before its limit has been adapted. */
-export const INITIAL_IN_FLIGHT_LIMIT = 16;
+export const INITIAL_IN_FLIGHT_LIMIT = 4;
 
 /** Share of an endpoint's limit that long work may take. The rest stays free for short work. */
 const LONG_WORK_SHARE = 0.5;
--- a/src/common/request/RequestQueue.ts
+++ b/src/common/request/RequestQueue.ts
@@ -47,8 +47,15 @@
   weight: number;
   /** Virtual time at which the account's last served work ends. */
   finishTag: number;
+  /** When the account was last served while more of its requests waited. */
+  takenAt: Millis | undefined;
+  /** Smoothed time between two starts of the account's requests while others of them waited. */
+  startIntervalMs: Millis | undefined;
 }
 
+/** Weight of the newest time between two starts. */
+const INTERVAL_WEIGHT = 0.1;
+
 /**
  * Queue of one lane: a heap per client account, and start-time fair queueing among the accounts that
  * have waiting requests. Adding and taking costs O(log n) plus one step per waiting account.
@@ -70,7 +77,14 @@
     const key = formatAccount(item.request);
     let account = this._accounts.get(key);
     if (!account) {
-      account = { heap: new RankHeap(), count: 0, weight, finishTag: this._virtualTime };
+      account = {
+        heap: new RankHeap(),
+        count: 0,
+        weight,
+        finishTag: this._virtualTime,
+        takenAt: undefined,
+        startIntervalMs: undefined,
+      };
       this._accounts.set(key, account);
     }
     if (account.count === 0) this._activeWeight += weight;
@@ -95,12 +109,13 @@
   }
 
   /** Removes a request that starts and charges its account. */
-  public take(item: IQueuedRequest): void {
+  public take(item: IQueuedRequest, now: Millis): void {
     const account = this._accounts.get(formatAccount(item.request));
     this.remove(item.request.id);
     if (!account) return;
     this._virtualTime = Math.max(this._virtualTime, item.startTag);
     account.finishTag = item.startTag + item.expectedTokens / account.weight;
+    observeStart(account, now);
   }
 
   /** Removes a request that no longer waits. Returns false when it is not in the queue. */
@@ -135,6 +150,12 @@
     return Math.min(this._members.size, (count * activeWeight) / weight);
   }
 
+  /** Estimates the wait of a new request from the pace at which its account's requests have started. */
+  public estimateWait(account: string): Millis {
+    const { count = 0, startIntervalMs = 0 } = this._accounts.get(account) ?? {};
+    return count * startIntervalMs;
+  }
+
   private _findHead(account: IAccountQueue): IQueuedRequest | undefined {
     for (let head = account.heap.first; head; head = account.heap.first) {
       if (this._members.get(head.request.id) === head) return head;
@@ -144,6 +165,15 @@
   }
 }
 
+function observeStart(account: IAccountQueue, now: Millis): void {
+  if (account.takenAt !== undefined) {
+    const interval = now - account.takenAt;
+    const known = account.startIntervalMs ?? interval;
+    account.startIntervalMs = known + INTERVAL_WEIGHT * (interval - known);
+  }
+  account.takenAt = account.count > 0 ? now : undefined;
+}
+
 /** Formats the key of a request's client account. */
 export function formatAccount(request: { service: string; account: string }): string {
   return `${request.service}/${request.account}`;
--- a/src/common/request/RouteController.ts
+++ b/src/common/request/RouteController.ts
@@ -155,7 +155,7 @@
     const findPrefix = this._findPrefix;
     const endpoint = chooseEndpoint({ request, candidates, length, findPrefix, zone, now });
     if (endpoint === undefined) return false;
-    lane.take(item);
+    lane.take(item, now);
     this._poolOfRequest.delete(request.id);
     this._planAttempt(request, item, endpoint, now);
     return true;
@@ -180,7 +180,11 @@
     return { request, length, expectedTokens, expectedMs, queuedAt: now };
   }
 
-  /** Little's law over the slots of the pool: requests ahead, times their duration, over slots. */
+  /**
+   * The longer of two estimates: Little's law over the slots of the pool (requests ahead, times their
+   * duration, over slots), and the pace of the account's own starts, which also shows how much the other
+   * accounts overtake it.
+   */
   private _estimateWait(request: IRequestEntry, length: LengthClass, weight: number): Millis {
     const { board, index } = this._options;
     const pool = formatPool(request);
@@ -194,7 +198,9 @@
       if (length === 'short') slots -= endpoint.longInFlight ?? 0;
     }
     const durationMs = length === 'short' ? estimate.shortMs : (estimate.longMs ?? estimate.shortMs);
-    return (lane.countAhead(formatAccount(request), weight) * durationMs) / Math.max(1, slots);
+    const account = formatAccount(request);
+    const byCapacity = (lane.countAhead(account, weight) * durationMs) / Math.max(1, slots);
+    return Math.max(byCapacity, lane.estimateWait(account));
   }
 
   private _findWeight(request: IRequestEntry): number {
