Lease shares of account limits from a coordinating host

Cause: takeRateShare admitted everything. Change: token bucket per account at each host; its rate is leased for 5 s in proportion to demand from the rendezvous host of the account; a tenth of the limit needs no lease; limit over live hosts after 5 s without the coordinator. Conclusion: no store call and no peer call per request.

--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -157,7 +157,7 @@
       new AdmissionController({
         ...common,
         decideAdmission,
-        takeRateShare: () => true,
+        takeRateShare: routing.takeRateShare,
         isDraining: () => this._isDraining,
       }),
     );
--- a/src/daemons/RoutingWiring.ts
+++ b/src/daemons/RoutingWiring.ts
@@ -1,11 +1,17 @@
+import { Result } from 'true-myth';
 import type { Blackboard } from '../common/blackboard/Blackboard.js';
+import type { PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
+import type { IRequestEntry } from '../common/blackboard/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { createChooseExpectedDelay } from '../common/policy/Endpoints.js';
 import { decideHealth } from '../common/policy/Health.js';
 import { decideHedgeByQuantile } from '../common/policy/Hedging.js';
 import { computeLimitByQueueing } from '../common/policy/InFlightLimits.js';
 import { FAIR_ORDER, refuseUnreachable } from '../common/policy/Queueing.js';
+import { computeShareByDemand } from '../common/policy/RateShares.js';
 import { chooseSpillByTarget } from '../common/policy/Spill.js';
+import { AccountLimitController } from '../common/request/AccountLimitController.js';
+import { createLeaseHandler } from '../common/request/AccountShares.js';
 import { EndpointIndex } from '../common/request/EndpointIndex.js';
 import { HealthController } from '../common/request/HealthController.js';
 import { HedgeController } from '../common/request/HedgeController.js';
@@ -45,6 +51,8 @@
   hashTexts: (...texts: readonly string[]) => string;
   host: string;
   zone: string;
+  /** Default: no peer can be reached, as on a single host. */
+  sendToPeer?: SendToPeer;
   /** Default: the policies of `createRoutingPolicies`. */
   policies?: Partial<IRoutingPolicies>;
 }
@@ -65,11 +73,17 @@
 /** The routing controllers of one host: endpoint index, queue, health, limits, hedges and their budget. */
 export class Routing extends Disposable {
   public readonly index: EndpointIndex;
+  /** Handlers of the calls that other hosts make to this part. */
+  public readonly peerHandlers: PeerHandlers;
+  private readonly _limits: AccountLimitController;
   private readonly _budget = new RetryBudget();
 
   /** Takes one extra attempt from the budget that retries and hedges share. */
   public readonly takeRetryBudget = this._budget.takeAttempt;
 
+  /** Takes one request from its account's share of the rate limit. */
+  public readonly takeRateShare = (request: IRequestEntry): boolean => this._limits.takeRateShare(request);
+
   constructor(options: IRoutingOptions) {
     super();
     const { board, random } = options;
@@ -82,6 +96,10 @@
     // The index comes first: the other controllers read it in the same notification.
     this.index = this._register(new EndpointIndex(options));
     const common = { ...options, ...policies, index: this.index, takeRetryBudget: this.takeRetryBudget };
+    const handleLease = createLeaseHandler({ ...common, computeShare: computeShareByDemand });
+    this.peerHandlers = { 'account.lease': handleLease };
+    const sendToPeer = options.sendToPeer ?? refuseCall;
+    this._limits = this._register(new AccountLimitController({ ...common, handleLease, sendToPeer }));
     this._register(new WorkEstimateController(board));
     this._register(new PrefixController(board));
     this._register(new InFlightLimitController(common));
@@ -90,3 +108,6 @@
     this._register(new HedgeController(common));
   }
 }
+
+const refuseCall: SendToPeer = (host) =>
+  Promise.resolve(Result.err({ kind: 'unreachable', message: `The host '${host}' cannot be reached.` }));
