Test routing policies and controllers; fix what the tests showed

Cause: an endpoint came back as healthy on tokens from before its slowdown; two hosts cut off from the coordinating host exceeded an account's limit. Change: the meter forgets older tokens when probing starts; the fallback share waits until all leases have ended and is reserved at the coordinating host.

--- /dev/null
+++ b/src/common/policy/InFlightLimits.test.ts
@@ -0,0 +1,20 @@
+import test from 'ava';
+import { createTestEndpoint } from '../../testing/Entries.js';
+import { computeLimitByQueueing } from './InFlightLimits.js';
+
+test('limit of work in flight: grows while attempts start at once, shrinks when they wait', (t) => {
+  const view = { limit: 10, baseFirstTokenMs: 50, sinceDecreaseMs: 1000, now: 1000 };
+  const compute = (inFlight: number, firstTokenMs: number, waiting = 0, since = 1000): number => {
+    const report = { running: 10, waiting, cacheUse: 0, versions: [], isLeaving: false, receivedAt: 900 };
+    const endpoint = createTestEndpoint('e', { inFlight, report });
+    return computeLimitByQueueing({ ...view, endpoint, firstTokenMs, sinceDecreaseMs: since });
+  };
+  t.snapshot({
+    startsAtOnce: compute(9, 55),
+    limitNotUsed: compute(3, 55),
+    waitsALittle: compute(9, 90),
+    waits: compute(9, 150),
+    decreasedJustNow: compute(9, 150, 0, 100),
+    reportedWaiting: compute(9, 55, 5),
+  });
+});
--- /dev/null
+++ b/src/common/policy/Queueing.test.ts
@@ -0,0 +1,65 @@
+import test from 'ava';
+import { createTestRequest } from '../../testing/Entries.js';
+import type { IRequestEntry } from '../blackboard/Types.js';
+import type { IQueuedRequest } from '../request/Types.js';
+import {
+  classifyLength,
+  compareByFairShare,
+  estimateTokens,
+  rankByTargetStart,
+  refuseUnreachable,
+} from './Queueing.js';
+
+function createItem(patch: Partial<IQueuedRequest>, request: Partial<IRequestEntry> = {}): IQueuedRequest {
+  const item = {
+    request: createTestRequest('r', request),
+    length: 'short' as const,
+    expectedTokens: 20,
+    expectedMs: 300,
+    queuedAt: 0,
+    startTag: 0,
+    ...patch,
+  };
+  return { ...item, rank: rankByTargetStart(item) };
+}
+
+test('ranks within an account: priority, length and deadline, with arrival counting', (t) => {
+  t.snapshot({
+    normal: createItem({}).rank,
+    high: createItem({}, { priority: 'high' }).rank,
+    low: createItem({}, { priority: 'low' }).rank,
+    long: createItem({ expectedMs: 9000 }).rank,
+    urgent: createItem({}, { deadlineAt: 800 }).rank,
+    later: createItem({ queuedAt: 4000 }).rank,
+  });
+});
+
+test('first requests of two accounts: fair share within a priority, and waiting raises the priority', (t) => {
+  const normal = createItem({ startTag: 5 });
+  const compare = (second: IQueuedRequest, now: number): number =>
+    Math.sign(compareByFairShare(normal, second, now));
+  t.snapshot({
+    'account with less use first': compare(createItem({ startTag: 3 }), 100),
+    'high priority first': compare(createItem({ startTag: 9 }, { priority: 'high' }), 100),
+    'low priority after': compare(createItem({ startTag: 3 }, { priority: 'low' }), 100),
+    'low priority is not starved': compare(
+      createItem({ startTag: 3, queuedAt: -10_000 }, { priority: 'low' }),
+      100,
+    ),
+  });
+});
+
+test('early refusal when the deadline cannot be met', (t) => {
+  const decide = (waitMs: number): unknown => refuseUnreachable({ item: createItem({}), waitMs, now: 0 });
+  t.snapshot([0, 9700, 9701, 60_000].map(decide));
+});
+
+test('length from the limit and the history of its use', (t) => {
+  t.snapshot({
+    unknownAccount: estimateTokens(100, undefined),
+    generousLimit: estimateTokens(2000, 0.02),
+    exactLimit: estimateTokens(2000, 0.9),
+    classes: [10, 320, 321].map((tokens) => classifyLength(tokens, 40)),
+    unknownVersion: classifyLength(2000, undefined),
+  });
+});
--- a/src/common/request/AccountLimitController.ts
+++ b/src/common/request/AccountLimitController.ts
@@ -1,3 +1,4 @@
+import type { z } from 'zod';
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IAccountEntry, IRequestEntry } from '../blackboard/Types.js';
 import type { PeerHandler, SendToPeer } from '../coordination/Peers.js';
@@ -43,12 +44,16 @@
   offered: number;
   renewedAt: Millis;
   idleRenewals: number;
-  /** Since when the coordinating host has not answered. */
-  unreachableSince: Millis | undefined;
+  /** When the coordinating host last had, or may have had, a call of this host. */
+  contactAt: Millis;
+  /** Whether the coordinating host knows of demand here, and so reserves an even share in silence. */
+  isKnown: boolean;
   isRenewing: boolean;
   timer: IDisposable | undefined;
 }
 
+type LeaseReply = z.output<typeof LEASE_REPLY> | 'unreachable' | 'unknown';
+
 /**
  * Admits requests within the limits of client accounts over all hosts. Each host has a token bucket per
  * account; its rate is leased from the account's coordinating host in proportion to demand, without a
@@ -95,7 +100,8 @@
       offered: 0,
       renewedAt: now,
       idleRenewals: 0,
-      unreachableSince: undefined,
+      contactAt: now,
+      isKnown: false,
       isRenewing: false,
       timer: undefined,
     };
@@ -120,16 +126,15 @@
     const demand = this._measureDemand(state, sentAt);
     state.renewedAt = sentAt;
     state.offered = 0;
+    if (demand === 0) state.isKnown = false;
     const reply = await this._lease(state, demand);
     state.isRenewing = false;
-    if (reply) {
-      state.unreachableSince = undefined;
+    if (reply !== 'unreachable') state.contactAt = clock.now();
+    if (typeof reply === 'object') {
+      state.isKnown = demand > 0;
       // Counted from the sending, so that the lease ends here before it ends at the coordinating host.
       this._updateEntry(state, { demand, leasedRate: reply.rate, leasedUntil: sentAt + reply.leaseMs });
-    } else {
-      state.unreachableSince ??= sentAt;
-      this._updateEntry(state, { demand });
-    }
+    } else this._updateEntry(state, { demand });
     const limit = this._findLimit(state);
     if (limit !== undefined) this._refreshRate(state, limit, clock.now());
     this._scheduleRenewal(state);
@@ -157,14 +162,15 @@
   }
 
   /** The coordinating host is the live host with the highest rendezvous rank for the account. */
-  private async _lease(state: IAccountState, demand: number) {
+  private async _lease(state: IAccountState, demand: number): Promise<LeaseReply> {
     const { handleLease, host, sendToPeer } = this._options;
     const { account, service } = state;
     const params = { service, account, demand };
     const coordinator = this._findCoordinator(formatAccount(state));
     if (coordinator === host) return LEASE_REPLY.parse(await handleLease(params, host));
     const result = await sendToPeer(coordinator, 'account.lease', params);
-    return result.isOk ? LEASE_REPLY.safeParse(result.value).data : undefined;
+    if (result.isErr) return result.error.kind === 'unreachable' ? 'unreachable' : 'unknown';
+    return LEASE_REPLY.safeParse(result.value).data ?? 'unknown';
   }
 
   private _findCoordinator(key: string): string {
@@ -180,17 +186,16 @@
   }
 
   /**
-   * Sets the bucket's rate: the lease while it lasts; after the coordinating host has been unreachable for
-   * a whole lease, when its leases to other hosts have ended as well, an even share; else the small rate
-   * that needs no lease.
+   * Sets the bucket's rate: the lease while it lasts; an even share when the coordinating host knows this
+   * host and has been out of reach for two leases (this host's lease has then ended there, and so have
+   * those that other hosts got before); else the small rate that needs no lease.
    */
   private _refreshRate(state: IAccountState, limit: number, now: Millis): void {
     const liveHosts = countLiveHosts(this._options.board);
     const entry = this._getEntry(state);
     const unleased = computeUnleasedRate(limit, liveHosts);
     const isLeased = entry !== undefined && entry.leasedUntil > now;
-    const { unreachableSince } = state;
-    const isCutOff = unreachableSince !== undefined && now - unreachableSince > SHARE_LEASE_MS;
+    const isCutOff = state.isKnown && now - state.contactAt > 2 * SHARE_LEASE_MS;
     const rate = isLeased
       ? entry.leasedRate + unleased
       : isCutOff
--- a/src/common/request/AccountShares.ts
+++ b/src/common/request/AccountShares.ts
@@ -35,15 +35,8 @@
   demand: number;
   /** Leases that may still be in use. A reply may be lost, so a new lease does not end an older one. */
   grants: IGrant[];
-  seenAt: Millis;
 }
 
-/**
- * Time for which a host that fell silent with demand keeps an even share reserved: it may still run and
- * use the fallback rate, cut off from this host only.
- */
-const SILENCE_RESERVE_MS: Millis = 60_000;
-
 /** Creates the handler of `account.lease`: the coordinating side, with soft state only. */
 export function createLeaseHandler(options: IAccountSharesOptions): PeerHandler {
   const accounts = new Map<string, Map<string, IHolder>>();
@@ -71,11 +64,10 @@
   const limit = board.services.get(service)?.document.accounts[account]?.requestsPerSecond;
   if (limit === undefined) return { rate: 0, leaseMs: SHARE_LEASE_MS };
   const now = clock.now();
-  const holder = holders.get(host) ?? { demand, grants: [], seenAt: now };
+  const holder = holders.get(host) ?? { demand, grants: [] };
   holders.set(host, holder);
   holder.demand = demand;
-  holder.seenAt = now;
-  removeEnded(board, holders, now);
+  removeEnded(board, holders, host, now);
   const liveHosts = countLiveHosts(board);
   const listed = listHolders(holders, computeFallbackRate(limit, liveHosts));
   const rate = computeShare({ limit, host, holders: listed, liveHosts });
@@ -85,13 +77,16 @@
   return { rate, leaseMs: SHARE_LEASE_MS };
 }
 
-function removeEnded(board: Blackboard, holders: Map<string, IHolder>, now: Millis): void {
+/**
+ * Forgets hosts without a lease that are gone or reported no demand. Any other silent host keeps an even
+ * share reserved, because it may still run, cut off from this host only, and use the fallback rate.
+ */
+function removeEnded(board: Blackboard, holders: Map<string, IHolder>, asking: string, now: Millis): void {
   for (const [host, holder] of holders) {
     holder.grants = holder.grants.filter(({ endsAt }) => endsAt > now);
     const isGone = board.hosts.get(host)?.state === 'gone';
-    const isSilent = now - holder.seenAt > SILENCE_RESERVE_MS;
-    const isIdle = holder.demand === 0 && holder.seenAt < now;
-    if (holder.grants.length === 0 && (isGone || isSilent || isIdle)) holders.delete(host);
+    if (host !== asking && holder.grants.length === 0 && (isGone || holder.demand === 0))
+      holders.delete(host);
   }
 }
 
--- a/src/common/request/EndpointMeter.ts
+++ b/src/common/request/EndpointMeter.ts
@@ -42,6 +42,11 @@
 
   constructor(private readonly _options: IEndpointMeterOptions) {
     super();
+    this._register(
+      _options.board.endpoints.onChange(({ after, before, key }) => {
+        if (after?.health === 'probing' && before?.health !== 'probing') this._clearPace(key);
+      }),
+    );
   }
 
   /** Notes that an attempt was sent and has no output yet. */
@@ -74,6 +79,16 @@
     this._timer?.dispose();
   }
 
+  /** Forgets older tokens, so that only what arrives from now on speaks for a probed endpoint. */
+  private _clearPace(endpoint: string): void {
+    const counts = this._counts.get(endpoint);
+    if (!counts) return;
+    counts.newTokens = 0;
+    counts.streamMs = 0;
+    counts.tokens = 0;
+    this._write(endpoint, { paceMs: undefined, firstTokenWaitMs: this._measureWait(counts) });
+  }
+
   private _getCounts(endpoint: string): IEndpointCounts {
     let counts = this._counts.get(endpoint);
     if (!counts) {
