--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -10,12 +10,14 @@
   ILifecycleEntry,
   IListedHost,
   IPartitionEntry,
+  IPrefixEntry,
   IQualityEntry,
   IRequestEntry,
   IServiceEntry,
   ISessionEntry,
   ISuspectEntry,
   IUpdateEntry,
+  IWorkEstimate,
 } from './Types.js';
 
 /** Called with an error thrown by a controller, so that one fault does not stop the others. */
@@ -46,6 +48,8 @@
   public readonly sessions = this._createPanel<string, ISessionEntry>();
   public readonly suspects = this._createPanel<string, ISuspectEntry>();
   public readonly heldBills = this._createPanel<string, IHeldBillEntry>();
+  public readonly prefixes = this._createPanel<string, IPrefixEntry>();
+  public readonly estimates = this._createPanel<string, IWorkEstimate>();
   public readonly quality = this._createPanel<string, IQualityEntry>();
   public readonly listedHosts = this._createPanel<string, IListedHost>();
   public readonly updates = this._createPanel<string, IUpdateEntry>();
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -12,7 +12,6 @@
 import type { IBillTotal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
-import { compareByPriority, createChooseLeastInFlight } from '../common/policy/Endpoints.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
 import { chooseCheapestExpected } from '../common/policy/Versions.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
@@ -22,7 +21,6 @@
 import { CleanUpController } from '../common/request/CleanUpController.js';
 import { DeadlineController } from '../common/request/DeadlineController.js';
 import { OutcomeController } from '../common/request/OutcomeController.js';
-import { RouteController } from '../common/request/RouteController.js';
 import type { RunAttempt } from '../common/request/Types.js';
 import { VersionController } from '../common/request/VersionController.js';
 import { TimelineRecorder } from '../common/timeline/TimelineRecorder.js';
@@ -32,6 +30,7 @@
 import { FrontEnd } from './FrontEnd.js';
 import { JournalWiring } from './JournalWiring.js';
 import { MembershipWiring } from './MembershipWiring.js';
+import { Routing } from './RoutingWiring.js';
 import type { HostSettings } from './Settings.js';
 
 /** Options of an entry host. */
@@ -154,22 +153,24 @@
   private _registerControllers(): void {
     const { holdBill, journal } = this._journal;
     const common = { board: this._board, clock: systemClock, journal, readWallClock: Date.now };
-    const { zone } = this._options.settings.host;
+    const { id: host, zone } = this._options.settings.host;
+    const routing = this._register(
+      new Routing({ ...common, random: Math.random, createId: createUniqueId, hashTexts, host, zone }),
+    );
+    const { takeRetryBudget } = routing;
     this._register(
       new AdmissionController({
         ...common,
         decideAdmission,
-        takeRateShare: () => true,
+        takeRateShare: routing.takeRateShare,
         isDraining: () => hasStoppedAccepting(this._board),
       }),
     );
     const retentionMs = this._options.settings.journal.claim_retention_hours * 3_600_000;
     this._register(new ClaimController({ ...common, hashKey, retentionMs }));
-    this._register(new VersionController({ ...common, chooseVersion: chooseCheapestExpected, hashSession }));
-    const chooseEndpoint = createChooseLeastInFlight(Math.random);
-    const createId = createUniqueId;
+    const hasVersion = (version: string): boolean => routing.index.hasVersion(version);
     this._register(
-      new RouteController({ ...common, chooseEndpoint, compareQueued: compareByPriority, createId, zone }),
+      new VersionController({ ...common, chooseVersion: chooseCheapestExpected, hashSession, hasVersion }),
     );
     this._register(
       new AttemptController({
@@ -181,7 +182,7 @@
       }),
     );
     const decideRetry = createDecideRetry(Math.random);
-    this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget: () => true, hashKey }));
+    this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget, hashKey }));
     this._register(new BillController({ ...common, hashKey, encodeAnswer: encodeStoredAnswer, holdBill }));
     this._register(new DeadlineController(common));
     this._register(new CleanUpController(this._board));
