Add learned choice of versions, cascades, rollouts and placement

Cause: versions were chosen by the document's expectation only, rolling-out versions took all traffic. Change: plans with a Beta posterior, escalation of drafts, rating client and stand-in, sequential test over four signals, rollout and placement controllers, new document lines.

--- a/src/adapters/ConfigStore.ts
+++ b/src/adapters/ConfigStore.ts
@@ -20,6 +20,8 @@
   verdict: z.enum(['ramping', 'halted', 'passed']),
   share: z.number(),
   reason: z.string(),
+  attempt: z.number().int().default(1),
+  fencingToken: z.number().int().default(0),
 });
 
 const INDEX_SCHEMA = z.object({
--- /dev/null
+++ b/src/adapters/EngineOrders.ts
@@ -0,0 +1,38 @@
+import { Result } from 'true-myth';
+import { request as sendRequest, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import type { OrderError, SendOrder } from '../common/rollout/Types.js';
+import type { Millis } from '../common/Types.js';
+
+/** Options of the orders to engines. */
+export interface IEngineOrderOptions {
+  dispatcher?: Dispatcher;
+  /** Longest wait for the engine's reply. Default 5000. */
+  timeoutMs?: Millis;
+}
+
+const REPORT_SCHEMA = z.object({ versions: z.array(z.string()) });
+
+/**
+ * Creates the function that orders an engine to have exactly the given versions loaded. The reply is the
+ * engine's load report, so that the caller sees what is loaded now.
+ */
+export function createSendOrder(options: IEngineOrderOptions = {}): SendOrder {
+  return async (endpoint, order) => {
+    try {
+      const reply = await sendRequest(`${endpoint.address}/orders`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(order),
+        signal: AbortSignal.timeout(options.timeoutMs ?? 5000),
+        ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+      });
+      const text = await reply.body.text();
+      if (reply.statusCode === 409) return Result.err('fenced');
+      const report = reply.statusCode < 300 ? REPORT_SCHEMA.safeParse(JSON.parse(text)) : undefined;
+      return report?.success ? Result.ok(report.data.versions) : Result.err('failed');
+    } catch {
+      return Result.err<readonly string[], OrderError>('failed');
+    }
+  };
+}
--- /dev/null
+++ b/src/adapters/RatingClient.ts
@@ -0,0 +1,94 @@
+import { Result } from 'true-myth';
+import { request as sendRequest, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import type { ScoreDraft } from '../common/request/EscalationController.js';
+import type { FetchRatings, IRatingError, SubmitAnswer } from '../common/rollout/Types.js';
+import type { IClock, Millis } from '../common/Types.js';
+
+/** Options of the client of the rating service. */
+export interface IRatingClientOptions {
+  address: string;
+  /** Name under which this host submits answers and reads their ratings. */
+  source: string;
+  clock: IClock;
+  dispatcher?: Dispatcher;
+  /** Longest wait for a submission or a page of ratings. Default 2000. */
+  timeoutMs?: Millis;
+  /** Time without checks of drafts after one that failed. Default 5000. */
+  checkPauseMs?: Millis;
+}
+
+/** Functions that reach the rating service. */
+export interface IRatingClient {
+  submitAnswer: SubmitAnswer;
+  fetchRatings: FetchRatings;
+  scoreDraft: ScoreDraft;
+  /** Whether the last check of a draft was answered, or failed long enough ago to try again. */
+  isCheckAvailable: () => boolean;
+}
+
+const PAGE_SCHEMA = z.object({
+  next: z.number().int(),
+  ratings: z.array(z.object({ request: z.string(), score: z.enum(['good', 'bad']) })),
+});
+const CHECK_SCHEMA = z.object({ score: z.number().min(0).max(1) });
+
+/**
+ * Creates the client of the rating service: `POST /ratings` submits an answer, `GET /ratings` with
+ * `source` and `after` reads the ratings since a position, `POST /checks` scores a draft at once.
+ */
+export function createRatingClient(options: IRatingClientOptions): IRatingClient {
+  const { address, clock, source, checkPauseMs = 5000, timeoutMs = 2000 } = options;
+  let pausedUntil: Millis = -Infinity;
+  return {
+    submitAnswer: async (submission) => {
+      const body = JSON.stringify({ source, ...submission });
+      const sent = await requestService(options, 'POST', '/ratings', body, timeoutMs);
+      return sent.map(() => undefined);
+    },
+    fetchRatings: async (after) => {
+      const query = new URLSearchParams({ source, after: String(after) }).toString();
+      const reply = await requestService(options, 'GET', `/ratings?${query}`, null, timeoutMs);
+      return reply.andThen((value) => decodeReply(PAGE_SCHEMA, value));
+    },
+    scoreDraft: async (request, attempt, checkTimeoutMs) => {
+      const { id, kind, service } = request;
+      const { answer, version } = attempt;
+      const body = JSON.stringify({ source, request: id, service, kind, version, answer });
+      const reply = await requestService(options, 'POST', '/checks', body, checkTimeoutMs);
+      const score = reply.andThen((value) => decodeReply(CHECK_SCHEMA, value));
+      if (score.isErr) pausedUntil = clock.now() + checkPauseMs;
+      return score.isOk ? score.value.score : undefined;
+    },
+    isCheckAvailable: () => address !== '' && clock.now() >= pausedUntil,
+  };
+}
+
+async function requestService(
+  options: IRatingClientOptions,
+  method: 'GET' | 'POST',
+  path: string,
+  body: string | null,
+  timeoutMs: Millis,
+): Promise<Result<unknown, IRatingError>> {
+  try {
+    const reply = await sendRequest(options.address + path, {
+      method,
+      body,
+      headers: { 'content-type': 'application/json' },
+      signal: AbortSignal.timeout(timeoutMs),
+      ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+    });
+    const text = await reply.body.text();
+    if (reply.statusCode < 300) return Result.ok(JSON.parse(text) as unknown);
+    return Result.err({ kind: 'unavailable', message: `The rating service replied ${reply.statusCode}.` });
+  } catch (error) {
+    return Result.err({ kind: 'unavailable', message: String(error) });
+  }
+}
+
+function decodeReply<T extends z.ZodType>(schema: T, value: unknown): Result<z.output<T>, IRatingError> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return Result.ok(parsed.data);
+  return Result.err({ kind: 'malformed', message: parsed.error.message });
+}
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -84,8 +84,10 @@
   winner: string | undefined;
   /** Number of attempts planned so far. */
   attemptCount: number;
-  /** Versions tried before an escalation. */
-  escalatedFrom: readonly string[];
+  /** Drafts rejected before an escalation, oldest first. */
+  escalatedFrom: readonly IDraft[];
+  /** How the version was chosen; absent for plain services and for requests of a pinned session. */
+  plan?: IVersionPlan;
   /** Whether any attempt may have been run by an endpoint. */
   ran: Ran;
   /** Whether the caller has closed its connection. */
@@ -100,6 +102,22 @@
   completionTokens: number;
 }
 
+/** A draft that was not delivered. */
+export interface IDraft {
+  version: string;
+  usage: IUsage;
+}
+
+/** Versions that a request runs on one after another until an answer is accepted. */
+export interface IVersionPlan {
+  /** First version, then the versions to escalate to. */
+  steps: readonly [string, ...string[]];
+  /** Whether the plan was chosen in order to learn its quality. */
+  isExploration: boolean;
+  /** Versions under rollout that the request could have been given; its outcome counts in their tests. */
+  rollouts: readonly string[];
+}
+
 /** A complete answer before delivery. */
 export type IAnswer =
   | { kind: 'model'; version: string; usage: IUsage; content: unknown }
@@ -259,15 +277,24 @@
   changedAt: Millis;
 }
 
-/** Observed quality of a version for one kind of request. */
+/**
+ * Observed quality. For the choice of a version, `kind` is a kind of request and `version` is a plan: its
+ * steps joined by '>'. For a rollout, `kind` is `rollout:` and the new version, and `version` is the
+ * new version or the one that it is compared with.
+ */
 export interface IQualityEntry {
   service: string;
   kind: string;
   version: string;
   good: number;
   bad: number;
+  /** Attempts that failed for a reason that may lie in the version. */
   errors: number;
   finished: number;
-  /** Smoothed total latency, in milliseconds. */
+  /** Finished attempts slower than twice the smoothed latency of the stable version. */
+  slow: number;
+  draftsAccepted: number;
+  draftsRejected: number;
+  /** Smoothed time of an attempt per token, in milliseconds; 0 before the first. */
   latencyMs: number;
 }
--- a/src/common/config/ServiceDocument.ts
+++ b/src/common/config/ServiceDocument.ts
@@ -3,7 +3,9 @@
 import type {
   IAccountSpec,
   IDocumentProblem,
+  ILearningSpec,
   IPlainServiceSpec,
+  IRolloutSpec,
   IServiceDocument,
   IVersionSpec,
 } from './Types.js';
@@ -29,6 +31,15 @@
   preference: z.enum(['cost', 'latency']).default('cost'),
   bills_drafts: z.enum(['yes', 'no']).default('no'),
   rollout_max_share: SHARE.default(1),
+  exploration_share: SHARE.default(0.02),
+  rating_share: SHARE.default(0.1),
+  prior_ratings: z.coerce.number().min(1).max(10_000).default(30),
+  cascades: z.enum(['yes', 'no']).default('yes'),
+  draft_check_ms: z.coerce.number().int().min(1).max(60_000).default(500),
+  draft_accept_score: SHARE.default(0.5),
+  rollout_step_s: z.coerce.number().min(1).max(604_800).default(300),
+  rollout_step_ratings: z.coerce.number().int().min(1).max(1_000_000).default(50),
+  rollout_false_halt: z.coerce.number().min(0.000001).max(0.5).default(0.001),
 });
 
 const VERSION_SCHEMA = z.strictObject({
@@ -36,6 +47,7 @@
   stage: z.enum(['rolling-out', 'stable', 'withdrawing', 'withdrawn']),
   price_per_1k_tokens: PRICE,
   expected_quality: SHARE.default(0.5),
+  rollout_attempt: z.coerce.number().int().min(1).max(1_000_000).default(1),
 });
 
 const ACCOUNT_SCHEMA = z.strictObject({
@@ -73,6 +85,8 @@
     preference: service.preference,
     billsDrafts: service.bills_drafts === 'yes',
     rolloutMaxShare: service.rollout_max_share,
+    learning: buildLearning(service),
+    rollout: buildRollout(service),
     versions,
     accounts,
     plainServices,
@@ -172,6 +186,25 @@
   }
 }
 
+function buildLearning(fields: z.output<typeof SERVICE_SCHEMA>): ILearningSpec {
+  return {
+    explorationShare: fields.exploration_share,
+    ratingShare: fields.rating_share,
+    priorRatings: fields.prior_ratings,
+    usesCascades: fields.cascades === 'yes',
+    draftCheckMs: fields.draft_check_ms,
+    draftAcceptScore: fields.draft_accept_score,
+  };
+}
+
+function buildRollout(fields: z.output<typeof SERVICE_SCHEMA>): IRolloutSpec {
+  return {
+    stepMs: fields.rollout_step_s * 1000,
+    stepRatings: fields.rollout_step_ratings,
+    falseHaltRate: fields.rollout_false_halt,
+  };
+}
+
 function buildVersion(name: string, fields: z.output<typeof VERSION_SCHEMA>): IVersionSpec {
   return {
     name,
@@ -179,6 +212,7 @@
     stage: fields.stage,
     pricePerThousandTokens: fields.price_per_1k_tokens,
     expectedQuality: fields.expected_quality,
+    rolloutAttempt: fields.rollout_attempt,
   };
 }
 
--- a/src/common/config/Types.ts
+++ b/src/common/config/Types.ts
@@ -12,6 +12,8 @@
   pricePerThousandTokens: number;
   /** Quality to assume before ratings arrive, 0 to 1. */
   expectedQuality: number;
+  /** Raised by an operator to start a halted rollout again; 1 at first. */
+  rolloutAttempt: number;
 }
 
 /** A client account and its limits. */
@@ -36,6 +38,32 @@
   pricePerCall: number;
 }
 
+/** How the choice of a version learns, and when drafts are tried first. */
+export interface ILearningSpec {
+  /** Largest share of requests that try a version whose quality is not known yet. */
+  explorationShare: number;
+  /** Share of finished answers sent to the rating service. */
+  ratingShare: number;
+  /** Number of ratings that `expectedQuality` counts for. */
+  priorRatings: number;
+  /** Whether a cheap draft may be tried before a stronger version. */
+  usesCascades: boolean;
+  /** Longest wait for the score of a draft. */
+  draftCheckMs: Millis;
+  /** Lowest score of a draft that is delivered. */
+  draftAcceptScore: number;
+}
+
+/** How versions are rolled out. */
+export interface IRolloutSpec {
+  /** Shortest time at each share. */
+  stepMs: Millis;
+  /** Ratings of the new version needed before the next share. */
+  stepRatings: number;
+  /** Largest probability of halting a version that is as good as the stable one. */
+  falseHaltRate: number;
+}
+
 /** The document that a team writes for its service. */
 export interface IServiceDocument {
   name: string;
@@ -50,6 +78,8 @@
   billsDrafts: boolean;
   /** Largest share of traffic of a version that is rolling out. */
   rolloutMaxShare: number;
+  learning: ILearningSpec;
+  rollout: IRolloutSpec;
   versions: Readonly<Record<string, IVersionSpec>>;
   accounts: Readonly<Record<string, IAccountSpec>>;
   plainServices: Readonly<Record<string, IPlainServiceSpec>>;
@@ -66,6 +96,10 @@
   share: number;
   /** Reason of the last change, for operators. */
   reason: string;
+  /** The version's `rolloutAttempt` that this state belongs to. */
+  attempt: number;
+  /** Fencing token of the owner that wrote the state. */
+  fencingToken: number;
 }
 
 /** A problem in a service document, with the place and what is allowed. */
--- /dev/null
+++ b/src/common/policy/Kinds.ts
@@ -0,0 +1,13 @@
+import type { RequestTarget } from '../blackboard/Types.js';
+
+const SHORT_PROMPT_TOKENS = 200;
+const LONG_PROMPT_TOKENS = 2000;
+const SHORT_ANSWER_TOKENS = 64;
+
+/** Classifies a request whose caller states no kind, by the length of its prompt and of its answer. */
+export function classifyKind(target: RequestTarget): string {
+  if (target.kind === 'plain') return 'default';
+  const answer = target.maxTokens <= SHORT_ANSWER_TOKENS ? 'brief' : 'full';
+  if (target.promptTokens <= SHORT_PROMPT_TOKENS) return `short-prompt-${answer}`;
+  return target.promptTokens >= LONG_PROMPT_TOKENS ? `long-prompt-${answer}` : `medium-prompt-${answer}`;
+}
--- a/src/common/policy/Versions.ts
+++ b/src/common/policy/Versions.ts
@@ -1,4 +1,4 @@
-import type { IRequestEntry } from '../blackboard/Types.js';
+import type { IRequestEntry, IServiceEntry } from '../blackboard/Types.js';
 import type { IServiceDocument, IVersionSpec } from '../config/Types.js';
 import type { IVersionView, VersionDecision } from '../request/Types.js';
 import { listAllowedVersions } from './Admission.js';
@@ -56,13 +56,26 @@
   return view.hasEndpoint(name) ? { kind: 'use', versions: [version] } : refuseForCapacity(request);
 }
 
-/** A version that is being withdrawn only serves sessions that are pinned to it. */
+/**
+ * A version that is being withdrawn only serves sessions that are pinned to it. One that is rolling out
+ * takes the requests of its share.
+ */
 function isOpenForNewWork(view: IVersionView, version: IVersionSpec): boolean {
-  if (version.stage === 'withdrawn' || version.stage === 'withdrawing') return false;
-  return view.service.rollouts[version.name]?.verdict !== 'halted';
+  if (version.stage === 'stable') return true;
+  if (version.stage !== 'rolling-out') return false;
+  return view.hashPoint(`rollout ${version.name}`) < getRolloutShare(view.service, version);
+}
+
+/** Share of eligible requests that a version takes now, 0 to 1. A halted or unknown rollout takes none. */
+export function getRolloutShare(service: IServiceEntry, version: IVersionSpec): number {
+  if (version.stage !== 'rolling-out') return version.stage === 'stable' ? 1 : 0;
+  const state = service.rollouts[version.name];
+  if (!state || state.verdict === 'halted' || state.attempt !== version.rolloutAttempt) return 0;
+  return Math.min(state.share, service.document.rolloutMaxShare);
 }
 
-function listVersionsOf(request: IRequestEntry, document: IServiceDocument): IVersionSpec[] {
+/** Lists the versions that the account and the asked model allow, whatever their stage. */
+export function listVersionsOf(request: IRequestEntry, document: IServiceDocument): IVersionSpec[] {
   const account = document.accounts[request.account];
   if (!account || request.target.kind !== 'model') return [];
   return listAllowedVersions(document, account, request.target.model);
@@ -79,7 +92,8 @@
   );
 }
 
-function pickBest(versions: readonly IVersionSpec[]): IVersionSpec {
+/** Picks the version with the highest expected quality. */
+export function pickBest(versions: readonly IVersionSpec[]): IVersionSpec {
   return versions.reduce((best, version) =>
     version.expectedQuality > best.expectedQuality ? version : best,
   );
--- a/src/common/request/BillController.ts
+++ b/src/common/request/BillController.ts
@@ -1,5 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { IAnswer, IRequestEntry } from '../blackboard/Types.js';
+import type { IAnswer, IDraft, IRequestEntry } from '../blackboard/Types.js';
+import type { IServiceDocument } from '../config/Types.js';
 import type { IBill, IJournal, JournalEntry } from '../coordination/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
@@ -67,8 +68,8 @@
     const common = { service: request.service, account: request.account, request: request.id };
     if (answer.kind === 'model') {
       const { promptTokens, completionTokens } = answer.usage;
-      const price = document?.versions[answer.version]?.pricePerThousandTokens ?? 0;
-      const cost = ((promptTokens + completionTokens) * price) / 1000;
+      const drafts = document?.billsDrafts ? request.escalatedFrom : [];
+      const cost = [answer, ...drafts].reduce((sum, run) => sum + computeCost(document, run), 0);
       return { ...common, version: answer.version, promptTokens, completionTokens, cost };
     }
     // An error status of a plain service is passed on but is no answer that can be charged.
@@ -78,3 +79,8 @@
     return { ...common, version, promptTokens: 0, completionTokens: 0, cost };
   }
 }
+
+function computeCost(document: IServiceDocument | undefined, run: IDraft): number {
+  const price = document?.versions[run.version]?.pricePerThousandTokens ?? 0;
+  return ((run.usage.promptTokens + run.usage.completionTokens) * price) / 1000;
+}
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -4,7 +4,7 @@
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import { combineRan, hasEnded, refuseRequest } from './Refusals.js';
-import type { DecideRetry } from './Types.js';
+import type { DecideAcceptance, DecideRetry } from './Types.js';
 
 /** Options of the outcome controller. */
 export interface IOutcomeOptions {
@@ -15,6 +15,8 @@
   /** Takes one attempt from the retry budget; false when it is used up. */
   takeRetryBudget: () => boolean;
   hashKey: (request: IRequestEntry) => string;
+  /** Leaves a draft to the escalation controller. Default: every answer is final. */
+  decideAcceptance?: DecideAcceptance;
 }
 
 /** Turns ended attempts into an answer, a retry or a refusal. */
@@ -40,6 +42,7 @@
     const request = board.requests.get(attempt.request);
     if (request?.phase !== 'running') return;
     if (request.winner !== undefined && request.winner !== attempt.id) return;
+    if (this._options.decideAcceptance?.(request, attempt).kind === 'check') return;
     const { answer } = attempt;
     board.requests.update(request.id, { phase: 'answered', winner: attempt.id, ran: 'yes', answer });
   }
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -8,6 +8,7 @@
   IRefusal,
   IRequestEntry,
   IServiceEntry,
+  IVersionPlan,
 } from '../blackboard/Types.js';
 import type { IStoredAnswer } from '../coordination/Types.js';
 import type { Millis } from '../Types.js';
@@ -41,7 +42,14 @@
 export type AdmissionDecision = { kind: 'admit' } | { kind: 'refuse'; refusal: IRefusal };
 
 /** Decision on the version of a request. */
-export type VersionDecision = { kind: 'use'; version: string } | { kind: 'refuse'; refusal: IRefusal };
+export type VersionDecision =
+  { kind: 'use'; version: string; plan?: IVersionPlan } | { kind: 'refuse'; refusal: IRefusal };
+
+/** Decision on a finished attempt: its answer is final, or a draft that is checked first. */
+export type AcceptanceDecision = { kind: 'accept' } | { kind: 'check'; escalatesTo: string };
+
+/** Decides whether a finished attempt's answer is final. */
+export type DecideAcceptance = (request: IRequestEntry, attempt: IAttemptEntry) => AcceptanceDecision;
 
 /** Decision on a failed attempt. */
 export type RetryDecision = { kind: 'retry'; delayMs: Millis } | { kind: 'refuse'; refusal: IRefusal };
@@ -72,6 +80,11 @@
   pinnedVersion: string | undefined;
   /** Tells whether any endpoint that takes new work has the version. */
   hasEndpoint: (version: string) => boolean;
+  /**
+   * Position of the request, 0 up to 1, among all requests for one purpose. All hosts compute the same
+   * position for a session, and for a request that is repeated with its key.
+   */
+  hashPoint: (purpose: string) => number;
 }
 
 /** Chooses an endpoint among candidates; `undefined` keeps the request in the queue. */
--- a/src/common/request/VersionController.ts
+++ b/src/common/request/VersionController.ts
@@ -1,11 +1,11 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { IRequestEntry } from '../blackboard/Types.js';
+import type { IRequestEntry, IVersionPlan } from '../blackboard/Types.js';
 import type { IJournal } from '../coordination/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import { isAcceptingWork } from './Candidates.js';
 import { refuseRequest } from './Refusals.js';
-import type { ChooseVersion } from './Types.js';
+import type { ChooseVersion, VersionDecision } from './Types.js';
 
 /** Options of the version controller. */
 export interface IVersionOptions {
@@ -16,8 +16,15 @@
   /** Hashes client account and session into a journal key. */
   hashSession: (request: IRequestEntry) => string;
   readWallClock: () => number;
+  /**
+   * Position of a request, 0 up to 1, for a purpose. Default: 1, which keeps requests out of every
+   * rollout and exploration.
+   */
+  hashPoint?: (request: IRequestEntry, purpose: string) => number;
 }
 
+type ChosenVersion = Extract<VersionDecision, { kind: 'use' }>;
+
 /** Moves requests from `claimed` to `queued` with a version; pins sessions to their first version. */
 export class VersionController extends Disposable {
   constructor(private readonly _options: IVersionOptions) {
@@ -35,7 +42,7 @@
     else void this._chooseForSession(request);
   }
 
-  private _choose(request: IRequestEntry, pinnedVersion: string | undefined): string | undefined {
+  private _choose(request: IRequestEntry, pinnedVersion: string | undefined): ChosenVersion | undefined {
     const { board, chooseVersion } = this._options;
     const service = board.services.get(request.service);
     if (!service) {
@@ -46,15 +53,16 @@
     const endpoints = [...board.endpoints.list()];
     const hasEndpoint = (version: string): boolean =>
       endpoints.some((endpoint) => isAcceptingWork(endpoint) && endpoint.versions.includes(version));
-    const decision = chooseVersion({ request, service, pinnedVersion, hasEndpoint });
+    const hashPoint = (purpose: string): number => this._options.hashPoint?.(request, purpose) ?? 1;
+    const decision = chooseVersion({ request, service, pinnedVersion, hasEndpoint, hashPoint });
     if (decision.kind === 'refuse') {
       refuseRequest(board, request.id, decision.refusal);
       return undefined;
     }
     if (request.session === undefined || pinnedVersion !== undefined) {
-      this._queueRequest(request, decision.version);
+      this._queueRequest(request, decision.version, decision.plan);
     }
-    return decision.version;
+    return decision;
   }
 
   private async _chooseForSession(request: IRequestEntry): Promise<void> {
@@ -64,8 +72,8 @@
       this._choose(request, pinned);
       return;
     }
-    const version = this._choose(request, undefined);
-    if (version !== undefined) await this._writePin(request, key, version);
+    const chosen = this._choose(request, undefined);
+    if (chosen) await this._writePin(request, key, chosen);
   }
 
   private async _readPin(key: string): Promise<string | undefined> {
@@ -74,19 +82,20 @@
   }
 
   /** Writes the pin before the request runs; another host's earlier pin wins. */
-  private async _writePin(request: IRequestEntry, key: string, version: string): Promise<void> {
+  private async _writePin(request: IRequestEntry, key: string, chosen: ChosenVersion): Promise<void> {
     const { board, clock, journal, readWallClock } = this._options;
+    const { plan, version } = chosen;
     const result = await journal.append(key, [{ kind: 'pin', key, version, atMs: readWallClock() }]);
     const outcome = result.isOk ? result.value[0] : undefined;
     const kept = outcome?.kind === 'duplicate' ? (outcome.record.version ?? version) : version;
     board.sessions.set(key, { key, version: kept, pinnedAt: clock.now(), isDurable: result.isOk });
-    if (kept === version) this._queueRequest(request, version);
+    if (kept === version) this._queueRequest(request, version, plan);
     else this._choose(request, kept);
   }
 
-  private _queueRequest(request: IRequestEntry, version: string | undefined): void {
+  private _queueRequest(request: IRequestEntry, version: string | undefined, plan?: IVersionPlan): void {
     const { board } = this._options;
     if (board.requests.get(request.id)?.phase !== 'claimed') return;
-    board.requests.update(request.id, { phase: 'queued', version });
+    board.requests.update(request.id, { phase: 'queued', version, ...(plan ? { plan } : {}) });
   }
 }
--- /dev/null
+++ b/src/common/rollout/VersionCountsController.ts
@@ -0,0 +1,118 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type {
+  AttemptErrorKind,
+  IAttemptEntry,
+  IQualityEntry,
+  IRequestEntry,
+  IServiceEntry,
+} from '../blackboard/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import { formatPlan } from '../policy/Plans.js';
+import type { Millis } from '../Types.js';
+import { formatQualityKey, formatRolloutKind, listComparisons, updateQuality } from './Quality.js';
+
+/** Failures that may lie in the version. A refused or unreachable endpoint says nothing about it. */
+const VERSION_ERRORS: ReadonlySet<AttemptErrorKind> = new Set([
+  'crashed',
+  'silent',
+  'malformed',
+  'timed-out',
+]);
+/** An attempt is slow when its time per token exceeds this multiple of the stable version's. */
+const SLOW_FACTOR = 2;
+const LATENCY_WEIGHT = 0.05;
+
+/** Counts finished, failed and slow attempts and checked drafts per version in the `quality` panel. */
+export class VersionCountsController extends Disposable {
+  constructor(private readonly _board: Blackboard) {
+    super();
+    this._register(
+      _board.attempts.onChange(({ before, after }) => {
+        if (!after || before?.phase === after.phase) return;
+        if (after.phase === 'finished') this._countFinished(after);
+        if (after.phase === 'failed' && after.error && VERSION_ERRORS.has(after.error.kind)) {
+          this._countError(this._board.requests.get(after.request), after.version);
+        }
+      }),
+    );
+    this._register(
+      _board.requests.onChange(({ before, after }) => {
+        // A version that hangs shows only in the deadline of its requests: their attempts are cancelled.
+        const isTimedOut = after?.phase === 'refused' && after.refusal?.code === 'deadline_exceeded';
+        if (isTimedOut && before?.phase === 'running') this._countError(after, after.version);
+      }),
+    );
+  }
+
+  /** Counts a checked draft, for the choice of plans and for the rollouts that the request takes part in. */
+  public recordDraft(request: IRequestEntry, attempt: IAttemptEntry, isAccepted: boolean): void {
+    const { kind, service } = request;
+    const { version } = attempt;
+    if (!request.plan || version === undefined) return;
+    const position = request.plan.steps.indexOf(version);
+    const countDraft = (entry: IQualityEntry): Partial<IQualityEntry> =>
+      isAccepted
+        ? { draftsAccepted: entry.draftsAccepted + 1 }
+        : { draftsRejected: entry.draftsRejected + 1 };
+    const prefix = formatPlan(request.plan.steps.slice(0, position + 1));
+    updateQuality(this._board, { service, kind, version: prefix }, countDraft);
+    this._updateComparisons(request, version, countDraft);
+  }
+
+  private _countFinished(attempt: IAttemptEntry): void {
+    const request = this._board.requests.get(attempt.request);
+    const { endedAt, plannedAt, version } = attempt;
+    if (!request || version === undefined || endedAt === undefined) return;
+    const perToken = (endedAt - plannedAt) / Math.max(1, attempt.tokens);
+    const service = this._board.services.get(request.service);
+    for (const rollout of listComparisons(this._board, request, version)) {
+      const reference = this._findReference(service, rollout);
+      const isSlow = reference > 0 && perToken > SLOW_FACTOR * reference;
+      this._updateComparison(request.service, rollout, version, (entry) => ({
+        finished: entry.finished + 1,
+        slow: entry.slow + (isSlow ? 1 : 0),
+        latencyMs: computeSmoothed(entry, perToken),
+      }));
+    }
+  }
+
+  private _countError(request: IRequestEntry | undefined, version: string | undefined): void {
+    if (!request || version === undefined) return;
+    this._updateComparisons(request, version, (entry) => ({ errors: entry.errors + 1 }));
+  }
+
+  private _updateComparisons(
+    request: IRequestEntry,
+    version: string,
+    change: (entry: IQualityEntry) => Partial<IQualityEntry>,
+  ): void {
+    for (const rollout of listComparisons(this._board, request, version)) {
+      this._updateComparison(request.service, rollout, version, change);
+    }
+  }
+
+  private _updateComparison(
+    service: string,
+    rollout: string,
+    version: string,
+    change: (entry: IQualityEntry) => Partial<IQualityEntry>,
+  ): void {
+    updateQuality(this._board, { service, kind: formatRolloutKind(rollout), version }, change);
+  }
+
+  /** Time per token of the stable version of the same model; 0 while unknown. */
+  private _findReference(service: IServiceEntry | undefined, rollout: string): Millis {
+    if (!service) return 0;
+    const { versions } = service.document;
+    const model = versions[rollout]?.model;
+    const stable = Object.values(versions).find((spec) => spec.model === model && spec.stage === 'stable');
+    if (!stable) return 0;
+    const key = formatQualityKey(service.name, formatRolloutKind(rollout), stable.name);
+    return this._board.quality.get(key)?.latencyMs ?? 0;
+  }
+}
+
+function computeSmoothed(entry: IQualityEntry, sample: number): number {
+  if (entry.finished === 0) return sample;
+  return entry.latencyMs + LATENCY_WEIGHT * (sample - entry.latencyMs);
+}
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -1,3 +1,4 @@
+import { Result } from 'true-myth';
 import { Agent } from 'undici';
 import { configCodec } from '../adapters/ConfigStore.js';
 import { runEngineAttempt } from '../adapters/EngineClient.js';
@@ -11,12 +12,12 @@
 import { ConfigFeed } from '../common/config/ConfigFeed.js';
 import { combineTotals, createLocalJournal } from '../common/coordination/LocalJournal.js';
 import { PartitionLog } from '../common/coordination/PartitionLog.js';
+import type { SendToPeer } from '../common/coordination/Peers.js';
 import type { IBillTotal, IJournal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
 import { compareByPriority, createChooseLeastInFlight } from '../common/policy/Endpoints.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
-import { chooseCheapestExpected } from '../common/policy/Versions.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
 import { AttemptController } from '../common/request/AttemptController.js';
 import { BillController } from '../common/request/BillController.js';
@@ -33,6 +34,7 @@
 import { encodeStoredAnswer } from './Encoding.js';
 import { FrontEnd } from './FrontEnd.js';
 import type { HostSettings } from './Settings.js';
+import { VersionsWiring } from './VersionsWiring.js';
 
 /** Options of an entry host. */
 export interface IEntryHostOptions {
@@ -50,6 +52,7 @@
   private readonly _frontEnd: FrontEnd;
   private readonly _tracker: EndpointTracker;
   private readonly _agent = new Agent({ connections: 256, pipelining: 1 });
+  private readonly _versions: VersionsWiring;
   private _isDraining = false;
 
   constructor(private readonly _options: IEntryHostOptions) {
@@ -68,6 +71,7 @@
     );
     this._frontEnd = this._createFrontEnd();
     this._tracker = this._createTracker();
+    this._versions = this._createVersions();
     this._registerControllers(createLocalJournal({ logs: this._logs }));
     const readWallClock = (): string => new Date().toISOString();
     this._register(new TimelineRecorder({ host: settings.host.id, board, readWallClock, writeEvent }));
@@ -76,6 +80,7 @@
   /** Starts all parts; resolves with the port for callers. */
   public async start(): Promise<number> {
     void this._feed.run();
+    this._versions.start();
     await this._tracker.run();
     await Promise.all(this._logs.map((log) => log.open()));
     return this._frontEnd.startListening();
@@ -134,6 +139,16 @@
     );
   }
 
+  private _createVersions(): VersionsWiring {
+    const sendToPeer: SendToPeer = (host) =>
+      Promise.resolve(Result.err({ kind: 'unreachable', message: `Host '${host}' is not connected.` }));
+    const { settings } = this._options;
+    const findLease = (): undefined => undefined;
+    return this._register(
+      new VersionsWiring({ board: this._board, store: this._store, settings, findLease, sendToPeer }),
+    );
+  }
+
   private _createTracker(): EndpointTracker {
     const { log, settings } = this._options;
     return this._register(
@@ -159,7 +174,8 @@
       }),
     );
     this._register(new ClaimController({ ...common, hashKey }));
-    this._register(new VersionController({ ...common, chooseVersion: chooseCheapestExpected, hashSession }));
+    const { chooseVersion, decideAcceptance, hashPoint } = this._versions;
+    this._register(new VersionController({ ...common, chooseVersion, hashSession, hashPoint }));
     const chooseEndpoint = createChooseLeastInFlight(Math.random);
     const createId = createUniqueId;
     this._register(
@@ -175,7 +191,10 @@
       }),
     );
     const decideRetry = createDecideRetry(Math.random);
-    this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget: () => true, hashKey }));
+    const takeRetryBudget = (): boolean => true;
+    this._register(
+      new OutcomeController({ ...common, decideRetry, takeRetryBudget, hashKey, decideAcceptance }),
+    );
     const holdBill = (): Promise<void> => Promise.resolve();
     this._register(new BillController({ ...common, hashKey, encodeAnswer: encodeStoredAnswer, holdBill }));
     this._register(new DeadlineController(common));
--- a/src/daemons/RequestParser.ts
+++ b/src/daemons/RequestParser.ts
@@ -4,6 +4,7 @@
 import { hashTexts } from '../adapters/Random.js';
 import type { IRefusal, IRequestEntry, RequestTarget } from '../common/blackboard/Types.js';
 import type { IServiceDocument } from '../common/config/Types.js';
+import { classifyKind } from '../common/policy/Kinds.js';
 import type { Millis, Priority } from '../common/Types.js';
 
 /** A request as it arrived, after authentication. */
@@ -73,7 +74,7 @@
     phase: 'received',
     service: arrived.document.name,
     account: arrived.account,
-    kind: headers['x-mulberryweir-kind'] ?? 'default',
+    kind: headers['x-mulberryweir-kind'] ?? classifyKind(target),
     target,
     isIdempotent,
     idempotencyKey,
--- a/src/daemons/Settings.ts
+++ b/src/daemons/Settings.ts
@@ -19,6 +19,7 @@
     host_list: ADDRESS,
     host_list_interval_ms: z.coerce.number().int().min(50).default(1000),
     ratings: ADDRESS.optional(),
+    weight_store: ADDRESS.optional(),
   }),
   limits: z
     .strictObject({
