Measure the exposure of rollouts in process

Cause: no figure showed what the sequential test saves. Change: bench/RolloutExposure.ts runs the real controller against fixed time steps.

--- /dev/null
+++ b/bench/RolloutExposure.ts
@@ -0,0 +1,246 @@
+import { Result } from 'true-myth';
+import { buildEditorOptions, configCodec, decodeIndex, INDEX_KEY } from '../src/adapters/ConfigStore.js';
+import { createSeededRandom } from '../src/adapters/Random.js';
+import { Blackboard } from '../src/common/blackboard/Blackboard.js';
+import {
+  decideBySequentialTest,
+  decideByTimeOnly,
+  type DecideRollout,
+} from '../src/common/policy/Rollouts.js';
+import { formatRolloutKind, updateQuality } from '../src/common/rollout/Quality.js';
+import { RolloutController } from '../src/common/rollout/RolloutController.js';
+import { createWriteRolloutState } from '../src/common/rollout/RolloutIndex.js';
+import type { IRolloutProgress } from '../src/common/rollout/Types.js';
+import type { RandomSource } from '../src/common/Types.js';
+import { ManualClock } from '../src/testing/ManualClock.js';
+import { MemoryStore } from '../src/testing/MemoryStore.js';
+
+/** How the new version of a simulated rollout behaves. */
+export type RolloutTruth =
+  'good' | 'minus-10' | 'minus-60' | 'turns-minus-10' | 'turns-minus-60' | 'crashing';
+
+/** Outcome of one simulated rollout. */
+export interface IRolloutRun {
+  verdict: string;
+  /** Bad or failed answers of the new version while it was bad. */
+  badAnswers: number;
+  /** Seconds from the moment when the version was bad to the halt. */
+  secondsToHalt: number | undefined;
+}
+
+const STABLE_QUALITY = 0.9;
+const REQUESTS_PER_SECOND = 100;
+/** Mean time until a rating arrives, in seconds. */
+const RATING_DELAY_S = 30;
+const RATED_SHARE = 0.6;
+const STABLE_SAMPLE = 0.1;
+const SKIPPED_NUMBERS = 50;
+const CRASH_SHARE = 0.3;
+const STEP_S = 300;
+/** Length of the baseline's five steps. Exposure after it would only grow for the baseline. */
+const HORIZON_S = 5 * STEP_S;
+
+const DOCUMENT = `[service]
+name = deposits
+quality_target = 0.85
+rollout_step_s = ${STEP_S}
+
+[version large-1]
+model = large
+stage = stable
+price_per_1k_tokens = 1
+
+[version large-2]
+model = large
+stage = rolling-out
+price_per_1k_tokens = 1
+`;
+
+const DROPS: Readonly<Record<RolloutTruth, number>> = {
+  good: 0,
+  'minus-10': 0.1,
+  'minus-60': 0.6,
+  'turns-minus-10': 0.1,
+  'turns-minus-60': 0.6,
+  crashing: 0,
+};
+
+/** Runs one rollout of `large-2` beside `large-1` through the real controller and configuration index. */
+export async function simulateRollout(
+  truth: RolloutTruth,
+  seed: number,
+  decideRollout: DecideRollout,
+  horizonS = HORIZON_S,
+): Promise<IRolloutRun> {
+  const simulation = await createSimulation(decideRollout);
+  const random = createMixedRandom(seed);
+  const turnsAt = truth.startsWith('turns') ? Math.floor(random() * HORIZON_S) : 0;
+  const due = new Map<number, { version: string; isGood: boolean }[]>();
+  let badAnswers = 0;
+  let haltedAt: number | undefined;
+  for (let second = 0; second < horizonS; second += 1) {
+    await simulation.run();
+    const state = simulation.readState();
+    if (state?.verdict === 'halted') haltedAt ??= second;
+    const isBad = truth !== 'good' && second >= turnsAt;
+    const fault = isBad ? { drop: DROPS[truth], crashes: truth === 'crashing' } : undefined;
+    badAnswers += serveSecond(simulation.board, random, due, { second, share: state?.share ?? 0, fault });
+  }
+  const secondsToHalt = haltedAt === undefined ? undefined : haltedAt - turnsAt;
+  return { verdict: simulation.readState()?.verdict ?? 'none', badAnswers, secondsToHalt };
+}
+
+/** The generator's first numbers hardly differ between small seeds; they are skipped. */
+function createMixedRandom(seed: number): RandomSource {
+  const random = createSeededRandom(seed);
+  for (let index = 0; index < SKIPPED_NUMBERS; index += 1) random();
+  return random;
+}
+
+interface ISimulation {
+  board: Blackboard;
+  run: () => Promise<void>;
+  readState: () => { verdict: string; share: number } | undefined;
+}
+
+async function createSimulation(decideRollout: DecideRollout): Promise<ISimulation> {
+  const clock = new ManualClock();
+  const board = new Blackboard();
+  const store = new MemoryStore({ clock });
+  const { encodeIndex } = buildEditorOptions(store);
+  const document = configCodec.parseText(DOCUMENT);
+  if (document.isErr) throw new Error(JSON.stringify(document.error));
+  await store.put(INDEX_KEY, encodeIndex({ services: { deposits: 1 }, rollouts: {} }), {
+    expectedVersion: 0,
+  });
+  const progress = new Map<string, IRolloutProgress>();
+  const readStates = (): ReturnType<typeof decodeIndex>['rollouts'][string] => {
+    const found = store.entries.get(INDEX_KEY);
+    return found ? (decodeIndex(found.value).rollouts.deposits ?? {}) : {};
+  };
+  const controller = new RolloutController({
+    board,
+    clock,
+    host: 'host-1',
+    run: 'run-1',
+    findLease: () => ({ isHeld: () => true, fencingToken: () => 1 }),
+    sendToPeer: () => Promise.resolve(Result.err({ kind: 'unreachable', message: 'no peers' })),
+    decodeReport: () => undefined,
+    decideRollout,
+    writeState: createWriteRolloutState({ store, codec: configCodec, encodeIndex }),
+    readProgress: (_service, version) => Promise.resolve(progress.get(version)),
+    writeProgress: (_service, version, value) => {
+      progress.set(version, value);
+      return Promise.resolve();
+    },
+  });
+  let revision = 0;
+  return {
+    board,
+    run: async () => {
+      revision += 1;
+      const rollouts = readStates();
+      board.services.set('deposits', { name: 'deposits', document: document.value, revision, rollouts });
+      await controller.run();
+      await clock.advance(1000);
+    },
+    readState: () => readStates()['large-2'],
+  };
+}
+
+interface ISecond {
+  second: number;
+  share: number;
+  fault: { drop: number; crashes: boolean } | undefined;
+}
+
+/** Serves the requests of one second and delivers the ratings that are due. Returns the bad answers. */
+function serveSecond(
+  board: Blackboard,
+  random: RandomSource,
+  due: Map<number, { version: string; isGood: boolean }[]>,
+  { fault, second, share }: ISecond,
+): number {
+  const counts = { 'large-1': createCounts(), 'large-2': createCounts() };
+  let badAnswers = 0;
+  for (let index = 0; index < REQUESTS_PER_SECOND; index += 1) {
+    const isNew = random() < share;
+    const version = isNew ? 'large-2' : 'large-1';
+    const quality = STABLE_QUALITY * (isNew && fault ? 1 - fault.drop : 1);
+    const hasCrashed = isNew && fault?.crashes === true && random() < CRASH_SHARE;
+    const isGood = !hasCrashed && random() < quality;
+    if (isNew && fault && !isGood) badAnswers += 1;
+    counts[version][hasCrashed ? 'errors' : 'finished'] += 1;
+    if (hasCrashed || (!isNew && random() >= STABLE_SAMPLE) || random() >= RATED_SHARE) continue;
+    const at = second + 1 + Math.floor(-Math.log(1 - random()) * RATING_DELAY_S);
+    const waiting = due.get(at) ?? [];
+    waiting.push({ version, isGood });
+    due.set(at, waiting);
+  }
+  for (const { isGood, version } of due.get(second) ?? []) {
+    if (version === 'large-1' || version === 'large-2') counts[version][isGood ? 'good' : 'bad'] += 1;
+  }
+  due.delete(second);
+  addCounts(board, 'large-1', counts['large-1']);
+  addCounts(board, 'large-2', counts['large-2']);
+  return badAnswers;
+}
+
+interface ISecondCounts {
+  good: number;
+  bad: number;
+  errors: number;
+  finished: number;
+}
+
+function createCounts(): ISecondCounts {
+  return { good: 0, bad: 0, errors: 0, finished: 0 };
+}
+
+function addCounts(board: Blackboard, version: string, counts: ISecondCounts): void {
+  updateQuality(board, locateComparison(version), (entry) => ({
+    good: entry.good + counts.good,
+    bad: entry.bad + counts.bad,
+    errors: entry.errors + counts.errors,
+    finished: entry.finished + counts.finished,
+  }));
+}
+
+function locateComparison(version: string): { service: string; kind: string; version: string } {
+  return { service: 'deposits', kind: formatRolloutKind('large-2'), version };
+}
+
+/** Sums the runs of many seeds under one policy. */
+export async function measureExposure(
+  truth: RolloutTruth,
+  seeds: readonly number[],
+  decideRollout: DecideRollout,
+): Promise<{ halted: number; passed: number; badAnswers: number; medianSecondsToHalt: number | undefined }> {
+  const runs: IRolloutRun[] = [];
+  const horizonS = truth === 'good' ? 2 * HORIZON_S : HORIZON_S;
+  for (const seed of seeds) runs.push(await simulateRollout(truth, seed, decideRollout, horizonS));
+  const delays = runs.flatMap((run) => run.secondsToHalt ?? []).sort((first, second) => first - second);
+  return {
+    halted: runs.filter((run) => run.verdict === 'halted').length,
+    passed: runs.filter((run) => run.verdict === 'passed').length,
+    badAnswers: runs.reduce((sum, run) => sum + run.badAnswers, 0),
+    medianSecondsToHalt: delays[Math.floor(delays.length / 2)],
+  };
+}
+
+/** Prints the exposure under the sequential test and under fixed time steps as one JSON object. */
+export async function printExposure(count: number, firstSeed: number): Promise<void> {
+  const seeds = Array.from({ length: count }, (_, index) => firstSeed + index);
+  const results: Record<string, unknown> = {};
+  for (const truth of Object.keys(DROPS) as RolloutTruth[]) {
+    const baseline = await measureExposure(truth, seeds, decideByTimeOnly);
+    const tested = await measureExposure(truth, seeds, decideBySequentialTest);
+    const ratio = baseline.badAnswers === 0 ? undefined : tested.badAnswers / baseline.badAnswers;
+    results[truth] = { baseline, tested, ratio };
+  }
+  process.stdout.write(`${JSON.stringify({ count, firstSeed, results }, undefined, 2)}\n`);
+}
+
+if (process.argv[1]?.endsWith('RolloutExposure.js')) {
+  await printExposure(Number(process.argv[2] ?? 100), Number(process.argv[3] ?? 1));
+}
