Fall back to a small share on suspicion and find late changes sooner

Change: half of the start weights of the test are geometric, a suspected version falls back to 5 %, the last share is 80 %, and as many answers of the stable version are rated as of the new one.

--- a/bench/RolloutExposure.ts
+++ b/bench/RolloutExposure.ts
@@ -162,6 +162,8 @@
   { fault, second, share }: ISecond,
 ): number {
   const counts = { 'large-1': createCounts(), 'large-2': createCounts() };
+  // As the rating controller samples: at least the document's share, and as many as the new version has.
+  const stableSample = Math.max(STABLE_SAMPLE, share < 0.5 ? share / (1 - share) : 1);
   let badAnswers = 0;
   for (let index = 0; index < REQUESTS_PER_SECOND; index += 1) {
     const isNew = random() < share;
@@ -171,7 +173,7 @@
     const isGood = !hasCrashed && random() < quality;
     if (isNew && fault && !isGood) badAnswers += 1;
     counts[version][hasCrashed ? 'errors' : 'finished'] += 1;
-    if (hasCrashed || (!isNew && random() >= STABLE_SAMPLE) || random() >= RATED_SHARE) continue;
+    if (hasCrashed || (!isNew && random() >= stableSample) || random() >= RATED_SHARE) continue;
     const at = second + 1 + Math.floor(-Math.log(1 - random()) * RATING_DELAY_S);
     const waiting = due.get(at) ?? [];
     waiting.push({ version, isGood });
--- a/src/common/policy/Rollouts.ts
+++ b/src/common/policy/Rollouts.ts
@@ -4,10 +4,22 @@
 import { addBatch, computeEvidence, createEvidence, type IOutcomeCounts } from './SequentialTest.js';
 
 /**
- * Shares of a rollout. The last one leaves 5 % of the requests on the stable version: without a
- * comparison at the same time, a change of the traffic would look like a change of the version.
+ * Shares of a rollout. Even at the last one enough requests stay on the stable version for a quick
+ * comparison: what is learned a second is bounded by the smaller group.
  */
-export const ROLLOUT_SHARES: readonly number[] = [0.01, 0.05, 0.2, 0.5, 0.95];
+export const ROLLOUT_SHARES: readonly number[] = [0.01, 0.05, 0.2, 0.5, 0.8];
+/**
+ * Share after the rollout has passed. The remaining 5 % stay on the stable version until the operator
+ * marks the new one as stable: without a comparison at the same time, a change of the traffic would
+ * look like a change of the version.
+ */
+const PASSED_SHARE = 0.95;
+/** Shares of the baseline. */
+const FIXED_SHARES: readonly number[] = [0.01, 0.05, 0.2, 0.5, 1];
+/** Share that a suspected version falls back to; it still gets enough requests to decide soon. */
+const SUSPECT_SHARE = 0.05;
+/** E-value from which a version is suspected. A wrong suspicion costs time, not the version. */
+const SUSPECT_EVIDENCE = 20;
 
 const SIGNALS: readonly RolloutSignal[] = ['ratings', 'drafts', 'errors', 'latency'];
 /** The share is not raised while the evidence against the version is above this e-value. */
@@ -66,6 +78,9 @@
     const reason = `${worst.signal} worse than the stable version (evidence ${formatEvidence(worst.value)}, limit ${Math.round(threshold)})`;
     return { kind: 'halt', reason };
   }
+  if (worst.value >= SUSPECT_EVIDENCE && state.share > SUSPECT_SHARE) {
+    return { kind: 'retreat', share: SUSPECT_SHARE, reason: `${worst.signal} suspected to be worse` };
+  }
   if (state.verdict === 'passed' || worst.value >= HOLD_EVIDENCE) return { kind: 'wait' };
   return decideByTime({ document, progress, state });
 };
@@ -73,19 +88,23 @@
 /** Baseline: raises the share after fixed times and looks at nothing. */
 export const decideByTimeOnly: DecideRollout = ({ document, progress, state }) => {
   if (state.verdict !== 'ramping' || progress.elapsedMs < document.rollout.stepMs) return { kind: 'wait' };
-  return decideNextShare(document, state);
+  return decideNextShare(document, state, FIXED_SHARES);
 };
 
 function decideByTime({ document, progress, state }: IRolloutView): RolloutDecision {
   const { stepMs, stepRatings } = document.rollout;
   if (progress.elapsedMs < stepMs || progress.ratings < stepRatings) return { kind: 'wait' };
-  return decideNextShare(document, state);
+  return decideNextShare(document, state, ROLLOUT_SHARES);
 }
 
-function decideNextShare(document: IServiceDocument, state: IRolloutState): RolloutDecision {
-  const next = ROLLOUT_SHARES.find((share) => share > state.share);
-  const { share } = state;
-  if (next === undefined || share >= document.rolloutMaxShare) {
+function decideNextShare(
+  document: IServiceDocument,
+  state: IRolloutState,
+  shares: readonly number[],
+): RolloutDecision {
+  const next = shares.find((share) => share > state.share);
+  if (next === undefined || state.share >= document.rolloutMaxShare) {
+    const share = Math.min(document.rolloutMaxShare, Math.max(state.share, PASSED_SHARE));
     return { kind: 'pass', share, reason: 'no worse than the stable version at the largest share' };
   }
   return {
--- a/src/common/policy/SequentialTest.ts
+++ b/src/common/policy/SequentialTest.ts
@@ -14,6 +14,11 @@
   stable: IOutcomeCounts;
 }
 
+/**
+ * Chance per batch that the version turns bad, for one half of the mixture over moments. A thousand
+ * batches are a rollout of some minutes to hours; without this half, a late change costs twice as long.
+ */
+const HAZARD = 0.001;
 /** Shares of good outcomes that a bad version may lose. The smallest bounds what is detected. */
 const DROPS: readonly number[] = [0.05, 0.1, 0.25, 0.6];
 /** Weight of older batches in the reference; the quality of all versions drifts with the traffic. */
@@ -33,15 +38,14 @@
  * Adds one batch. The e-value of a batch is that of the 2x2 table against equal rates (Turner, Ly and
  * Grünwald): its expectation is at most 1 whenever the new version is not worse, whatever the common
  * rate. The alternative uses earlier batches only. Wealth is a mixture over drops and over the batch at
- * which the drop began, with weights 1/(k(k+1)), so it stays an e-process and also finds a version that
- * turns bad later.
+ * which the drop began, so it stays an e-process and also finds a version that turns bad later.
  */
 export function addBatch(evidence: IEvidence, fresh: IOutcomeCounts, stable: IOutcomeCounts): IEvidence {
   if (fresh.total === 0 || stable.total === 0) {
     return { ...evidence, stable: combineReference(evidence.stable, stable) };
   }
   const batches = evidence.batches + 1;
-  const logStart = -Math.log(batches * (batches + 1));
+  const logStart = Math.log(computeUnused(evidence.batches) - computeUnused(batches));
   const reference = estimateRate(evidence.stable);
   const logWealth = DROPS.map((drop, index) => {
     const capital = addLogs(evidence.logWealth[index] ?? NO_WEALTH, logStart);
@@ -55,11 +59,16 @@
  * most a (Ville's inequality).
  */
 export function computeEvidence(evidence: IEvidence): number {
-  const unused = 1 / (evidence.batches + 1);
+  const unused = computeUnused(evidence.batches);
   const wealth = evidence.logWealth.map((value) => Math.exp(Math.min(value, 600)) + unused);
   return wealth.reduce((sum, value) => sum + value, 0) / wealth.length;
 }
 
+/** Weight of the moments after a number of batches: half as 1/(k + 1), half geometric. */
+function computeUnused(batches: number): number {
+  return 0.5 / (batches + 1) + 0.5 * (1 - HAZARD) ** batches;
+}
+
 function computeLogRatio(
   fresh: IOutcomeCounts,
   stable: IOutcomeCounts,
--- a/src/common/rollout/RatingController.ts
+++ b/src/common/rollout/RatingController.ts
@@ -2,6 +2,7 @@
 import type { IAnswer, IRequestEntry } from '../blackboard/Types.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import { formatPlan } from '../policy/Plans.js';
+import { getRolloutShare } from '../policy/Versions.js';
 import type { IClock, Millis } from '../Types.js';
 import { countRating, formatRolloutKind, listComparisons, updateQuality } from './Quality.js';
 import type { FetchRatings, IRating, SubmitAnswer } from './Types.js';
@@ -65,7 +66,21 @@
     if (request.plan?.isExploration || document.versions[request.answer.version]?.stage === 'rolling-out') {
       return true;
     }
-    return this._options.hashPoint(request, 'rating') < document.learning.ratingShare;
+    const share = Math.max(document.learning.ratingShare, this._computeComparisonShare(request));
+    return this._options.hashPoint(request, 'rating') < share;
+  }
+
+  /** Share of the stable version's answers that gives it as many ratings as the new version has. */
+  private _computeComparisonShare(request: IRequestEntry): number {
+    const { board } = this._options;
+    const service = board.services.get(request.service);
+    const version = request.answer?.kind === 'model' ? request.answer.version : '';
+    const shares = listComparisons(board, request, version).map((name) => {
+      const spec = service?.document.versions[name];
+      const share = service && spec ? getRolloutShare(service, spec) : 0;
+      return share < 0.5 ? share / (1 - share) : 1;
+    });
+    return Math.max(0, ...shares);
   }
 
   private _sendAnswer(request: IRequestEntry, answer: IAnswer): void {
--- a/src/common/rollout/RolloutController.ts
+++ b/src/common/rollout/RolloutController.ts
@@ -233,6 +233,7 @@
     case 'pass':
       return { version, attempt, verdict: 'passed', share: decision.share, reason };
     case 'advance':
+    case 'retreat':
       return { version, attempt, verdict: 'ramping', share: decision.share, reason };
   }
 }
--- a/src/common/rollout/Types.ts
+++ b/src/common/rollout/Types.ts
@@ -82,6 +82,7 @@
 export type RolloutDecision =
   | { kind: 'wait' }
   | { kind: 'advance'; share: number; reason: string }
+  | { kind: 'retreat'; share: number; reason: string }
   | { kind: 'pass'; share: number; reason: string }
   | { kind: 'halt'; reason: string };
 
