--- a/src/common/config/ServiceDocument.ts
+++ b/src/common/config/ServiceDocument.ts
@@ -33,7 +33,7 @@
   rollout_max_share: SHARE.default(1),
   exploration_share: SHARE.default(0.02),
   rating_share: SHARE.default(0.1),
-  prior_ratings: z.coerce.number().min(1).max(10_000).default(30),
+  prior_ratings: z.coerce.number().min(1).max(10_000).default(10),
   cascades: z.enum(['yes', 'no']).default('yes'),
   draft_check_ms: z.coerce.number().int().min(1).max(60_000).default(500),
   draft_accept_score: SHARE.default(0.5),
--- a/src/common/policy/Plans.ts
+++ b/src/common/policy/Plans.ts
@@ -23,6 +23,8 @@
   quality: number;
   /** Probability that the plan meets the quality target for this kind of request. */
   confidence: number;
+  /** The same by the ratings alone, which decides whether it is worth to learn more. */
+  openness: number;
 }
 
 type Steps = readonly [IVersionSpec, ...IVersionSpec[]];
@@ -127,7 +129,8 @@
   const alpha = good + Math.max(expected * priorRatings, 0.01);
   const beta = bad + Math.max((1 - expected) * priorRatings, 0.01);
   const confidence = computeBetaTail(alpha, beta, document.qualityTarget);
-  return { steps: names, cost, quality: alpha / (alpha + beta), confidence };
+  const openness = computeBetaTail(good + 1, bad + 1, document.qualityTarget);
+  return { steps: names, cost, quality: alpha / (alpha + beta), confidence, openness };
 }
 
 function estimateAcceptance(known: IQualityEntry | undefined, version: IVersionSpec): number {
@@ -149,24 +152,25 @@
   return estimate.confidence >= document.qualityConfidence;
 }
 
-/** Picks among the plans that are not yet known to fail the target and would be preferred if they met it. */
+/**
+ * Picks one plan that is not yet known to fail the target and would be preferred if it met it: the one
+ * that saves most, weighted by its chance. Trying one plan at a time settles it with the fewest ratings.
+ */
 function pickExploration(
   view: IVersionView,
   estimates: readonly IPlanEstimate[],
   best: IPlanEstimate,
 ): IPlanEstimate | undefined {
   const { document } = view.service;
-  const share = document.learning.explorationShare;
-  const point = view.hashPoint('exploration');
-  if (point >= share) return undefined;
+  if (view.hashPoint('exploration') >= document.learning.explorationShare) return undefined;
   const isBestSufficient = isSufficient(document, best);
-  const open = estimates.filter(
-    (estimate) =>
-      estimate !== best &&
-      estimate.confidence > 1 - document.qualityConfidence &&
-      (!isBestSufficient || estimate.cost < best.cost),
-  );
-  return open[Math.floor((point / share) * open.length)];
+  const computeGain = (estimate: IPlanEstimate): number => {
+    if (estimate === best || estimate.openness <= 1 - document.qualityConfidence) return 0;
+    // While no plan is sufficient, a plan is worth trying for its chance to be.
+    return (isBestSufficient ? best.cost - estimate.cost : 1) * estimate.openness;
+  };
+  const [first] = [...estimates].sort((left, right) => computeGain(right) - computeGain(left));
+  return first && computeGain(first) > 0 ? first : undefined;
 }
 
 function buildDecision(
