Learn each way of a plan once for all plans and rate rejected drafts

Cause: plans learned apart from one another, and a low expectation ruled plans out unseen. Change: quality is kept per way (versions tried so far), a plan is estimated from its ways with propagated variance, and exploration starts from the target instead of the document's expectation.

--- a/bench/CascadeCost.ts
+++ b/bench/CascadeCost.ts
@@ -99,6 +99,7 @@
     learned: createLearned(createMixedRandom(seed + 1), true),
     'learned-without-drafts': createLearned(createMixedRandom(seed + 1), false),
     oracle: serveByOracle,
+    'oracle-at-target': createTargetOracle(requests),
   };
   const results: Record<string, ICascadeResult> = {};
   for (const [name, serve] of Object.entries(policies)) results[name] = measurePolicy(requests, serve);
@@ -133,6 +134,23 @@
   return { cost: PRICES[version ?? 'small-1'] ?? 0, isGood: version !== undefined, drafts: 0 };
 }
 
+/**
+ * A stricter oracle that spends no more than the target asks for: in each kind it answers the most
+ * expensive requests badly, on the cheapest version, until just the target is met.
+ */
+function createTargetOracle(requests: readonly IHiddenRequest[]): ServeRequest {
+  const spared = new Set<IHiddenRequest>();
+  for (const kind of Object.keys(KINDS)) {
+    const ofKind = requests.filter((hidden) => hidden.request.kind === kind);
+    ofKind.sort((first, second) => serveByOracle(second).cost - serveByOracle(first).cost);
+    const impossible = ofKind.filter((hidden) => hidden.goodVersions.size === 0).length;
+    const count = Math.max(0, Math.floor(ofKind.length * (1 - QUALITY_TARGET)) - impossible);
+    for (const hidden of ofKind.slice(0, count)) spared.add(hidden);
+  }
+  return (hidden) =>
+    spared.has(hidden) ? { cost: PRICES['small-1'] ?? 0, isGood: false, drafts: 0 } : serveByOracle(hidden);
+}
+
 function createLearned(random: RandomSource, isCheckAvailable: boolean): ServeRequest {
   const board = new Blackboard();
   const choose = createChooseLearned({
@@ -158,38 +176,46 @@
     });
     if (decision.kind === 'refuse') throw new Error(decision.refusal.message);
     const plan = decision.plan ?? { steps: [decision.version], isExploration: false };
-    const run = runPlan(hidden, plan.steps, random, board, document.learning.draftAcceptScore);
     const isSampled = plan.isExploration || hashPoint('rating') < document.learning.ratingShare;
-    if (board && isSampled && random() < RATED_SHARE) {
-      const place = { service: 'deposits', kind: request.kind, version: formatPlan(plan.steps) };
-      updateQuality(board, place, (entry) => countRating(entry, run.isGood ? 'good' : 'bad'));
-    }
-    return run;
+    return runPlan(hidden, plan.steps, random, board && { board, isSampled });
   };
 }
 
+/** Where outcomes are recorded, and whether this request's answers are sent to the rating service. */
+interface ILearning {
+  board: Blackboard;
+  isSampled: boolean;
+}
+
 function runPlan(
   hidden: IHiddenRequest,
   steps: readonly string[],
   random: RandomSource,
-  board: Blackboard | undefined,
-  acceptScore: number,
+  learning: ILearning | undefined,
 ): ReturnType<ServeRequest> {
+  const { kind } = hidden.request;
   let cost = 0;
   for (const [index, version] of steps.entries()) {
     cost += PRICES[version] ?? 0;
     const isGood = hidden.goodVersions.has(version);
-    if (index === steps.length - 1) return { cost, isGood, drafts: index };
+    const isLast = index === steps.length - 1;
     const score = random() < CHECK_ERROR === isGood ? 0.1 : 0.9;
-    const isAccepted = decideDraft({ score, acceptScore, canEscalate: true }) === 'deliver';
-    if (board) recordDraft(board, hidden.request.kind, steps.slice(0, index + 1), isAccepted);
+    const acceptScore = 0.5;
+    const isAccepted = isLast || decideDraft({ score, acceptScore, canEscalate: true }) === 'deliver';
+    const way = formatPlan(steps.slice(0, index + 1));
+    if (learning && !isLast) recordDraft(learning.board, kind, way, isAccepted);
+    if (learning?.isSampled && random() < RATED_SHARE) {
+      updateQuality(learning.board, { service: 'deposits', kind, version: way }, (entry) =>
+        countRating(entry, isGood ? 'good' : 'bad', isAccepted && !isLast),
+      );
+    }
     if (isAccepted) return { cost, isGood, drafts: index };
   }
   return { cost, isGood: false, drafts: 0 };
 }
 
-function recordDraft(board: Blackboard, kind: string, prefix: readonly string[], isAccepted: boolean): void {
-  updateQuality(board, { service: 'deposits', kind, version: formatPlan(prefix) }, (entry) =>
+function recordDraft(board: Blackboard, kind: string, way: string, isAccepted: boolean): void {
+  updateQuality(board, { service: 'deposits', kind, version: way }, (entry) =>
     isAccepted ? { draftsAccepted: entry.draftsAccepted + 1 } : { draftsRejected: entry.draftsRejected + 1 },
   );
 }
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -278,8 +278,8 @@
 }
 
 /**
- * Observed quality. For the choice of a version, `kind` is a kind of request and `version` is a plan: its
- * steps joined by '>'. For a rollout, `kind` is `rollout:` and the new version, and `version` is the
+ * Observed quality. For the choice of a version, `kind` is a kind of request and `version` is a way: the
+ * versions tried so far, joined by '>'. Ratings are of the last one's answers, delivered or not. For a rollout, `kind` is `rollout:` and the new version, and `version` is the
  * new version or the one that it is compared with.
  */
 export interface IQualityEntry {
@@ -295,6 +295,9 @@
   slow: number;
   draftsAccepted: number;
   draftsRejected: number;
+  /** Ratings of accepted drafts, which `good` and `bad` count as well. */
+  acceptedGood: number;
+  acceptedBad: number;
   /** Smoothed time of an attempt per token, in milliseconds; 0 before the first. */
   latencyMs: number;
 }
--- a/src/common/policy/Plans.ts
+++ b/src/common/policy/Plans.ts
@@ -23,7 +23,7 @@
   quality: number;
   /** Probability that the plan meets the quality target for this kind of request. */
   confidence: number;
-  /** The same by the ratings alone, which decides whether it is worth to learn more. */
+  /** The same without the document's expectation; a plan is explored until this is small. */
   openness: number;
 }
 
@@ -35,6 +35,11 @@
 const MAX_CASCADE_VERSIONS = 4;
 /** Number of checked drafts that the expectation of a draft's acceptance counts for. */
 const DRAFT_PRIOR = 5;
+/**
+ * Ratings that the target counts for in the decision what to explore. An even prior instead would rule
+ * out cascades without a rating: the mean of several unknown shares is seldom close to 1.
+ */
+const OPEN_WEIGHT = 2;
 
 /** Name of a plan in the `quality` panel. */
 export function formatPlan(steps: readonly string[]): string {
@@ -110,33 +115,96 @@
     .map((version): Steps => [...steps, version]);
 }
 
+/** Mean and variance of an estimated share. */
+interface IShareEstimate {
+  mean: number;
+  variance: number;
+}
+
+/** Expected share and the number of observations that the expectation counts for. */
+interface IPrior {
+  mean: number;
+  weight: number;
+}
+
+/**
+ * Estimates a plan from the back: a step's answer is either accepted or followed by the rest. What is
+ * known of a step holds for every plan that begins with the same steps, so all of them learn together.
+ */
 function estimatePlan(
   document: IServiceDocument,
   read: (plan: string) => IQualityEntry | undefined,
   steps: Steps,
 ): IPlanEstimate {
   const names = steps.map((step) => step.name) as [string, ...string[]];
-  let cost = 0;
-  let reach = 1;
-  steps.forEach((step, index) => {
-    cost += reach * step.pricePerThousandTokens;
-    reach *= 1 - estimateAcceptance(read(formatPlan(names.slice(0, index + 1))), step);
-  });
-  // A cascade is expected to reach what its last version reaches, until its own ratings say otherwise.
-  const expected = steps[steps.length - 1]?.expectedQuality ?? 0;
+  const entries = steps.map((_, index) => read(formatPlan(names.slice(0, index + 1))));
   const { priorRatings } = document.learning;
-  const { bad = 0, good = 0 } = read(formatPlan(names)) ?? {};
-  const alpha = good + Math.max(expected * priorRatings, 0.01);
-  const beta = bad + Math.max((1 - expected) * priorRatings, 0.01);
-  const confidence = computeBetaTail(alpha, beta, document.qualityTarget);
-  const openness = computeBetaTail(good + 1, bad + 1, document.qualityTarget);
-  return { steps: names, cost, quality: alpha / (alpha + beta), confidence, openness };
+  const expected = estimateQuality(entries, steps, (mean) => ({ mean, weight: priorRatings }));
+  const open = estimateQuality(entries, steps, () => ({ mean: document.qualityTarget, weight: OPEN_WEIGHT }));
+  return {
+    steps: names,
+    cost: estimateCost(entries, steps),
+    quality: expected.mean,
+    confidence: computeShareTail(expected, document.qualityTarget),
+    openness: computeShareTail(open, document.qualityTarget),
+  };
 }
 
-function estimateAcceptance(known: IQualityEntry | undefined, version: IVersionSpec): number {
-  const { draftsAccepted = 0, draftsRejected = 0 } = known ?? {};
-  const total = draftsAccepted + draftsRejected + DRAFT_PRIOR;
-  return (draftsAccepted + version.expectedQuality * DRAFT_PRIOR) / total;
+function estimateCost(entries: readonly (IQualityEntry | undefined)[], steps: Steps): number {
+  return steps.reduceRight((rest, step, index) => {
+    const rejected = rest === 0 ? 0 : 1 - estimateAcceptance(entries[index], step).mean;
+    return step.pricePerThousandTokens + rejected * rest;
+  }, 0);
+}
+
+function estimateQuality(
+  entries: readonly (IQualityEntry | undefined)[],
+  steps: Steps,
+  createPrior: (mean: number) => IPrior,
+): IShareEstimate {
+  // An accepted draft is expected to be as good as the last version's answer, until ratings say otherwise.
+  const expectedAccepted = steps[steps.length - 1]?.expectedQuality ?? 0;
+  let rest: IShareEstimate | undefined;
+  for (let index = steps.length - 1; index >= 0; index -= 1) {
+    const step = steps[index] ?? steps[0];
+    const entry = entries[index];
+    if (!rest) {
+      rest = estimateShare(entry?.good, entry?.bad, createPrior(step.expectedQuality));
+      continue;
+    }
+    const accepted = estimateShare(entry?.acceptedGood, entry?.acceptedBad, createPrior(expectedAccepted));
+    rest = combineShares(estimateAcceptance(entry, step), accepted, rest);
+  }
+  return rest ?? { mean: 0, variance: 0 };
+}
+
+function estimateAcceptance(entry: IQualityEntry | undefined, version: IVersionSpec): IShareEstimate {
+  const prior = { mean: version.expectedQuality, weight: DRAFT_PRIOR };
+  return estimateShare(entry?.draftsAccepted, entry?.draftsRejected, prior);
+}
+
+/** Beta posterior of a share. */
+function estimateShare(hits = 0, misses = 0, prior: IPrior): IShareEstimate {
+  const total = hits + misses + prior.weight;
+  const mean = (hits + prior.mean * prior.weight) / total;
+  return { mean, variance: (mean * (1 - mean)) / (total + 1) };
+}
+
+/** Share of good answers over both ways, with first-order propagation of the variances. */
+function combineShares(way: IShareEstimate, taken: IShareEstimate, other: IShareEstimate): IShareEstimate {
+  const mean = way.mean * taken.mean + (1 - way.mean) * other.mean;
+  const variance =
+    way.mean ** 2 * taken.variance +
+    (1 - way.mean) ** 2 * other.variance +
+    (taken.mean - other.mean) ** 2 * way.variance;
+  return { mean, variance };
+}
+
+/** Probability that a share is at least a target, by the Beta distribution of the same mean and variance. */
+function computeShareTail({ mean, variance }: IShareEstimate, target: number): number {
+  if (mean <= 0 || mean >= 1 || variance <= 0) return mean >= target ? 1 : 0;
+  const size = Math.max((mean * (1 - mean)) / variance - 1, 0.01);
+  return computeBetaTail(mean * size, (1 - mean) * size, target);
 }
 
 function pickPlan(
@@ -153,8 +221,9 @@
 }
 
 /**
- * Picks one plan that is not yet known to fail the target and would be preferred if it met it: the one
- * that saves most, weighted by its chance. Trying one plan at a time settles it with the fewest ratings.
+ * Picks a plan that is not yet known to fail the target and would be preferred if it met it. Half of the
+ * time it is the cheapest one, so that it is settled with few requests; otherwise any, so that a plan
+ * close to the target does not keep the others from being tried.
  */
 function pickExploration(
   view: IVersionView,
@@ -162,15 +231,18 @@
   best: IPlanEstimate,
 ): IPlanEstimate | undefined {
   const { document } = view.service;
-  if (view.hashPoint('exploration') >= document.learning.explorationShare) return undefined;
+  const share = document.learning.explorationShare;
+  const point = view.hashPoint('exploration');
+  if (point >= share) return undefined;
   const isBestSufficient = isSufficient(document, best);
-  const computeGain = (estimate: IPlanEstimate): number => {
-    if (estimate === best || estimate.openness <= 1 - document.qualityConfidence) return 0;
-    // While no plan is sufficient, a plan is worth trying for its chance to be.
-    return (isBestSufficient ? best.cost - estimate.cost : 1) * estimate.openness;
-  };
-  const [first] = [...estimates].sort((left, right) => computeGain(right) - computeGain(left));
-  return first && computeGain(first) > 0 ? first : undefined;
+  const open = estimates.filter(
+    (estimate) =>
+      estimate !== best &&
+      estimate.openness > 1 - document.qualityConfidence &&
+      (!isBestSufficient || estimate.cost < best.cost),
+  );
+  const position = Math.max(0, (2 * point) / share - 1);
+  return open[Math.floor(position * open.length)];
 }
 
 function buildDecision(
--- a/src/common/request/EscalationController.ts
+++ b/src/common/request/EscalationController.ts
@@ -46,8 +46,9 @@
     if (!current) return;
     const canEscalate = this._hasEndpoint(current, acceptance.escalatesTo);
     const verdict = decideDraft({ score, acceptScore: learning.draftAcceptScore, canEscalate });
-    if (score !== undefined) onDraft(current, attempt, score >= learning.draftAcceptScore);
-    if (verdict === 'deliver') this._deliver(current, attempt);
+    const isAccepted = score !== undefined && score >= learning.draftAcceptScore;
+    if (score !== undefined) onDraft(current, attempt, isAccepted);
+    if (verdict === 'deliver') this._deliver(current, attempt, isAccepted);
     else this._queueNext(current, attempt, acceptance.escalatesTo);
   }
 
@@ -70,13 +71,19 @@
     return false;
   }
 
-  private _deliver(request: IRequestEntry, attempt: IAttemptEntry): void {
+  /** Delivers the draft. One that could not be escalated ends its plan and is no accepted draft. */
+  private _deliver(request: IRequestEntry, attempt: IAttemptEntry, isAccepted: boolean): void {
     const { answer } = attempt;
+    const { plan } = request;
+    const steps = plan?.steps.slice(0, plan.steps.indexOf(attempt.version ?? '') + 1) ?? [];
+    const [first, ...others] = steps;
+    const isCut = !isAccepted && plan !== undefined && first !== undefined;
     this._options.board.requests.update(request.id, {
       phase: 'answered',
       winner: attempt.id,
       ran: 'yes',
       answer,
+      ...(isCut ? { plan: { ...plan, steps: [first, ...others] } } : {}),
     });
   }
 
--- a/src/common/rollout/Quality.ts
+++ b/src/common/rollout/Quality.ts
@@ -27,11 +27,20 @@
 }
 
 /** Counts one rating; halves the counts when there are many, so that old ratings fade. */
-export function countRating(entry: IQualityEntry, score: 'good' | 'bad'): Partial<IQualityEntry> {
+export function countRating(
+  entry: IQualityEntry,
+  score: 'good' | 'bad',
+  isAcceptedDraft: boolean,
+): Partial<IQualityEntry> {
   const factor = entry.good + entry.bad >= MAX_RATINGS ? 0.5 : 1;
-  const good = entry.good * factor + (score === 'good' ? 1 : 0);
-  const bad = entry.bad * factor + (score === 'bad' ? 1 : 0);
-  return { good, bad };
+  const accepted = isAcceptedDraft ? 1 : 0;
+  const isGood = score === 'good';
+  return {
+    good: entry.good * factor + (isGood ? 1 : 0),
+    bad: entry.bad * factor + (isGood ? 0 : 1),
+    acceptedGood: entry.acceptedGood * factor + (isGood ? accepted : 0),
+    acceptedBad: entry.acceptedBad * factor + (isGood ? 0 : accepted),
+  };
 }
 
 /** Lists the rollouts in whose comparison an attempt of a version counts for a request. */
@@ -71,6 +80,8 @@
     slow: 0,
     draftsAccepted: 0,
     draftsRejected: 0,
+    acceptedGood: 0,
+    acceptedBad: 0,
     latencyMs: 0,
   };
 }
--- a/src/common/rollout/RatingController.ts
+++ b/src/common/rollout/RatingController.ts
@@ -1,5 +1,5 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { IAnswer, IRequestEntry } from '../blackboard/Types.js';
+import type { IAnswer, IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import { formatPlan } from '../policy/Plans.js';
 import { getRolloutShare } from '../policy/Versions.js';
@@ -24,8 +24,10 @@
 interface IPending {
   service: string;
   kind: string;
-  plan: string | undefined;
   version: string;
+  /** Versions tried up to this answer; absent for pinned sessions. */
+  way: string | undefined;
+  isAcceptedDraft: boolean;
   rollouts: readonly string[];
 }
 
@@ -42,7 +44,7 @@
     this._register(
       options.board.requests.onChange(({ before, after }) => {
         if (after?.phase !== 'billed' || before?.phase === 'billed' || !after.answer) return;
-        if (this._isSampled(after)) this._sendAnswer(after, after.answer);
+        if (this._isSampled(after)) this._sendDelivered(after, after.answer);
       }),
     );
   }
@@ -83,22 +85,35 @@
     return Math.max(0, ...shares);
   }
 
-  private _sendAnswer(request: IRequestEntry, answer: IAnswer): void {
+  /** Has a rejected draft rated: it tells what its version would have delivered, at no cost to callers. */
+  public recordDraft(request: IRequestEntry, attempt: IAttemptEntry, isAccepted: boolean): void {
+    const { answer, id } = attempt;
+    if (isAccepted || answer?.kind !== 'model' || !this._isSampled({ ...request, answer })) return;
+    const way = formatWay(request, answer.version);
+    const pending = { version: answer.version, way, isAcceptedDraft: false, rollouts: [] };
+    this._sendAnswer(`${request.id}/${id}`, request, answer, pending);
+  }
+
+  private _sendDelivered(request: IRequestEntry, answer: IAnswer): void {
     if (answer.kind !== 'model') return;
-    const { board, maxPending, submitAnswer } = this._options;
-    const { id, kind, service } = request;
     const { version } = answer;
-    const plan = request.plan ? formatPlan(request.plan.steps) : undefined;
-    this._pending.set(id, {
-      service,
-      kind,
-      plan,
-      version,
-      rollouts: listComparisons(board, request, version),
-    });
+    const isAcceptedDraft = request.plan !== undefined && request.plan.steps.at(-1) !== version;
+    const rollouts = listComparisons(this._options.board, request, version);
+    const way = formatWay(request, version);
+    this._sendAnswer(request.id, request, answer, { version, way, isAcceptedDraft, rollouts });
+  }
+
+  private _sendAnswer(
+    id: string,
+    { kind, service }: IRequestEntry,
+    answer: IAnswer,
+    pending: Omit<IPending, 'service' | 'kind'>,
+  ): void {
+    const { maxPending, submitAnswer } = this._options;
+    this._pending.set(id, { service, kind, ...pending });
     const [oldest] = this._pending.keys();
     if (this._pending.size > maxPending && oldest !== undefined) this._pending.delete(oldest);
-    void submitAnswer({ request: id, service, kind, version, answer }).then((sent) => {
+    void submitAnswer({ request: id, service, kind, version: pending.version, answer }).then((sent) => {
       // Not repeated: the sample is small, and a rating service that is down must not gather work here.
       if (sent.isErr) this._pending.delete(id);
     });
@@ -118,9 +133,11 @@
     if (!pending) return;
     this._pending.delete(rating.request);
     const { board } = this._options;
-    const { kind, plan, service, version } = pending;
-    if (plan !== undefined) {
-      updateQuality(board, { service, kind, version: plan }, (entry) => countRating(entry, rating.score));
+    const { isAcceptedDraft, kind, service, version, way } = pending;
+    if (way !== undefined) {
+      updateQuality(board, { service, kind, version: way }, (entry) =>
+        countRating(entry, rating.score, isAcceptedDraft),
+      );
     }
     for (const rollout of pending.rollouts) {
       updateQuality(board, { service, kind: formatRolloutKind(rollout), version }, (entry) =>
@@ -129,3 +146,8 @@
     }
   }
 }
+
+function formatWay(request: IRequestEntry, version: string): string | undefined {
+  const steps = request.plan?.steps;
+  return steps && formatPlan(steps.slice(0, steps.indexOf(version) + 1));
+}
--- a/src/daemons/VersionsWiring.ts
+++ b/src/daemons/VersionsWiring.ts
@@ -65,11 +65,19 @@
       isCheckAvailable: client.isCheckAvailable,
     });
     const counts = this._register(new VersionCountsController(board));
-    const { scoreDraft } = client;
-    const onDraft = counts.recordDraft.bind(counts);
-    this._register(new EscalationController({ board, decideAcceptance, scoreDraft, onDraft }));
     const { hashPoint } = this;
     this._ratings = address === '' ? undefined : this._createRatings({ ...client, hashPoint });
+    this._register(
+      new EscalationController({
+        board,
+        decideAcceptance,
+        scoreDraft: client.scoreDraft,
+        onDraft: (request, attempt, isAccepted) => {
+          counts.recordDraft(request, attempt, isAccepted);
+          this._ratings?.recordDraft(request, attempt, isAccepted);
+        },
+      }),
+    );
     this._rollouts = this._createRollouts();
     this._placement = weightStore === undefined ? undefined : this._createPlacement(weightStore);
   }
