--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -9,11 +9,11 @@
 import type { IRequestEntry } from '../common/blackboard/Types.js';
 import { DrainController } from '../common/coordination/DrainController.js';
 import { isHostReady } from '../common/coordination/Readiness.js';
+import { ServiceOwnerController } from '../common/coordination/ServiceOwnerController.js';
 import type { IBillTotal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
-import { chooseCheapestExpected } from '../common/policy/Versions.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
 import { AttemptController } from '../common/request/AttemptController.js';
 import { BillController } from '../common/request/BillController.js';
@@ -32,6 +32,7 @@
 import { MembershipWiring } from './MembershipWiring.js';
 import { Routing } from './RoutingWiring.js';
 import type { HostSettings } from './Settings.js';
+import { VersionsWiring } from './VersionsWiring.js';
 
 /** Options of an entry host. */
 export interface IEntryHostOptions {
@@ -51,6 +52,8 @@
   private readonly _tracker: EndpointTracker;
   private readonly _agent = new Agent({ connections: 256, pipelining: 1 });
   private readonly _timeline: TimelineRecorder;
+  private readonly _serviceOwners: ServiceOwnerController;
+  private readonly _versions: VersionsWiring;
 
   constructor(private readonly _options: IEntryHostOptions) {
     super();
@@ -71,13 +74,24 @@
     this._journal = this._register(new JournalWiring({ ...common, send: this._membership.send }));
     this._frontEnd = this._createFrontEnd();
     this._tracker = this._createTracker();
+    this._serviceOwners = this._register(
+      new ServiceOwnerController({
+        ...{ ...common, clock: systemClock, createId: createUniqueId },
+        ...{ host: settings.host.id, hash: hashTexts },
+      }),
+    );
+    const { findLease } = this._serviceOwners;
+    this._versions = this._register(
+      new VersionsWiring({ ...common, findLease, sendToPeer: this._membership.send }),
+    );
     this._registerControllers();
     this._drain = this._createDrain();
   }
 
   /** Starts all parts; resolves with the port for callers. */
   public async start(): Promise<number> {
-    await this._membership.start(this._journal.handlers);
+    await this._membership.start({ ...this._journal.handlers, ...this._versions.peerHandlers });
+    this._versions.start();
     await this._tracker.run();
     await this._journal.start();
     return this._frontEnd.startListening();
@@ -112,7 +126,7 @@
     return new DrainController({
       ...{ board: this._board, clock: systemClock, graceMs: settings.limits.drain_grace_ms },
       closeFrontEnd: () => this._frontEnd.drain(),
-      finishSteps: [() => this._journal.drain()],
+      finishSteps: [() => this._journal.drain(), () => this._serviceOwners.drain()],
       onStepError: (error) => {
         log('error', 'A step of the drain failed', { error: String(error) });
       },
@@ -169,9 +183,8 @@
     const retentionMs = this._options.settings.journal.claim_retention_hours * 3_600_000;
     this._register(new ClaimController({ ...common, hashKey, retentionMs }));
     const hasVersion = (version: string): boolean => routing.index.hasVersion(version);
-    this._register(
-      new VersionController({ ...common, chooseVersion: chooseCheapestExpected, hashSession, hasVersion }),
-    );
+    const { chooseVersion, decideAcceptance, hashPoint } = this._versions;
+    this._register(new VersionController({ ...common, chooseVersion, hashSession, hashPoint, hasVersion }));
     this._register(
       new AttemptController({
         ...common,
@@ -182,7 +195,9 @@
       }),
     );
     const decideRetry = createDecideRetry(Math.random);
-    this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget, hashKey }));
+    this._register(
+      new OutcomeController({ ...common, decideRetry, takeRetryBudget, hashKey, decideAcceptance }),
+    );
     this._register(new BillController({ ...common, hashKey, encodeAnswer: encodeStoredAnswer, holdBill }));
     this._register(new DeadlineController(common));
     this._register(new CleanUpController(this._board));
--- a/src/testing/Entries.ts
+++ b/src/testing/Entries.ts
@@ -99,6 +99,7 @@
       stage: 'stable',
       pricePerThousandTokens: price,
       expectedQuality: quality,
+      rolloutAttempt: 1,
     };
   }
   const document = {
@@ -109,6 +110,15 @@
     preference: 'latency' as const,
     billsDrafts: false,
     rolloutMaxShare: 1,
+    learning: {
+      explorationShare: 0,
+      ratingShare: 0,
+      priorRatings: 20,
+      usesCascades: false,
+      draftCheckMs: 500,
+      draftAcceptScore: 0.5,
+    },
+    rollout: { stepMs: 60_000, stepRatings: 50, falseHaltRate: 0.001 },
     versions,
     accounts,
     plainServices: {},
