Add the load generator, the policy settings and stand-ins as processes

The seeded random source drops its first draws, because small seeds all began with a number near 1 (seeds 1, 2, 3, 7 and 11 began with 1.000).

--- a/src/adapters/Random.ts
+++ b/src/adapters/Random.ts
@@ -3,9 +3,13 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomSource } from '../common/Types.js';
 
+/** Draws that are dropped: seeds up to 100 all give a first number above 0.999 otherwise. */
+const WARM_UP_DRAWS = 20;
+
 /** Creates a repeatable random source. */
 export function createSeededRandom(seed: number): RandomSource {
   const generator = xoroshiro128plus(seed);
+  for (let draw = 0; draw < WARM_UP_DRAWS; draw += 1) uniformFloat64(generator);
   return () => uniformFloat64(generator);
 }
 
--- a/src/cli/Main.ts
+++ b/src/cli/Main.ts
@@ -2,12 +2,14 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { hostCommand } from './commands/HostCommand.js';
+import { loadCommand } from './commands/LoadCommand.js';
 import { quickstartCommand } from './commands/QuickstartCommand.js';
 
 await yargs(hideBin(process.argv))
   .scriptName('mulberryweir')
   .usage('$0 <command> [options]')
   .command(hostCommand)
+  .command(loadCommand)
   .command(quickstartCommand)
   .completion('completion', 'Print a script for shell completion')
   .demandCommand(1, 'Name a command.')
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -14,9 +14,8 @@
 import type { IBillTotal, IJournal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
-import { compareByPriority, createChooseLeastInFlight } from '../common/policy/Endpoints.js';
+import { compareByPriority } from '../common/policy/Endpoints.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
-import { chooseCheapestExpected } from '../common/policy/Versions.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
 import { AttemptController } from '../common/request/AttemptController.js';
 import { BillController } from '../common/request/BillController.js';
@@ -32,6 +31,7 @@
 import { EndpointTracker } from './EndpointTracker.js';
 import { encodeStoredAnswer } from './Encoding.js';
 import { FrontEnd } from './FrontEnd.js';
+import { createChooseEndpoint, getChooseVersion } from './Policies.js';
 import type { HostSettings } from './Settings.js';
 
 /** Options of an entry host. */
@@ -149,7 +149,9 @@
 
   private _registerControllers(journal: IJournal): void {
     const common = { board: this._board, clock: systemClock, journal, readWallClock: Date.now };
-    const { zone } = this._options.settings.host;
+    const { host, policy } = this._options.settings;
+    const { zone } = host;
+    const chooseVersion = getChooseVersion(policy.versions);
     this._register(
       new AdmissionController({
         ...common,
@@ -159,8 +161,8 @@
       }),
     );
     this._register(new ClaimController({ ...common, hashKey }));
-    this._register(new VersionController({ ...common, chooseVersion: chooseCheapestExpected, hashSession }));
-    const chooseEndpoint = createChooseLeastInFlight(Math.random);
+    this._register(new VersionController({ ...common, chooseVersion, hashSession }));
+    const chooseEndpoint = createChooseEndpoint(policy.endpoints, Math.random);
     const createId = createUniqueId;
     this._register(
       new RouteController({ ...common, chooseEndpoint, compareQueued: compareByPriority, createId, zone }),
--- a/src/daemons/Settings.ts
+++ b/src/daemons/Settings.ts
@@ -1,6 +1,7 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { parseIni } from '../adapters/Ini.js';
+import { ENDPOINT_POLICIES, VERSION_POLICIES } from './Policies.js';
 
 const ADDRESS = z.string().regex(/^https?:\/\/[0-9a-f.:[\]]+:\d+$/, 'must be http://IP:PORT');
 const PORT = z.coerce.number().int().min(0).max(65_535);
@@ -33,6 +34,12 @@
       commit_interval_ms: z.coerce.number().int().min(1).default(40),
     })
     .prefault({}),
+  policy: z
+    .strictObject({
+      endpoints: z.enum(ENDPOINT_POLICIES).default('default'),
+      versions: z.enum(VERSION_POLICIES).default('default'),
+    })
+    .prefault({}),
   logs: z.strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') }).prefault({}),
   timeline: z.strictObject({ file: z.string().optional() }).prefault({}),
   metrics: z
--- /dev/null
+++ b/src/standins/EngineServer.test.ts
@@ -0,0 +1,43 @@
+import test from 'ava';
+import { request as sendRequest } from 'undici';
+import { startEngineServer } from './EngineServer.js';
+
+test('the engine stand-in serves high priority first and shortens the prefill of a cached prefix', async (t) => {
+  const engine = await startEngineServer({
+    versions: ['small-1'],
+    batchSize: 1,
+    stepMs: 1,
+    prefillMs: 0,
+    prefillTokenMs: 0.5,
+  });
+  const send = async (id: string, priority: string, prompt: string): Promise<number> => {
+    const startedAt = performance.now();
+    const reply = await sendRequest(`${engine.address}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { 'x-run-id': id, 'x-priority': priority },
+      body: JSON.stringify({
+        model: 'small-1',
+        max_tokens: 3,
+        user: id,
+        messages: [{ role: 'user', content: prompt }],
+      }),
+    });
+    await reply.body.dump();
+    return performance.now() - startedAt;
+  };
+  const prompt = 'x'.repeat(2100);
+  const cold = await send('cold', 'normal', prompt);
+  const warm = await send('warm', 'normal', prompt);
+  const first = send('first', 'low', 'a new prompt '.repeat(100));
+  // The three wait behind the first; they are sent one after another so that their order is known.
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  await Promise.all([
+    first,
+    send('low', 'low', 'x'),
+    send('high', 'high', 'x'),
+    send('normal', 'normal', 'x'),
+  ]);
+  t.true(warm < cold / 2, `cold ${cold}, warm ${warm}`);
+  t.snapshot({ finished: engine.books.finished, tokens: engine.books.tokens });
+  await engine.close();
+});
--- a/src/standins/HostListServer.ts
+++ b/src/standins/HostListServer.ts
@@ -1,4 +1,6 @@
-import { sendJson, startServer } from './HttpTools.js';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { z } from 'zod';
+import { parseJson, readBody, sendJson, startServer } from './HttpTools.js';
 import type { IStandIn } from './Types.js';
 
 /** One machine of the platform's list. */
@@ -19,11 +21,30 @@
   machines: IListedMachine[];
 }
 
-/** Starts the platform's list of live and leaving machines. The test changes `machines` late on purpose. */
+const MACHINES_SCHEMA = z.array(
+  z.object({
+    id: z.string(),
+    role: z.enum(['entry-host', 'engine', 'plain']),
+    address: z.string(),
+    zone: z.string(),
+    service: z.string(),
+    versions: z.array(z.string()),
+    state: z.enum(['live', 'leaving']),
+  }),
+);
+
+/** Starts the platform's list of live and leaving machines. Whoever changes `machines` does so late on purpose. */
 export async function startHostListServer(port?: number): Promise<IHostListStandIn> {
   const machines: IListedMachine[] = [];
-  const server = await startServer((_request, response) => {
+  const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const body = await readBody(request);
+    if (request.method === 'PUT') {
+      machines.splice(0, machines.length, ...MACHINES_SCHEMA.parse(parseJson(body)));
+    }
     sendJson(response, 200, { machines });
+  };
+  const server = await startServer((request, response) => {
+    void handle(request, response);
   }, port);
   return { ...server, machines };
 }
--- a/src/standins/HttpTools.ts
+++ b/src/standins/HttpTools.ts
@@ -40,3 +40,12 @@
 export function waitFor(ms: number): Promise<void> {
   return ms <= 0 ? Promise.resolve() : new Promise((resolve) => setTimeout(resolve, ms));
 }
+
+/** Parses JSON; `undefined` when the body is no JSON. */
+export function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    return undefined;
+  }
+}
