Add the bench with the scenario router-cost

Cause: the router's overhead was not measured. Change: npm run bench starts stand-ins and hosts as processes, drives them over loopback HTTP and writes a report with plots. router-cost compares the same client through the router and straight to the engine, and reads the host's processor time.

--- /dev/null
+++ b/bench/Bench.ts
@@ -0,0 +1,45 @@
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { ENDPOINT_POLICIES } from '../src/daemons/Policies.js';
+import { isTargetMet, writeReport } from './Report.js';
+import { runRouterCost } from './scenarios/RouterCost.js';
+import type { RunScenario, ScenarioName } from './Types.js';
+
+const SCENARIOS: Partial<Record<ScenarioName, RunScenario>> = {
+  'router-cost': runRouterCost,
+};
+
+const argv = await yargs(hideBin(process.argv))
+  .scriptName('bench')
+  .usage('npm run bench -- SCENARIO [options]\n\nScenarios: ' + Object.keys(SCENARIOS).join(', '))
+  .option('policy', {
+    choices: ENDPOINT_POLICIES,
+    default: 'default' as const,
+    describe: 'Policy under test',
+  })
+  .option('seed', { type: 'number', default: 1, describe: 'Seed of the load and of the faults' })
+  .option('seeds', { type: 'number', default: 1, describe: 'Number of seeds, counted up from the first' })
+  .option('scale', { type: 'number', default: 1, describe: 'Multiplies durations; below 1 for a trial' })
+  .option('report', { type: 'string', describe: 'Folder for the report and its plots' })
+  .option('profile', { type: 'string', describe: 'Folder for processor profiles of the hosts' })
+  .demandCommand(1, 1, 'Name a scenario.')
+  .strictOptions()
+  .help()
+  .parseAsync();
+
+const scenario = String(argv._[0]) as ScenarioName;
+const runScenario = SCENARIOS[scenario];
+if (!runScenario) {
+  process.stderr.write(`Unknown scenario '${scenario}'. Scenarios: ${Object.keys(SCENARIOS).join(', ')}\n`);
+  process.exit(2);
+}
+const { policy, profile, report, scale, seed, seeds } = argv;
+const result = await runScenario({ policy, profile, scale, seed, seeds });
+const measures = result.measures.map((measure) => ({ ...measure, isMet: isTargetMet(measure) }));
+const { runs } = result;
+process.stdout.write(`${JSON.stringify({ scenario, policy, seed, seeds, scale, measures, runs })}\n`);
+if (report !== undefined) {
+  const command = `npm run bench -- ${scenario} --policy ${policy} --seed ${seed} --seeds ${seeds} --scale ${scale}`;
+  await writeReport(report, scenario, command, result);
+}
+process.exit(0);
--- /dev/null
+++ b/bench/scenarios/RouterCost.ts
@@ -0,0 +1,123 @@
+import { startFleet, type IFleet } from '../Fleet.js';
+import { buildTarget, listFirstTokens, measureCpu, runAndCollect } from '../Loads.js';
+import { listQuantileRows } from '../Plots.js';
+import type { IMeasure, IScenarioOptions, IScenarioResult } from '../Types.js';
+
+const VERSION = 'small-1';
+const STREAM_TOKENS = 200;
+const LATENCY_LOAD = { requestsPerSecond: 20, durationMs: 30_000 };
+/** Loads for the cost of a request and of a token, below what one core does. */
+const SHORT_LOAD = { requestsPerSecond: 250, durationMs: 10_000 };
+const STREAM_LOAD = { requestsPerSecond: 60, durationMs: 10_000 };
+const MIXED_LOAD = { requestsPerSecond: 200, durationMs: 10_000 };
+const MIXED_TOKENS = 40;
+
+/**
+ * Cost of the router in front of one idle engine: added time to first token against the same client
+ * straight to the engine at the same time, and requests and tokens per second of processor time.
+ */
+export async function runRouterCost(options: IScenarioOptions): Promise<IScenarioResult> {
+  const fleet = await startFleet({
+    document: {
+      versions: [{ name: VERSION, model: 'small', price: 1, quality: 0.95 }],
+      accounts: 10,
+      plainService: 'ledger',
+    },
+    engines: [{ versions: [VERSION], batchSize: 4096, stepMs: 4, prefillMs: 20 }],
+    plains: 0,
+    hosts: 1,
+    zones: 1,
+    policy: options.policy,
+    profile: options.profile,
+    hasTimeline: false,
+  });
+  try {
+    return await measureRouter(fleet, options);
+  } finally {
+    await fleet.close();
+  }
+}
+
+async function measureRouter(fleet: IFleet, options: IScenarioOptions): Promise<IScenarioResult> {
+  const [host] = fleet.hosts;
+  const [engine] = fleet.engines;
+  if (!host || !engine) throw new Error('The fleet has no host or no engine.');
+  const { scale, seed } = options;
+  const run = (address: string, load: typeof SHORT_LOAD, tokens: number, runSeed: number) =>
+    runAndCollect(
+      { seed: runSeed, steps: [{ ...load, durationMs: load.durationMs * scale }], tokens },
+      buildTarget([address], VERSION),
+    );
+  // Both sides see the engine and the machine at the same time, so that noise hits both alike.
+  await Promise.all([run(host.address, SHORT_LOAD, 20, seed + 1), run(engine.address, SHORT_LOAD, 20, seed)]);
+  const [routed, direct] = await Promise.all([
+    run(host.address, LATENCY_LOAD, STREAM_TOKENS, seed),
+    run(engine.address, LATENCY_LOAD, STREAM_TOKENS, seed + 1),
+  ]);
+  const [short, shortCpuMs] = await measureCpu(host, () => run(host.address, SHORT_LOAD, 1, seed));
+  const [long, longCpuMs] = await measureCpu(host, () => run(host.address, STREAM_LOAD, STREAM_TOKENS, seed));
+  const [mixed, mixedCpuMs] = await measureCpu(host, () => run(host.address, MIXED_LOAD, MIXED_TOKENS, seed));
+  const computeAdded = (quantile: 'p50' | 'p99'): number =>
+    routed.summary.firstTokenMs[quantile] - direct.summary.firstTokenMs[quantile];
+  const computePerCore = (count: number, cpuMs: number): number => (count * 1000) / Math.max(1, cpuMs);
+  const measures: IMeasure[] = [
+    {
+      name: 'added time to first token, p99',
+      value: computeAdded('p99'),
+      unit: 'ms',
+      target: 2,
+      bound: 'at-most',
+    },
+    {
+      name: 'added time to first token, p50',
+      value: computeAdded('p50'),
+      unit: 'ms',
+      target: 2,
+      bound: 'at-most',
+    },
+    {
+      name: 'requests a core, streams of 1 token',
+      value: computePerCore(short.summary.complete, shortCpuMs),
+      unit: 'requests/s',
+      target: 1000,
+      bound: 'at-least',
+    },
+    {
+      name: 'tokens a core, streams of 200 tokens',
+      value: computePerCore(long.summary.tokens, longCpuMs),
+      unit: 'tokens/s',
+      target: 40_000,
+      bound: 'at-least',
+    },
+    {
+      name: 'requests a core, streams of 40 tokens',
+      value: computePerCore(mixed.summary.complete, mixedCpuMs),
+      unit: 'requests/s',
+      target: undefined,
+      bound: 'at-least',
+    },
+  ];
+  return {
+    measures,
+    runs: {
+      routed: routed.summary,
+      direct: direct.summary,
+      short: { ...short.summary, cpuMs: shortCpuMs },
+      long: { ...long.summary, cpuMs: longCpuMs },
+      mixed: { ...mixed.summary, cpuMs: mixedCpuMs },
+    },
+    plots: [
+      {
+        name: 'router-cost-first-token',
+        title: 'Time to first token, straight to the engine and through the router',
+        xTitle: 'percentile',
+        yTitle: 'ms',
+        scale: 'linear',
+        rows: [
+          ...listQuantileRows('direct', listFirstTokens(direct.outcomes)),
+          ...listQuantileRows('through the router', listFirstTokens(routed.outcomes)),
+        ],
+      },
+    ],
+  };
+}
