Add the scenarios ordinary-load, slowed-endpoints, crest and head-of-line

Cause: the design's targets for them had no measurement. Change: each starts fresh fleets of a deployment's size for the policy under test and its baselines with the same seed; router-cost also runs a bare TCP relay, the least that a hop costs here.

--- a/bench/Bench.ts
+++ b/bench/Bench.ts
@@ -2,11 +2,19 @@
 import { hideBin } from 'yargs/helpers';
 import { ENDPOINT_POLICIES } from '../src/daemons/Policies.js';
 import { isTargetMet, writeReport } from './Report.js';
+import { runCrest } from './scenarios/Crest.js';
+import { runHeadOfLine } from './scenarios/HeadOfLine.js';
+import { runOrdinaryLoad } from './scenarios/OrdinaryLoad.js';
 import { runRouterCost } from './scenarios/RouterCost.js';
+import { runSlowedEndpoints } from './scenarios/SlowedEndpoints.js';
 import type { RunScenario, ScenarioName } from './Types.js';
 
 const SCENARIOS: Partial<Record<ScenarioName, RunScenario>> = {
   'router-cost': runRouterCost,
+  'ordinary-load': runOrdinaryLoad,
+  'slowed-endpoints': runSlowedEndpoints,
+  crest: runCrest,
+  'head-of-line': runHeadOfLine,
 };
 
 const argv = await yargs(hideBin(process.argv))
@@ -20,6 +28,7 @@
   .option('seed', { type: 'number', default: 1, describe: 'Seed of the load and of the faults' })
   .option('seeds', { type: 'number', default: 1, describe: 'Number of seeds, counted up from the first' })
   .option('scale', { type: 'number', default: 1, describe: 'Multiplies durations; below 1 for a trial' })
+  .option('hosts', { type: 'number', default: 1, describe: 'Number of entry hosts' })
   .option('report', { type: 'string', describe: 'Folder for the report and its plots' })
   .option('profile', { type: 'string', describe: 'Folder for processor profiles of the hosts' })
   .demandCommand(1, 1, 'Name a scenario.')
@@ -33,13 +42,13 @@
   process.stderr.write(`Unknown scenario '${scenario}'. Scenarios: ${Object.keys(SCENARIOS).join(', ')}\n`);
   process.exit(2);
 }
-const { policy, profile, report, scale, seed, seeds } = argv;
-const result = await runScenario({ policy, profile, scale, seed, seeds });
+const { hosts, policy, profile, report, scale, seed, seeds } = argv;
+const result = await runScenario({ hosts, policy, profile, scale, seed, seeds });
 const measures = result.measures.map((measure) => ({ ...measure, isMet: isTargetMet(measure) }));
 const { runs } = result;
-process.stdout.write(`${JSON.stringify({ scenario, policy, seed, seeds, scale, measures, runs })}\n`);
+process.stdout.write(`${JSON.stringify({ scenario, policy, seed, seeds, scale, hosts, measures, runs })}\n`);
 if (report !== undefined) {
-  const command = `npm run bench -- ${scenario} --policy ${policy} --seed ${seed} --seeds ${seeds} --scale ${scale}`;
+  const command = `npm run bench -- ${scenario} --policy ${policy} --seed ${seed} --seeds ${seeds} --scale ${scale} --hosts ${hosts}`;
   await writeReport(report, scenario, command, result);
 }
 process.exit(0);
--- a/bench/Fleet.ts
+++ b/bench/Fleet.ts
@@ -62,6 +62,7 @@
 
 const HOST_SCRIPT = fileURLToPath(new URL('../src/cli/Main.js', import.meta.url));
 const STANDIN_SCRIPT = fileURLToPath(new URL('../src/standins/Main.js', import.meta.url));
+const RELAY_SCRIPT = fileURLToPath(new URL('./Relay.js', import.meta.url));
 const LISTENING_SCHEMA = z.object({ address: z.string() });
 const READY_TIMEOUT_MS = 20_000;
 
@@ -72,6 +73,12 @@
   return fleet.start();
 }
 
+/** Starts a bare TCP relay to the address of a stand-in. */
+export async function startRelay(address: string): Promise<IStandInProcess> {
+  const started = await startProcess(RELAY_SCRIPT, [new URL(address).port], { log: '/dev/null' });
+  return { ...started, address: LISTENING_SCHEMA.parse(started.listening).address };
+}
+
 class FleetBuilder {
   constructor(
     private readonly _spec: IFleetSpec,
--- a/bench/Types.ts
+++ b/bench/Types.ts
@@ -19,6 +19,8 @@
   seeds: number;
   /** Multiplies durations; below 1 for a trial. */
   scale: number;
+  /** Number of entry hosts. */
+  hosts: number;
   /** Folder for processor profiles of the hosts. */
   profile: string | undefined;
 }
--- /dev/null
+++ b/bench/scenarios/Crest.ts
@@ -0,0 +1,134 @@
+import type { EndpointPolicy } from '../../src/daemons/Policies.js';
+import { computeQuantiles } from '../../src/load/LoadRecorder.js';
+import { formatRequestName } from '../../src/load/LoadCall.js';
+import type { ICallOutcome, ILoadStep, ILoadSummary } from '../../src/load/Types.js';
+import { readBooks } from '../Books.js';
+import { BENCH_VERSION, computeCapacity, DEPLOYMENTS, withDeployment } from '../Deployments.js';
+import type { IFleet } from '../Fleet.js';
+import { buildTarget, runAndCollect } from '../Loads.js';
+import type { IPlotRow, IScenarioOptions, IScenarioResult } from '../Types.js';
+
+const TOKENS = 32;
+/** Load before the crest as a share of capacity; five times as much is twice the capacity. */
+const BASE_SHARE = 0.4;
+const CREST_FACTOR = 5;
+const BASE_MS = 8000;
+const CREST_MS = 20_000;
+const RAMP_STEP_MS = 500;
+const DEADLINE_MS = 4000;
+/** Reading of "immediate": a caller does not notice the wait. */
+const IMMEDIATE_MS = 100;
+
+interface ICrestRun {
+  summary: ILoadSummary;
+  /** Requests of ramp and crest that completed within the deadline, per request that capacity allows. */
+  completedShare: number;
+  refusalP99Ms: number;
+  refusals: number;
+  falseNotRun: number;
+  rows: readonly IPlotRow[];
+}
+
+/** Demand times five within 2 s for 20 s, at twice the capacity. */
+export async function runCrest(options: IScenarioOptions): Promise<IScenarioResult> {
+  const run = (policy: EndpointPolicy): Promise<ICrestRun> =>
+    withDeployment('launderers', options, policy, (fleet) => runCrestLoad(fleet, options, policy));
+  const tested = await run(options.policy);
+  const baseline = await run('round-robin');
+  return {
+    measures: [
+      {
+        name: 'completed within the deadline',
+        value: tested.completedShare,
+        unit: 'of what capacity allows',
+        target: 0.95,
+        bound: 'at-least',
+      },
+      {
+        name: 'time to a refusal, p99',
+        value: tested.refusalP99Ms,
+        unit: 'ms',
+        target: IMMEDIATE_MS,
+        bound: 'at-most',
+      },
+      {
+        name: 'refusals with a false "not run"',
+        value: tested.falseNotRun,
+        unit: '',
+        target: 0,
+        bound: 'at-most',
+      },
+    ],
+    runs: { [options.policy]: describeRun(tested), 'round-robin': describeRun(baseline) },
+    plots: [
+      {
+        name: 'crest-completed',
+        title: 'Requests completed within the deadline, by time of arrival',
+        xTitle: 's',
+        yTitle: 'requests/s',
+        scale: 'linear',
+        rows: [...tested.rows, ...baseline.rows.filter(({ series }) => series !== 'offered')],
+      },
+    ],
+  };
+}
+
+async function runCrestLoad(
+  fleet: IFleet,
+  { scale, seed }: IScenarioOptions,
+  policy: EndpointPolicy,
+): Promise<ICrestRun> {
+  const capacity = computeCapacity(DEPLOYMENTS.launderers.engines, TOKENS);
+  const steps = listSteps(BASE_SHARE * capacity, scale);
+  const { outcomes, summary } = await runAndCollect(
+    { seed, tokens: TOKENS, steps, accounts: 10 },
+    buildTarget(
+      fleet.hosts.map(({ address }) => address),
+      BENCH_VERSION,
+      { deadlineMs: DEADLINE_MS },
+    ),
+  );
+  const startMs = steps[0]?.durationMs ?? 0;
+  const endMs = startMs + (CREST_FACTOR - 1) * RAMP_STEP_MS + CREST_MS * scale;
+  const crest = outcomes.filter(({ request }) => request.atMs >= startMs && request.atMs < endMs);
+  const allowed = Math.min(crest.length, (capacity * (endMs - startMs)) / 1000);
+  const refused = outcomes.filter(({ isComplete, ran }) => !isComplete && ran !== undefined);
+  const { engineRuns } = await readBooks(fleet);
+  const falseNotRun = refused.filter(
+    ({ ran, request }) => ran === 'no' && engineRuns.has(formatRequestName(request)),
+  );
+  return {
+    summary,
+    completedShare: crest.filter(isInTime).length / Math.max(1, allowed),
+    refusalP99Ms: computeQuantiles(refused.map(({ totalMs }) => totalMs)).p99,
+    refusals: refused.length,
+    falseNotRun: falseNotRun.length,
+    rows: [...countBySecond('offered', outcomes), ...countBySecond(policy, outcomes.filter(isInTime))],
+  };
+}
+
+function listSteps(baseRate: number, scale: number): ILoadStep[] {
+  const steps: ILoadStep[] = [{ requestsPerSecond: baseRate, durationMs: BASE_MS * scale }];
+  for (let factor = 2; factor <= CREST_FACTOR; factor += 1) {
+    const durationMs = factor < CREST_FACTOR ? RAMP_STEP_MS : RAMP_STEP_MS + CREST_MS * scale;
+    steps.push({ requestsPerSecond: baseRate * factor, durationMs });
+  }
+  return [...steps, { requestsPerSecond: baseRate, durationMs: BASE_MS * scale }];
+}
+
+function isInTime({ isComplete, totalMs }: ICallOutcome): boolean {
+  return isComplete && totalMs <= DEADLINE_MS;
+}
+
+function countBySecond(series: string, outcomes: readonly ICallOutcome[]): IPlotRow[] {
+  const counts = new Map<number, number>();
+  for (const { request } of outcomes) {
+    const second = Math.floor(request.atMs / 1000);
+    counts.set(second, (counts.get(second) ?? 0) + 1);
+  }
+  return [...counts].sort(([first], [second]) => first - second).map(([x, y]) => ({ series, x, y }));
+}
+
+function describeRun({ completedShare, falseNotRun, refusalP99Ms, refusals, summary }: ICrestRun): unknown {
+  return { completedShare, falseNotRun, refusalP99Ms, refusals, ...summary };
+}
--- a/bench/scenarios/RouterCost.ts
+++ b/bench/scenarios/RouterCost.ts
@@ -1,4 +1,4 @@
-import { startFleet, type IFleet } from '../Fleet.js';
+import { startFleet, startRelay, type IFleet } from '../Fleet.js';
 import { buildTarget, listFirstTokens, measureCpu, runAndCollect } from '../Loads.js';
 import { listQuantileRows } from '../Plots.js';
 import type { IMeasure, IScenarioOptions, IScenarioResult } from '../Types.js';
@@ -56,6 +56,14 @@
   ]);
   const [short, shortCpuMs] = await measureCpu(host, () => run(host.address, SHORT_LOAD, 1, seed));
   const [long, longCpuMs] = await measureCpu(host, () => run(host.address, STREAM_LOAD, STREAM_TOKENS, seed));
+  const relay = await startRelay(engine.address);
+  const [relayed, relayCpuMs] = await measureCpu(relay, () =>
+    run(relay.address, STREAM_LOAD, STREAM_TOKENS, seed),
+  );
+  const [relayedShort, relayShortCpuMs] = await measureCpu(relay, () =>
+    run(relay.address, SHORT_LOAD, 1, seed),
+  );
+  await relay.stop();
   const [mixed, mixedCpuMs] = await measureCpu(host, () => run(host.address, MIXED_LOAD, MIXED_TOKENS, seed));
   const computeAdded = (quantile: 'p50' | 'p99'): number =>
     routed.summary.firstTokenMs[quantile] - direct.summary.firstTokenMs[quantile];
@@ -97,9 +105,27 @@
       bound: 'at-least',
     },
   ];
+  measures.push(
+    {
+      name: 'processor time a token, against a bare TCP relay',
+      value: longCpuMs / long.summary.tokens / (relayCpuMs / relayed.summary.tokens),
+      unit: 'times',
+      target: undefined,
+      bound: 'at-most',
+    },
+    {
+      name: 'processor time a request of 1 token, against a bare TCP relay',
+      value: shortCpuMs / short.summary.complete / (relayShortCpuMs / relayedShort.summary.complete),
+      unit: 'times',
+      target: undefined,
+      bound: 'at-most',
+    },
+  );
   return {
     measures,
     runs: {
+      'relay, long': { ...relayed.summary, cpuMs: relayCpuMs },
+      'relay, short': { ...relayedShort.summary, cpuMs: relayShortCpuMs },
       routed: routed.summary,
       direct: direct.summary,
       short: { ...short.summary, cpuMs: shortCpuMs },
--- a/src/load/LoadCall.ts
+++ b/src/load/LoadCall.ts
@@ -77,7 +77,8 @@
 function buildChat(target: ILoadTarget, request: IPlannedRequest): unknown {
   return {
     model: target.model,
-    max_tokens: request.tokens,
+    max_tokens: target.statedTokens ?? request.tokens,
+    ...(target.statedTokens === undefined ? {} : { answer_tokens: request.tokens }),
     stream: request.kind === 'stream',
     user: formatRequestName(request),
     messages: [{ role: 'user', content: `${target.prompt} ${request.index}` }],
--- a/src/load/Types.ts
+++ b/src/load/Types.ts
@@ -53,6 +53,8 @@
   plainPath: string;
   prompt: string;
   deadlineMs?: Millis;
+  /** Stated as `max_tokens` in place of the real length, which then goes to stand-ins only. */
+  statedTokens?: number;
   choosePriority?: (request: IPlannedRequest) => Priority;
   /** Longest time for one call. Default 120,000. */
   timeoutMs?: Millis;
