--- a/bench/Bench.ts
+++ b/bench/Bench.ts
@@ -2,19 +2,23 @@
 import { hideBin } from 'yargs/helpers';
 import { ENDPOINT_POLICIES } from '../src/daemons/Policies.js';
 import { isTargetMet, writeReport } from './Report.js';
+import { runConfiguration } from './scenarios/Configuration.js';
 import { runCrest } from './scenarios/Crest.js';
 import { runHeadOfLine } from './scenarios/HeadOfLine.js';
+import { runOnceAndBilled } from './scenarios/OnceAndBilled.js';
 import { runOrdinaryLoad } from './scenarios/OrdinaryLoad.js';
 import { runRouterCost } from './scenarios/RouterCost.js';
 import { runSlowedEndpoints } from './scenarios/SlowedEndpoints.js';
 import type { RunScenario, ScenarioName } from './Types.js';
 
-const SCENARIOS: Partial<Record<ScenarioName, RunScenario>> = {
+const SCENARIOS: Readonly<Record<ScenarioName, RunScenario>> = {
   'router-cost': runRouterCost,
   'ordinary-load': runOrdinaryLoad,
   'slowed-endpoints': runSlowedEndpoints,
   crest: runCrest,
   'head-of-line': runHeadOfLine,
+  'once-and-billed': runOnceAndBilled,
+  configuration: runConfiguration,
 };
 
 const argv = await yargs(hideBin(process.argv))
@@ -36,14 +40,13 @@
   .help()
   .parseAsync();
 
-const scenario = String(argv._[0]) as ScenarioName;
-const runScenario = SCENARIOS[scenario];
-if (!runScenario) {
+const scenario = String(argv._[0]);
+if (!isScenario(scenario)) {
   process.stderr.write(`Unknown scenario '${scenario}'. Scenarios: ${Object.keys(SCENARIOS).join(', ')}\n`);
   process.exit(2);
 }
 const { hosts, policy, profile, report, scale, seed, seeds } = argv;
-const result = await runScenario({ hosts, policy, profile, scale, seed, seeds });
+const result = await SCENARIOS[scenario]({ hosts, policy, profile, scale, seed, seeds });
 const measures = result.measures.map((measure) => ({ ...measure, isMet: isTargetMet(measure) }));
 const { runs } = result;
 process.stdout.write(`${JSON.stringify({ scenario, policy, seed, seeds, scale, hosts, measures, runs })}\n`);
@@ -52,3 +55,7 @@
   await writeReport(report, scenario, command, result);
 }
 process.exit(0);
+
+function isScenario(name: string): name is ScenarioName {
+  return Object.hasOwn(SCENARIOS, name);
+}
--- /dev/null
+++ b/bench/Faults.ts
@@ -0,0 +1,127 @@
+import { createSeededRandom } from '../src/adapters/Random.js';
+import type { RandomSource } from '../src/common/Types.js';
+import type { IFleet } from './Fleet.js';
+import { putJson, waitFor } from './Http.js';
+
+/** Kind of a fault that the bench injects. */
+export type FaultKind =
+  | 'kill-host'
+  | 'pause-host'
+  | 'store-down'
+  | 'store-slow'
+  | 'store-lost-replies'
+  | 'engine-crash'
+  | 'plain-lost-replies';
+
+/** One fault of a plan. */
+export interface IFault {
+  kind: FaultKind;
+  atMs: number;
+  durationMs: number;
+  /** Chooses the host or endpoint, 0 to 1. */
+  target: number;
+}
+
+/** Faults that happen one after another; several chains run at the same time. */
+export type FaultChain = readonly IFault[];
+
+const HOST_FAULTS: readonly FaultKind[] = ['kill-host', 'pause-host'];
+const STORE_FAULTS: readonly FaultKind[] = ['store-down', 'store-slow', 'store-lost-replies'];
+const ENDPOINT_FAULTS: readonly FaultKind[] = ['engine-crash', 'plain-lost-replies'];
+const SHORTEST_MS = 200;
+const LONGEST_MS = 3000;
+/** Longer than the slowest answer of a store that counts as up. */
+const SLOW_STORE_MS = 300;
+const RESTART_MS = 300;
+
+/** Plans random faults of hosts, store and endpoints from a seed. */
+export function planFaults(seed: number, durationMs: number): FaultChain[] {
+  const random = createSeededRandom(seed);
+  return [HOST_FAULTS, STORE_FAULTS, ENDPOINT_FAULTS].map((kinds) => planChain(random, kinds, durationMs));
+}
+
+/** Plans faults of hosts and store only. */
+export function planHostAndStoreFaults(seed: number, durationMs: number): FaultChain[] {
+  const random = createSeededRandom(seed);
+  return [HOST_FAULTS, STORE_FAULTS].map((kinds) => planChain(random, kinds, durationMs));
+}
+
+/**
+ * Injects the faults of all chains; everything is repaired at the end. The callback receives each
+ * fault with the host that it hit and its start by wall clock.
+ */
+export async function runFaults(
+  fleet: IFleet,
+  chains: readonly FaultChain[],
+  onRepaired: (fault: IFault, host: string | undefined, from: number) => void = () => undefined,
+): Promise<void> {
+  const startedAt = performance.now();
+  await Promise.all(
+    chains.map(async (chain) => {
+      for (const fault of chain) {
+        await waitFor(Math.max(0, startedAt + fault.atMs - performance.now()));
+        const from = Date.now();
+        const isHostFault = HOST_FAULTS.includes(fault.kind);
+        const host = isHostFault ? fleet.hosts[pickIndex(fleet.hosts, fault.target)]?.id : undefined;
+        await INJECTORS[fault.kind](fleet, fault);
+        onRepaired(fault, host, from);
+      }
+    }),
+  );
+}
+
+function planChain(random: RandomSource, kinds: readonly FaultKind[], endMs: number): IFault[] {
+  const faults: IFault[] = [];
+  for (let atMs = random() * LONGEST_MS; atMs < endMs; atMs += random() * LONGEST_MS) {
+    const kind = kinds[Math.floor(random() * kinds.length)] ?? 'store-down';
+    const durationMs = SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS);
+    faults.push({ kind, atMs, durationMs, target: random() });
+    atMs += durationMs;
+  }
+  return faults;
+}
+
+const INJECTORS: Readonly<Record<FaultKind, (fleet: IFleet, fault: IFault) => Promise<void>>> = {
+  'kill-host': async (fleet, { target }) => {
+    const index = pickIndex(fleet.hosts, target);
+    fleet.hosts[index]?.signal('SIGKILL');
+    await fleet.hosts[index]?.waitForExit();
+    await waitFor(RESTART_MS);
+    await fleet.startHostAgain(index);
+  },
+  'pause-host': async (fleet, { durationMs, target }) => {
+    const host = fleet.hosts[pickIndex(fleet.hosts, target)];
+    host?.signal('SIGSTOP');
+    await waitFor(durationMs);
+    host?.signal('SIGCONT');
+  },
+  'store-down': (fleet, { durationMs }) =>
+    setForTime(fleet.store.address, { mode: 'down' }, { mode: 'up' }, durationMs),
+  'store-slow': (fleet, { durationMs }) =>
+    setForTime(fleet.store.address, { delayMs: SLOW_STORE_MS }, { delayMs: 0 }, durationMs),
+  'store-lost-replies': (fleet, { durationMs }) =>
+    setForTime(fleet.store.address, { lostReplyShare: 0.3 }, { lostReplyShare: 0 }, durationMs),
+  'engine-crash': async (fleet, { target }) => {
+    const engine = fleet.engines[pickIndex(fleet.engines, target)];
+    if (engine) await putJson(`${engine.address}/crash`, {});
+  },
+  'plain-lost-replies': async (fleet, { durationMs, target }) => {
+    const plain = fleet.plains[pickIndex(fleet.plains, target)];
+    if (plain) await setForTime(plain.address, { lostReplyShare: 0.5 }, { lostReplyShare: 0 }, durationMs);
+  },
+};
+
+async function setForTime(
+  address: string,
+  faults: object,
+  repaired: object,
+  durationMs: number,
+): Promise<void> {
+  await putJson(`${address}/faults`, faults);
+  await waitFor(durationMs);
+  await putJson(`${address}/faults`, repaired);
+}
+
+function pickIndex(items: readonly unknown[], draw: number): number {
+  return Math.floor(draw * items.length);
+}
--- a/bench/Fleet.ts
+++ b/bench/Fleet.ts
@@ -3,9 +3,9 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { z } from 'zod';
-import { buildEditorOptions } from '../src/adapters/ConfigStore.js';
+import { buildEditorOptions, decodeIndex, INDEX_KEY } from '../src/adapters/ConfigStore.js';
 import { createHttpStore } from '../src/adapters/HttpStore.js';
-import { applyEdit } from '../src/common/config/ConfigEditor.js';
+import { applyEdit, type IAcceptedEdit } from '../src/common/config/ConfigEditor.js';
 import type { EndpointPolicy } from '../src/daemons/Policies.js';
 import type { IEngineOptions } from '../src/standins/engine/Types.js';
 import type { IListedMachine } from '../src/standins/HostListServer.js';
@@ -49,7 +49,9 @@
   hosts: readonly IHostProcess[];
   /** Starts a host again after its process has ended; resolves when it listens. */
   startHostAgain: (index: number) => Promise<IHostProcess>;
-  applyEdit: (document: IBenchDocument, baseNumber: number) => Promise<number>;
+  applyEdit: (document: IBenchDocument, baseNumber: number) => Promise<IAcceptedEdit>;
+  /** Number of the document in force; `undefined` when the store does not answer. */
+  readIndex: () => Promise<number | undefined>;
   close: () => Promise<void>;
 }
 
@@ -89,7 +91,7 @@
     const { document, engines, hosts, plains } = this._spec;
     const store = await this._startStandIn('store');
     const hostList = await this._startStandIn('host-list');
-    const applyDocument = (next: IBenchDocument, baseNumber: number): Promise<number> =>
+    const applyDocument = (next: IBenchDocument, baseNumber: number): Promise<IAcceptedEdit> =>
       acceptDocument(store.address, next, baseNumber);
     await applyDocument(document, 0);
     const engineProcesses = await Promise.all(
@@ -128,6 +130,7 @@
       hosts: hostProcesses,
       startHostAgain,
       applyEdit: applyDocument,
+      readIndex: () => readDocumentNumber(store.address),
       close,
     };
   }
@@ -193,7 +196,11 @@
   }
 }
 
-async function acceptDocument(store: string, document: IBenchDocument, baseNumber: number): Promise<number> {
+async function acceptDocument(
+  store: string,
+  document: IBenchDocument,
+  baseNumber: number,
+): Promise<IAcceptedEdit> {
   const edit = {
     text: formatDocument(document),
     author: 'bench',
@@ -202,7 +209,12 @@
   };
   const accepted = await applyEdit(buildEditorOptions(createHttpStore({ address: store })), edit);
   if (accepted.isErr) throw new Error(`An edit was not accepted: ${JSON.stringify(accepted.error)}`);
-  return baseNumber + 1;
+  return accepted.value;
+}
+
+async function readDocumentNumber(store: string): Promise<number | undefined> {
+  const found = await createHttpStore({ address: store }).get(INDEX_KEY);
+  return found.isOk && found.value ? decodeIndex(found.value.value).services[BENCH_SERVICE] : undefined;
 }
 
 function formatSettings(place: IHostPlace, store: string, hostList: string, spec: IFleetSpec): string {
--- /dev/null
+++ b/bench/JournalReader.ts
@@ -0,0 +1,42 @@
+import { createHttpStore } from '../src/adapters/HttpStore.js';
+import { createUniqueId, hashTexts } from '../src/adapters/Random.js';
+import { systemClock } from '../src/adapters/SystemClock.js';
+import { PartitionStorage } from '../src/common/coordination/PartitionStorage.js';
+import type { IJournalRecord } from '../src/common/coordination/Types.js';
+import type { IPlannedRequest } from '../src/load/Types.js';
+import { BENCH_SERVICE } from './Documents.js';
+
+/** What the journal's partitions hold together. */
+export interface IJournalContent {
+  records: ReadonlyMap<string, IJournalRecord>;
+  /** Number of bills, from the totals of the client accounts. */
+  bills: number;
+}
+
+const PARTITIONS = 8;
+
+/** Reads the whole journal from the store without taking any partition. */
+export async function readJournal(storeAddress: string): Promise<IJournalContent> {
+  const store = createHttpStore({ address: storeAddress });
+  const records = new Map<string, IJournalRecord>();
+  let bills = 0;
+  for (let partition = 0; partition < PARTITIONS; partition += 1) {
+    const storage = new PartitionStorage({
+      partition,
+      host: 'bench',
+      store,
+      clock: systemClock,
+      createId: createUniqueId,
+    });
+    const state = await storage.load();
+    if (state.isErr) throw new Error(`Partition ${partition} could not be read: ${state.error.message}`);
+    for (const [key, record] of state.value.records) records.set(key, record);
+    for (const total of state.value.totals.values()) bills += total.count;
+  }
+  return { records, bills };
+}
+
+/** Hashes a request of the load into the journal's key. */
+export function hashRequestKey(request: IPlannedRequest): string {
+  return hashTexts('request', BENCH_SERVICE, `account-${request.account}`, request.idempotencyKey ?? '');
+}
--- a/src/standins/EngineServer.ts
+++ b/src/standins/EngineServer.ts
@@ -105,7 +105,10 @@
     else if (url.pathname === '/load') sendJson(response, 200, this._buildReport());
     else if (url.pathname === '/orders') this._handleOrder(body, response);
     else if (url.pathname === '/books') sendJson(response, 200, this.books);
-    else if (url.pathname === '/faults') {
+    else if (url.pathname === '/crash') {
+      this._batch.dropAll();
+      sendJson(response, 200, {});
+    } else if (url.pathname === '/faults') {
       this._applyFaults(body);
       sendJson(response, 200, this.faults);
     } else sendJson(response, 404, { error: { message: 'unknown path' } });
