Add the capacity slopes

Cause: docs/CAPACITY.md needs slopes with their errors. Change: npm run capacity measures a host at several loads and sizes, and the version and route controllers alone beyond them, fits lines and prints the table.

--- /dev/null
+++ b/bench/Capacity.ts
@@ -0,0 +1,78 @@
+import { writeFileSync } from 'node:fs';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { measureControllers } from './capacity/Controllers.js';
+import { IDLE, measureDaemon, type IDaemonLoad } from './capacity/Daemons.js';
+import { renderTable } from './capacity/Table.js';
+import type { IPoint, ISeries } from './capacity/Types.js';
+
+const argv = await yargs(hideBin(process.argv))
+  .scriptName('capacity')
+  .usage('npm run capacity -- [options]\n\nMeasures slopes of processor time, memory and store calls.')
+  .option('json', { type: 'string', describe: 'File for the points' })
+  .strictOptions()
+  .help()
+  .parseAsync();
+
+const DAEMON_CPU = 'processor ms/s';
+
+/** Series of daemons: the values on the x axis and the load at each. */
+const DAEMON_SERIES: readonly {
+  name: string;
+  xUnit: string;
+  values: readonly number[];
+  buildLoad: (x: number) => Partial<IDaemonLoad>;
+}[] = [
+  {
+    name: 'requests, 1 token each',
+    xUnit: 'request/s',
+    values: [0, 40, 80, 160, 240],
+    buildLoad: (x) => ({ requestsPerSecond: x }),
+  },
+  {
+    name: 'tokens, 20 requests/s',
+    xUnit: 'token/s',
+    values: [200, 1000, 2000, 4000],
+    buildLoad: (x) => ({ requestsPerSecond: 20, tokens: x / 20 }),
+  },
+  {
+    name: 'endpoints listed, idle',
+    xUnit: 'endpoint',
+    values: [10, 150, 300, 600],
+    buildLoad: (x) => ({ endpoints: x }),
+  },
+  {
+    name: 'endpoints listed, 50 requests/s',
+    xUnit: 'endpoint',
+    values: [10, 150, 300, 600],
+    buildLoad: (x) => ({ endpoints: x, requestsPerSecond: 50 }),
+  },
+  {
+    name: 'versions, 50 requests/s',
+    xUnit: 'version',
+    values: [1, 7, 21, 42],
+    buildLoad: (x) => ({ versions: x, requestsPerSecond: 50 }),
+  },
+  {
+    name: 'client accounts, 50 requests/s',
+    xUnit: 'account',
+    values: [10, 100, 300, 600],
+    buildLoad: (x) => ({ accounts: x, requestsPerSecond: 50 }),
+  },
+];
+
+const series: ISeries[] = [];
+for (const { buildLoad, name, values, xUnit } of DAEMON_SERIES) {
+  const points: IPoint[] = [];
+  for (const x of values) points.push(await measureDaemon({ ...IDLE, ...buildLoad(x) }, x));
+  series.push({ name, xUnit, cpuUnit: DAEMON_CPU, points });
+}
+series.push({
+  name: 'endpoints in one subset, version and route controllers alone',
+  xUnit: 'endpoint',
+  cpuUnit: 'processor ms/request',
+  points: [12, 150, 600, 1200, 2400].map(measureControllers),
+});
+process.stdout.write(renderTable(series));
+if (argv.json !== undefined) writeFileSync(argv.json, `${JSON.stringify(series, undefined, 2)}\n`);
+process.exit(0);
--- a/bench/Fleet.ts
+++ b/bench/Fleet.ts
@@ -17,6 +17,8 @@
 export interface IFleetSpec {
   document: IBenchDocument;
   engines: readonly IEngineOptions[];
+  /** How often each engine is listed, each time as another endpoint. Default 1. */
+  copies?: number;
   plains: number;
   hosts: number;
   zones: number;
@@ -170,14 +172,17 @@
     plains: readonly IStandInProcess[],
     hosts: readonly IHostPlace[],
   ): IListedMachine[] {
-    const { document, engines: specs } = this._spec;
-    const machines: IListedMachine[] = engines.map(({ address }, index) => ({
+    const { copies = 1, document, engines: specs } = this._spec;
+    const listed = engines.flatMap(({ address }, engine) =>
+      Array.from({ length: copies }, () => ({ address, versions: specs[engine]?.versions ?? [] })),
+    );
+    const machines: IListedMachine[] = listed.map(({ address, versions }, index) => ({
       id: `engine-${index}`,
       role: 'engine',
       address,
       zone: this._formatZone(index),
       service: BENCH_SERVICE,
-      versions: specs[index]?.versions ?? [],
+      versions,
       state: 'live',
     }));
     plains.forEach(({ address }, index) => {
--- a/bench/Loads.ts
+++ b/bench/Loads.ts
@@ -18,10 +18,11 @@
   addresses: readonly string[],
   model: string,
   more: Partial<ILoadTarget> = {},
+  accounts = 10,
 ): ILoadTarget {
   return {
     chooseAddress: ({ index }, tries) => addresses[(index + tries) % addresses.length] ?? '',
-    keys: Array.from({ length: 10 }, (_, account) => formatAccountKey(account)),
+    keys: Array.from({ length: accounts }, (_, account) => formatAccountKey(account)),
     model,
     plainPath: '/services/ledger/refunds',
     prompt: 'x'.repeat(PROMPT_CHARACTERS),
--- /dev/null
+++ b/bench/capacity/Controllers.ts
@@ -0,0 +1,132 @@
+import { createUniqueId } from '../../src/adapters/Random.js';
+import { systemClock } from '../../src/adapters/SystemClock.js';
+import { parseDocumentText } from '../../src/adapters/ConfigStore.js';
+import { Blackboard } from '../../src/common/blackboard/Blackboard.js';
+import type { IEndpointEntry, IRequestEntry } from '../../src/common/blackboard/Types.js';
+import { disposeAll } from '../../src/common/Lifecycle.js';
+import { compareByPriority } from '../../src/common/policy/Endpoints.js';
+import { RouteController } from '../../src/common/request/RouteController.js';
+import { VersionController } from '../../src/common/request/VersionController.js';
+import { createChooseEndpoint, getChooseVersion } from '../../src/daemons/Policies.js';
+import { BENCH_SERVICE, formatDocument } from '../Documents.js';
+import type { IPoint } from './Types.js';
+
+const VERSION = 'small-1';
+const REQUESTS = 2000;
+const WARM_UP_REQUESTS = 500;
+
+/** Measures the choice of version and endpoint alone, per request, beyond what daemons can be started for. */
+export function measureControllers(endpoints: number): IPoint {
+  const board = new Blackboard();
+  const journal = {
+    append: () => Promise.reject(new Error('The bench appends nothing.')),
+    lookup: () => Promise.reject(new Error('The bench looks nothing up.')),
+  };
+  const common = { board, clock: systemClock, journal, readWallClock: Date.now };
+  const chooseVersion = getChooseVersion('default');
+  const chooseEndpoint = createChooseEndpoint('default', Math.random);
+  const controllers = [
+    new VersionController({ ...common, chooseVersion, hashSession: () => '' }),
+    new RouteController({
+      ...common,
+      chooseEndpoint,
+      compareQueued: compareByPriority,
+      createId: createUniqueId,
+      zone: 'zone-0',
+    }),
+  ];
+  prepareBoard(board, endpoints);
+  runRequests(board, WARM_UP_REQUESTS);
+  const before = process.cpuUsage();
+  runRequests(board, REQUESTS);
+  const { system, user } = process.cpuUsage(before);
+  disposeAll(controllers);
+  return { x: endpoints, cpuMs: (system + user) / 1000 / REQUESTS };
+}
+
+function prepareBoard(board: Blackboard, endpoints: number): void {
+  const text = formatDocument({
+    versions: [{ name: VERSION, model: 'small', price: 1, quality: 0.95 }],
+    accounts: 10,
+    plainService: 'ledger',
+  });
+  const document = parseDocumentText(text);
+  if (document.isErr) throw new Error('The document of the bench is not valid.');
+  board.services.set(BENCH_SERVICE, {
+    name: BENCH_SERVICE,
+    document: document.value,
+    revision: 1,
+    rollouts: {},
+  });
+  for (let index = 0; index < endpoints; index += 1) {
+    board.endpoints.set(`engine-${index}`, createEndpoint(`engine-${index}`));
+  }
+}
+
+function runRequests(board: Blackboard, count: number): void {
+  for (let index = 0; index < count; index += 1) {
+    const request = createRequest();
+    board.requests.set(request.id, request);
+    board.requests.update(request.id, { phase: 'claimed' });
+    for (const attempt of [...board.attempts.list()]) {
+      board.endpoints.update(attempt.endpoint, { inFlight: 0 });
+      board.attempts.delete(attempt.id);
+    }
+    board.requests.delete(request.id);
+  }
+}
+
+function createEndpoint(id: string): IEndpointEntry {
+  return {
+    id,
+    kind: 'engine',
+    service: BENCH_SERVICE,
+    address: 'http://127.0.0.1:1',
+    zone: 'zone-0',
+    health: 'healthy',
+    healthChangedAt: 0,
+    versions: [VERSION],
+    inFlight: 0,
+    inFlightTokens: 0,
+    firstTokenMs: undefined,
+    tokenMs: undefined,
+    consecutiveFailures: 0,
+    report: undefined,
+    checksFencing: false,
+  };
+}
+
+function createRequest(): IRequestEntry {
+  const now = systemClock.now();
+  return {
+    id: createUniqueId(),
+    phase: 'admitted',
+    service: BENCH_SERVICE,
+    account: 'account-0',
+    kind: 'default',
+    target: {
+      kind: 'model',
+      model: 'auto',
+      isStreaming: true,
+      promptTokens: 100,
+      maxTokens: 64,
+      prefixHashes: [],
+      body: {},
+    },
+    isIdempotent: true,
+    idempotencyKey: undefined,
+    fingerprint: '',
+    session: undefined,
+    priority: 'normal',
+    receivedAt: now,
+    deadlineAt: now + 60_000,
+    version: undefined,
+    winner: undefined,
+    attemptCount: 0,
+    escalatedFrom: [],
+    ran: 'no',
+    isCallerGone: false,
+    answer: undefined,
+    refusal: undefined,
+  };
+}
