--- a/bench/RoutingPolicies.ts
+++ b/bench/RoutingPolicies.ts
@@ -4,23 +4,14 @@
 import { Blackboard } from '../src/common/blackboard/Blackboard.js';
 import type { IEndpointEntry, IRequestEntry } from '../src/common/blackboard/Types.js';
 import type { IJournal } from '../src/common/coordination/Types.js';
-import {
-  createChooseLeastInFlight,
-  createChooseLeastReported,
-  createChooseRoundRobin,
-} from '../src/common/policy/Endpoints.js';
-import { decideSameHealth } from '../src/common/policy/Health.js';
-import { decideNoHedge } from '../src/common/policy/Hedging.js';
-import { computeSameLimit } from '../src/common/policy/InFlightLimits.js';
-import { ARRIVAL_ORDER, waitAlways } from '../src/common/policy/Queueing.js';
 import { createDecideRetry } from '../src/common/policy/Retries.js';
 import { AttemptController } from '../src/common/request/AttemptController.js';
 import { CleanUpController } from '../src/common/request/CleanUpController.js';
 import { DeadlineController } from '../src/common/request/DeadlineController.js';
 import { OutcomeController } from '../src/common/request/OutcomeController.js';
-import type { ChooseEndpoint } from '../src/common/request/Types.js';
 import type { Millis, RandomSource } from '../src/common/Types.js';
-import { createRoutingPolicies, Routing, type IRoutingPolicies } from '../src/daemons/RoutingWiring.js';
+import { createRoutingPolicies, type IRoutingPolicies } from '../src/daemons/Policies.js';
+import { Routing } from '../src/daemons/RoutingWiring.js';
 import { ManualClock } from '../src/testing/ManualClock.js';
 import { PREFILL_MS, TimedEngine, TOKEN_MS } from './TimedEngine.js';
 
@@ -89,22 +80,7 @@
 };
 
 function buildPolicies(policy: PolicyName, random: RandomSource): IRoutingPolicies {
-  const current = createRoutingPolicies(random);
-  if (policy === 'adaptive') return current;
-  const choices: Record<Exclude<PolicyName, 'adaptive'>, () => ChooseEndpoint> = {
-    'round-robin': createChooseRoundRobin,
-    'least-reported': () => createChooseLeastReported(random),
-    'least-in-flight': () => createChooseLeastInFlight(random),
-  };
-  return {
-    ...current,
-    chooseEndpoint: choices[policy](),
-    queueOrder: ARRIVAL_ORDER,
-    decideQueued: waitAlways,
-    decideHealth: decideSameHealth,
-    adaptLimit: computeSameLimit,
-    decideHedge: decideNoHedge,
-  };
+  return createRoutingPolicies(random, policy === 'adaptive' ? 'default' : policy);
 }
 
 class TrialRun {
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -1,36 +1,20 @@
-import { Agent } from 'undici';
-import { runEngineAttempt } from '../adapters/EngineClient.js';
 import { createHttpStore } from '../adapters/HttpStore.js';
 import type { WriteLog } from '../adapters/Logs.js';
-import { runPlainAttempt } from '../adapters/PlainClient.js';
 import { createUniqueId, hashTexts } from '../adapters/Random.js';
 import { systemClock } from '../adapters/SystemClock.js';
 import { Blackboard } from '../common/blackboard/Blackboard.js';
-import type { IRequestEntry } from '../common/blackboard/Types.js';
 import { DrainController } from '../common/coordination/DrainController.js';
 import { isHostReady } from '../common/coordination/Readiness.js';
 import { ServiceOwnerController } from '../common/coordination/ServiceOwnerController.js';
 import type { IBillTotal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
-import { decideAdmission } from '../common/policy/Admission.js';
-import { createDecideRetry } from '../common/policy/Retries.js';
-import { AdmissionController } from '../common/request/AdmissionController.js';
-import { AttemptController } from '../common/request/AttemptController.js';
-import { BillController } from '../common/request/BillController.js';
-import { ClaimController } from '../common/request/ClaimController.js';
-import { CleanUpController } from '../common/request/CleanUpController.js';
-import { DeadlineController } from '../common/request/DeadlineController.js';
-import { OutcomeController } from '../common/request/OutcomeController.js';
-import type { RunAttempt } from '../common/request/Types.js';
-import { VersionController } from '../common/request/VersionController.js';
 import { TimelineRecorder } from '../common/timeline/TimelineRecorder.js';
 import type { ITimelineEvent } from '../common/timeline/Types.js';
 import { EndpointTracker } from './EndpointTracker.js';
-import { encodeStoredAnswer } from './Encoding.js';
 import { FrontEnd } from './FrontEnd.js';
 import { JournalWiring } from './JournalWiring.js';
 import { MembershipWiring } from './MembershipWiring.js';
-import { Routing } from './RoutingWiring.js';
+import { RequestWiring } from './RequestWiring.js';
 import type { HostSettings } from './Settings.js';
 import { VersionsWiring } from './VersionsWiring.js';
 
@@ -50,7 +34,7 @@
   private readonly _drain: DrainController;
   private readonly _frontEnd: FrontEnd;
   private readonly _tracker: EndpointTracker;
-  private readonly _agent = new Agent({ connections: 256, pipelining: 1 });
+  private readonly _requests: RequestWiring;
   private readonly _timeline: TimelineRecorder;
   private readonly _serviceOwners: ServiceOwnerController;
   private readonly _versions: VersionsWiring;
@@ -84,13 +68,25 @@
     this._versions = this._register(
       new VersionsWiring({ ...common, findLease, sendToPeer: this._membership.send }),
     );
-    this._registerControllers();
+    this._requests = this._register(
+      new RequestWiring({
+        ...{ board, settings, journal: this._journal, versions: this._versions },
+        sendToPeer: this._membership.send,
+        deliverChunk: (request, data) => {
+          this._frontEnd.deliverChunk(request, data);
+        },
+      }),
+    );
     this._drain = this._createDrain();
   }
 
   /** Starts all parts; resolves with the port for callers. */
   public async start(): Promise<number> {
-    await this._membership.start({ ...this._journal.handlers, ...this._versions.peerHandlers });
+    await this._membership.start({
+      ...this._journal.handlers,
+      ...this._versions.peerHandlers,
+      ...this._requests.peerHandlers,
+    });
     this._versions.start();
     await this._tracker.run();
     await this._journal.start();
@@ -109,11 +105,6 @@
     return this._journal.listTotals();
   }
 
-  public override dispose(): void {
-    super.dispose();
-    void this._agent.close();
-  }
-
   private readonly _lamport = {
     read: (): number => this._timeline.lamport,
     observe: (lamport: number): void => {
@@ -163,62 +154,4 @@
       }),
     );
   }
-
-  private _registerControllers(): void {
-    const { holdBill, journal } = this._journal;
-    const common = { board: this._board, clock: systemClock, journal, readWallClock: Date.now };
-    const { id: host, zone } = this._options.settings.host;
-    const routing = this._register(
-      new Routing({ ...common, random: Math.random, createId: createUniqueId, hashTexts, host, zone }),
-    );
-    const { takeRetryBudget } = routing;
-    this._register(
-      new AdmissionController({
-        ...common,
-        decideAdmission,
-        takeRateShare: routing.takeRateShare,
-        isDraining: () => hasStoppedAccepting(this._board),
-      }),
-    );
-    const retentionMs = this._options.settings.journal.claim_retention_hours * 3_600_000;
-    this._register(new ClaimController({ ...common, hashKey, retentionMs }));
-    const hasVersion = (version: string): boolean => routing.index.hasVersion(version);
-    const { chooseVersion, decideAcceptance, hashPoint } = this._versions;
-    this._register(new VersionController({ ...common, chooseVersion, hashSession, hashPoint, hasVersion }));
-    this._register(
-      new AttemptController({
-        ...common,
-        runAttempt: this._runAttempt,
-        deliverChunk: (request, data) => {
-          this._frontEnd.deliverChunk(request, data);
-        },
-      }),
-    );
-    const decideRetry = createDecideRetry(Math.random);
-    this._register(
-      new OutcomeController({ ...common, decideRetry, takeRetryBudget, hashKey, decideAcceptance }),
-    );
-    this._register(new BillController({ ...common, hashKey, encodeAnswer: encodeStoredAnswer, holdBill }));
-    this._register(new DeadlineController(common));
-    this._register(new CleanUpController(this._board));
-  }
-
-  private readonly _runAttempt: RunAttempt = (call, onPart) =>
-    call.request.target.kind === 'plain'
-      ? runPlainAttempt({ dispatcher: this._agent }, call)
-      : runEngineAttempt({ clock: systemClock, dispatcher: this._agent }, call, onPart);
-}
-
-/** Requests on connections that were open before the front end closed are still served. */
-function hasStoppedAccepting(board: Blackboard): boolean {
-  const phase = board.lifecycle.get('host')?.phase;
-  return phase === 'finishing' || phase === 'stopped';
-}
-
-function hashKey(request: IRequestEntry): string {
-  return hashTexts('request', request.service, request.account, request.idempotencyKey ?? request.id);
-}
-
-function hashSession(request: IRequestEntry): string {
-  return hashTexts('session', request.service, request.account, request.session ?? '');
 }
--- /dev/null
+++ b/src/daemons/Policies.ts
@@ -0,0 +1,89 @@
+import {
+  createChooseExpectedDelay,
+  createChooseLeastInFlight,
+  createChooseLeastReported,
+  createChooseRoundRobin,
+} from '../common/policy/Endpoints.js';
+import { decideHealth, decideSameHealth } from '../common/policy/Health.js';
+import { decideHedgeByQuantile, decideNoHedge } from '../common/policy/Hedging.js';
+import { computeLimitByQueueing, computeSameLimit } from '../common/policy/InFlightLimits.js';
+import { ARRIVAL_ORDER, FAIR_ORDER, refuseUnreachable, waitAlways } from '../common/policy/Queueing.js';
+import { chooseSpillByTarget } from '../common/policy/Spill.js';
+import { chooseCheapest, chooseStrongest } from '../common/policy/Versions.js';
+import type {
+  AdaptLimit,
+  ChooseEndpoint,
+  ChooseSpill,
+  ChooseVersion,
+  DecideHealth,
+  DecideHedge,
+  DecideQueued,
+  IQueueOrder,
+} from '../common/request/Types.js';
+import type { RandomSource } from '../common/Types.js';
+
+/** Routing policies; a baseline replaces some of them. */
+export interface IRoutingPolicies {
+  chooseEndpoint: ChooseEndpoint;
+  queueOrder: IQueueOrder;
+  decideQueued: DecideQueued;
+  chooseSpill: ChooseSpill;
+  decideHealth: DecideHealth;
+  adaptLimit: AdaptLimit;
+  decideHedge: DecideHedge;
+}
+
+/** Names of the routing policies, as the settings give them; all but `default` are baselines. */
+export const ENDPOINT_POLICIES = ['default', 'round-robin', 'least-reported', 'least-in-flight'] as const;
+
+/** Name of a routing policy. */
+export type EndpointPolicy = (typeof ENDPOINT_POLICIES)[number];
+
+/** Names of the policies that choose a version, as the settings give them; all but `default` are baselines. */
+export const VERSION_POLICIES = ['default', 'strongest', 'cheapest'] as const;
+
+/** Name of a policy that chooses a version. */
+export type VersionPolicy = (typeof VERSION_POLICIES)[number];
+
+const ENDPOINT_FACTORIES: Readonly<Record<EndpointPolicy, (random: RandomSource) => ChooseEndpoint>> = {
+  default: createChooseExpectedDelay,
+  'round-robin': createChooseRoundRobin,
+  'least-reported': createChooseLeastReported,
+  'least-in-flight': createChooseLeastInFlight,
+};
+
+const BASELINE_VERSIONS: Readonly<Record<Exclude<VersionPolicy, 'default'>, ChooseVersion>> = {
+  strongest: chooseStrongest,
+  cheapest: chooseCheapest,
+};
+
+/** Creates the routing policies by name. A baseline has no health, limits, hedges or early refusals. */
+export function createRoutingPolicies(
+  random: RandomSource,
+  policy: EndpointPolicy = 'default',
+): IRoutingPolicies {
+  const chooseEndpoint = ENDPOINT_FACTORIES[policy](random);
+  const chooseSpill = chooseSpillByTarget;
+  if (policy === 'default') {
+    return {
+      ...{ chooseEndpoint, chooseSpill, decideHealth },
+      queueOrder: FAIR_ORDER,
+      decideQueued: refuseUnreachable,
+      adaptLimit: computeLimitByQueueing,
+      decideHedge: decideHedgeByQuantile,
+    };
+  }
+  return {
+    ...{ chooseEndpoint, chooseSpill },
+    queueOrder: ARRIVAL_ORDER,
+    decideQueued: waitAlways,
+    decideHealth: decideSameHealth,
+    adaptLimit: computeSameLimit,
+    decideHedge: decideNoHedge,
+  };
+}
+
+/** Returns the function that chooses a version: the learned one, or a baseline by name. */
+export function selectChooseVersion(policy: VersionPolicy, learned: ChooseVersion): ChooseVersion {
+  return policy === 'default' ? learned : BASELINE_VERSIONS[policy];
+}
--- /dev/null
+++ b/src/daemons/RequestWiring.ts
@@ -0,0 +1,132 @@
+import { Agent } from 'undici';
+import { runEngineAttempt } from '../adapters/EngineClient.js';
+import { runPlainAttempt } from '../adapters/PlainClient.js';
+import { createUniqueId, hashTexts } from '../adapters/Random.js';
+import { systemClock } from '../adapters/SystemClock.js';
+import type { Blackboard } from '../common/blackboard/Blackboard.js';
+import type { IRequestEntry } from '../common/blackboard/Types.js';
+import type { PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
+import { Disposable } from '../common/Lifecycle.js';
+import { decideAdmission } from '../common/policy/Admission.js';
+import { createDecideRetry } from '../common/policy/Retries.js';
+import { AdmissionController } from '../common/request/AdmissionController.js';
+import { AttemptController } from '../common/request/AttemptController.js';
+import { BillController } from '../common/request/BillController.js';
+import { ClaimController } from '../common/request/ClaimController.js';
+import { CleanUpController } from '../common/request/CleanUpController.js';
+import { DeadlineController } from '../common/request/DeadlineController.js';
+import { OutcomeController } from '../common/request/OutcomeController.js';
+import type { DeliverChunk, RunAttempt } from '../common/request/Types.js';
+import { VersionController } from '../common/request/VersionController.js';
+import { encodeStoredAnswer } from './Encoding.js';
+import type { JournalWiring } from './JournalWiring.js';
+import { createRoutingPolicies, selectChooseVersion } from './Policies.js';
+import { Routing } from './RoutingWiring.js';
+import type { HostSettings } from './Settings.js';
+import type { VersionsWiring } from './VersionsWiring.js';
+
+/** Options of the wiring of the request path. */
+export interface IRequestWiringOptions {
+  board: Blackboard;
+  settings: HostSettings;
+  journal: JournalWiring;
+  versions: VersionsWiring;
+  sendToPeer: SendToPeer;
+  deliverChunk: DeliverChunk;
+}
+
+const HOUR_MS = 3_600_000;
+
+/** Wires the controllers that move a request from `received` to `billed` or `refused`. */
+export class RequestWiring extends Disposable {
+  private readonly _agent = new Agent({ connections: 256, pipelining: 1 });
+  private readonly _routing: Routing;
+
+  constructor(private readonly _options: IRequestWiringOptions) {
+    super();
+    this._routing = this._register(this._createRouting());
+    this._registerAdmission();
+    this._registerVersions();
+    this._registerAttempts();
+    this._register(new DeadlineController(this._common));
+    this._register(new CleanUpController(_options.board));
+  }
+
+  /** Handlers for calls of other hosts. */
+  public get peerHandlers(): PeerHandlers {
+    return this._routing.peerHandlers;
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    void this._agent.close();
+  }
+
+  private get _common() {
+    const { board, journal } = this._options;
+    return { board, clock: systemClock, journal: journal.journal, readWallClock: Date.now };
+  }
+
+  private _createRouting(): Routing {
+    const { sendToPeer, settings } = this._options;
+    const { host, policy } = settings;
+    return new Routing({
+      ...{ ...this._common, random: Math.random, createId: createUniqueId, hashTexts, sendToPeer },
+      ...{ host: host.id, zone: host.zone },
+      policies: createRoutingPolicies(Math.random, policy.endpoints),
+    });
+  }
+
+  private _registerAdmission(): void {
+    const { board, settings } = this._options;
+    const isDraining = (): boolean => hasStoppedAccepting(board);
+    const { takeRateShare } = this._routing;
+    this._register(new AdmissionController({ ...this._common, decideAdmission, takeRateShare, isDraining }));
+    const retentionMs = settings.journal.claim_retention_hours * HOUR_MS;
+    this._register(new ClaimController({ ...this._common, hashKey, retentionMs }));
+  }
+
+  private _registerVersions(): void {
+    const { settings, versions } = this._options;
+    const chooseVersion = selectChooseVersion(settings.policy.versions, versions.chooseVersion);
+    const hasVersion = (version: string): boolean => this._routing.index.hasVersion(version);
+    const { hashPoint } = versions;
+    this._register(
+      new VersionController({ ...this._common, chooseVersion, hashSession, hashPoint, hasVersion }),
+    );
+  }
+
+  private _registerAttempts(): void {
+    const { deliverChunk, journal, versions } = this._options;
+    const { takeRetryBudget } = this._routing;
+    const { decideAcceptance } = versions;
+    this._register(new AttemptController({ ...this._common, runAttempt: this._runAttempt, deliverChunk }));
+    const decideRetry = createDecideRetry(Math.random);
+    this._register(
+      new OutcomeController({ ...this._common, decideRetry, takeRetryBudget, hashKey, decideAcceptance }),
+    );
+    const encodeAnswer = encodeStoredAnswer;
+    this._register(
+      new BillController({ ...this._common, hashKey, encodeAnswer, holdBill: journal.holdBill }),
+    );
+  }
+
+  private readonly _runAttempt: RunAttempt = (call, onPart) =>
+    call.request.target.kind === 'plain'
+      ? runPlainAttempt({ dispatcher: this._agent }, call)
+      : runEngineAttempt({ clock: systemClock, dispatcher: this._agent }, call, onPart);
+}
+
+/** Requests on connections that were open before the front end closed are still served. */
+function hasStoppedAccepting(board: Blackboard): boolean {
+  const phase = board.lifecycle.get('host')?.phase;
+  return phase === 'finishing' || phase === 'stopped';
+}
+
+function hashKey(request: IRequestEntry): string {
+  return hashTexts('request', request.service, request.account, request.idempotencyKey ?? request.id);
+}
+
+function hashSession(request: IRequestEntry): string {
+  return hashTexts('session', request.service, request.account, request.session ?? '');
+}
--- a/src/daemons/RoutingWiring.ts
+++ b/src/daemons/RoutingWiring.ts
@@ -3,13 +3,7 @@
 import type { PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 import type { IRequestEntry } from '../common/blackboard/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
-import { createChooseExpectedDelay } from '../common/policy/Endpoints.js';
-import { decideHealth } from '../common/policy/Health.js';
-import { decideHedgeByQuantile } from '../common/policy/Hedging.js';
-import { computeLimitByQueueing } from '../common/policy/InFlightLimits.js';
-import { FAIR_ORDER, refuseUnreachable } from '../common/policy/Queueing.js';
 import { computeShareByDemand } from '../common/policy/RateShares.js';
-import { chooseSpillByTarget } from '../common/policy/Spill.js';
 import { AccountLimitController } from '../common/request/AccountLimitController.js';
 import { createLeaseHandler } from '../common/request/AccountShares.js';
 import { EndpointIndex } from '../common/request/EndpointIndex.js';
@@ -19,28 +13,9 @@
 import { PrefixController } from '../common/request/PrefixController.js';
 import { RetryBudget } from '../common/request/RetryBudget.js';
 import { RouteController } from '../common/request/RouteController.js';
-import type {
-  AdaptLimit,
-  ChooseEndpoint,
-  ChooseSpill,
-  DecideHealth,
-  DecideHedge,
-  DecideQueued,
-  IQueueOrder,
-} from '../common/request/Types.js';
 import { WorkEstimateController } from '../common/request/WorkEstimateController.js';
 import type { IClock, RandomSource } from '../common/Types.js';
-
-/** Routing policies; a baseline replaces some of them. */
-export interface IRoutingPolicies {
-  chooseEndpoint: ChooseEndpoint;
-  queueOrder: IQueueOrder;
-  decideQueued: DecideQueued;
-  chooseSpill: ChooseSpill;
-  decideHealth: DecideHealth;
-  adaptLimit: AdaptLimit;
-  decideHedge: DecideHedge;
-}
+import { createRoutingPolicies, type IRoutingPolicies } from './Policies.js';
 
 /** Options of the routing controllers. */
 export interface IRoutingOptions {
@@ -57,19 +32,6 @@
   policies?: Partial<IRoutingPolicies>;
 }
 
-/** Creates the policies that an entry host runs with. */
-export function createRoutingPolicies(random: RandomSource): IRoutingPolicies {
-  return {
-    chooseEndpoint: createChooseExpectedDelay(random),
-    queueOrder: FAIR_ORDER,
-    decideQueued: refuseUnreachable,
-    chooseSpill: chooseSpillByTarget,
-    decideHealth,
-    adaptLimit: computeLimitByQueueing,
-    decideHedge: decideHedgeByQuantile,
-  };
-}
-
 /** The routing controllers of one host: endpoint index, queue, health, limits, hedges and their budget. */
 export class Routing extends Disposable {
   public readonly index: EndpointIndex;
--- a/src/daemons/Settings.ts
+++ b/src/daemons/Settings.ts
@@ -1,6 +1,7 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { parseIni } from '../adapters/Ini.js';
+import { ENDPOINT_POLICIES, VERSION_POLICIES } from './Policies.js';
 
 const ADDRESS = z.string().regex(/^https?:\/\/[0-9a-f.:[\]]+:\d+$/, 'must be http://IP:PORT');
 const PORT = z.coerce.number().int().min(0).max(65_535);
@@ -35,6 +36,12 @@
       claim_retention_hours: z.coerce.number().int().min(1).default(168),
     })
     .prefault({}),
+  policy: z
+    .strictObject({
+      endpoints: z.enum(ENDPOINT_POLICIES).default('default'),
+      versions: z.enum(VERSION_POLICIES).default('default'),
+    })
+    .prefault({}),
   logs: z.strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') }).prefault({}),
   timeline: z.strictObject({ file: z.string().optional() }).prefault({}),
   metrics: z
