Test that a stop under load cuts off no request

Cause: a host refused requests as soon as it was told to stop, while the load balancer still sent them.

--- /dev/null
+++ b/src/daemons/EntryHost.test.ts
@@ -0,0 +1,120 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { request as sendRequest } from 'undici';
+import { buildEditorOptions } from '../adapters/ConfigStore.js';
+import { createHttpStore } from '../adapters/HttpStore.js';
+import { DEMO_DOCUMENT, DEMO_KEY } from '../cli/quickstart/Documents.js';
+import { applyEdit } from '../common/config/ConfigEditor.js';
+import { startEngineServer } from '../standins/EngineServer.js';
+import { startHostListServer } from '../standins/HostListServer.js';
+import { startKeyValueServer } from '../standins/KeyValueServer.js';
+
+const MAIN = new URL('../cli/Main.js', import.meta.url).pathname;
+const GRACE_MS = 1000;
+/** The load balancer of the test goes on sending this long after the host reports not ready. */
+const BALANCER_LAG_MS = 700;
+const LONG_TOKENS = 400;
+
+interface IHostProcess {
+  process: ChildProcess;
+  address: string;
+  exit: Promise<number | null>;
+}
+
+async function startHostProcess(settings: string): Promise<IHostProcess> {
+  const child = spawn(process.execPath, [MAIN, 'host', '--settings', settings], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const exit = new Promise<number | null>((resolve) => child.once('exit', resolve));
+  const port = await new Promise<number>((resolve, reject) => {
+    let text = '';
+    child.stdout.on('data', (data: Buffer) => {
+      text += data.toString();
+      const found = /"event":"listening","port":(\d+)/.exec(text);
+      if (found) resolve(Number(found[1]));
+    });
+    void exit.then(() => {
+      reject(new Error('The host ended before it listened.'));
+    });
+  });
+  return { process: child, address: `http://127.0.0.1:${port}`, exit };
+}
+
+async function isReady(address: string): Promise<boolean> {
+  try {
+    const health = await sendRequest(`${address}/health`);
+    await health.body.dump();
+    return health.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+async function sendChat(address: string, tokens: number): Promise<string> {
+  const reply = await sendRequest(`${address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${DEMO_KEY}`, 'content-type': 'application/json' },
+    body: JSON.stringify({
+      ...{ model: 'small-1', max_tokens: tokens, stream: true },
+      messages: [{ role: 'user', content: 'Read the manifest of depot north.' }],
+    }),
+  });
+  const text = await reply.body.text();
+  const hasLast = text.includes(`small-1-${tokens - 1}"`);
+  return reply.statusCode === 200 && hasLast && text.endsWith('data: [DONE]\n\n')
+    ? 'complete'
+    : `${reply.statusCode} ${text.slice(-200)}`;
+}
+
+async function waitFor(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+// Guards against a shutdown that refuses or cuts off requests which the load balancer still sends.
+test('a host that is told to stop under load completes every request, then ends', async (t) => {
+  const store = await startKeyValueServer();
+  const hostList = await startHostListServer();
+  const engine = await startEngineServer({ versions: ['small-1'], batchSize: 64 });
+  hostList.machines.push({
+    ...{ id: 'engine-1', role: 'engine', address: engine.address, zone: 'zone-a' },
+    ...{ service: 'deposits', versions: ['small-1'], state: 'live' },
+  });
+  const edit = { text: DEMO_DOCUMENT, author: 'test', editedAt: '2026-12-04T00:00:00Z', baseNumber: 0 };
+  await applyEdit(buildEditorOptions(createHttpStore({ address: store.address })), edit);
+  const folder = mkdtempSync(join(tmpdir(), 'mulberryweir-'));
+  const settings = join(folder, 'host.ini');
+  writeFileSync(
+    settings,
+    `[host]\nid = host-1\nzone = zone-a\nport = 0\npeer_port = 0\npeer_key = a-shared-key-of-hosts\n
+[limits]\ndrain_grace_ms = ${GRACE_MS}\n
+[logs]\nlevel = error\n
+[platform]\nstore = ${store.address}\nhost_list = ${hostList.address}\n`,
+  );
+  const host = await startHostProcess(settings);
+  while (!(await isReady(host.address))) await waitFor(50);
+
+  const long = sendChat(host.address, LONG_TOKENS);
+  const short: Promise<string>[] = [];
+  await waitFor(300);
+  host.process.kill('SIGTERM');
+  const signalledAt = performance.now();
+  while (performance.now() - signalledAt < BALANCER_LAG_MS) {
+    short.push(sendChat(host.address, 5));
+    await waitFor(20);
+  }
+  const isReadyInGrace = await isReady(host.address);
+  const outcomes = await Promise.all([long, ...short]);
+  const exitCode = await host.exit;
+  t.true(short.length > 10);
+  t.snapshot({
+    isReadyInGrace,
+    exitCode,
+    outcomes: [...new Set(outcomes)],
+    runsFinished: engine.books.finished.length === outcomes.length,
+  });
+  rmSync(folder, { recursive: true });
+  await Promise.all([store.close(), hostList.close(), engine.close()]);
+});
