--- a/src/common/coordination/HostStates.ts
+++ b/src/common/coordination/HostStates.ts
@@ -50,7 +50,8 @@
   const next: IHostEntry = { ...host, state, changedAt: now, isOwnVerdict };
   board.hosts.set(host.id, next);
   if (isOwnVerdict) return;
-  publishUpdate(board, buildHostUpdate(next), { urgency: 'next-exchange', origin: 'own', now });
+  const update = buildHostUpdate(next);
+  publishUpdate(board, update, { urgency: chooseUrgency(update), origin: 'own', now });
 }
 
 /** Takes back the states that this host decided on while it was cut off; the checks start afresh. */
@@ -86,7 +87,7 @@
   return isNewerHostState(update, known);
 }
 
-/** A refutation or a departure must overtake a suspicion; the rest travels with the exchanges. */
+/** A suspicion travels with the exchanges, so that a refutation overtakes it. */
 function chooseUrgency(update: IHostUpdate): UpdateUrgency {
-  return update.state === 'alive' || update.state === 'leaving' ? 'now' : 'next-exchange';
+  return update.state === 'suspect' ? 'next-exchange' : 'now';
 }
