--- /dev/null
+++ b/src/common/request/RouteController.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava';
+import { parseDocumentText } from '../../adapters/ConfigStore.js';
+import { buildDocument } from '../../testing/HostGroup.js';
+import { ManualClock } from '../../testing/ManualClock.js';
+import { Blackboard } from '../blackboard/Blackboard.js';
+import type { IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
+import { RouteController } from './RouteController.js';
+
+const REQUEST: IRequestEntry = {
+  ...{ id: 'r-1', phase: 'queued', service: 'deposits', account: 'depot', kind: 'chat', isIdempotent: true },
+  target: {
+    kind: 'model',
+    model: 'auto',
+    body: {},
+    promptTokens: 4,
+    maxTokens: 8,
+    isStreaming: false,
+    prefixHashes: [],
+  },
+  ...{ idempotencyKey: undefined, fingerprint: 'f', session: undefined, priority: 'normal' },
+  ...{ receivedAt: 0, deadlineAt: 60_000, version: 'small-1', winner: undefined, attemptCount: 0 },
+  ...{ escalatedFrom: [], ran: 'no', isCallerGone: false, answer: undefined, refusal: undefined },
+};
+const ENDPOINT: IEndpointEntry = {
+  ...{ id: 'engine-1', kind: 'engine', service: 'deposits', address: 'http://10.0.0.1:80', zone: 'zone-a' },
+  ...{ health: 'healthy', healthChangedAt: 0, versions: ['small-1'], inFlight: 0, inFlightTokens: 0 },
+  ...{ firstTokenMs: undefined, tokenMs: undefined, consecutiveFailures: 0, report: undefined },
+  checksFencing: false,
+};
+
+function setDocument(board: Blackboard, revision: number, stage: string): void {
+  const account = `\n[account depot]\nkey_sha256 = ${'0'.repeat(64)}\nversions = small-1\n`;
+  const parsed = parseDocumentText(buildDocument(revision, stage) + account);
+  if (parsed.isErr) throw new Error(JSON.stringify(parsed.error));
+  board.services.set('deposits', { name: 'deposits', document: parsed.value, revision, rollouts: {} });
+}
+
+// Guards against work for a withdrawn version from requests that were queued, or sent back to the queue.
+test('a queued request leaves a version that is withdrawn, also when it is queued again', (t) => {
+  const board = new Blackboard();
+  let isOpen = false;
+  new RouteController({
+    ...{ board, clock: new ManualClock(), compareQueued: () => 0, zone: 'zone-a' },
+    chooseEndpoint: () => (isOpen ? 'engine-1' : undefined),
+    createId: () => 'a-1',
+  });
+  const describe = (): unknown => {
+    const { phase, version } = board.requests.get('r-1')!;
+    return { phase, version, attempts: board.attempts.size };
+  };
+  setDocument(board, 1, 'stable');
+  board.endpoints.set('engine-1', ENDPOINT);
+  board.requests.set('r-1', REQUEST);
+  const waiting = describe();
+  setDocument(board, 2, 'withdrawn');
+  const withdrawn = describe();
+  isOpen = true;
+  board.requests.set('r-1', REQUEST);
+  const queuedAgain = describe();
+  setDocument(board, 3, 'stable');
+  board.requests.set('r-1', REQUEST);
+  t.snapshot({ waiting, withdrawn, queuedAgain, stableAgain: describe() });
+});
--- a/src/testing/HostGroup.ts
+++ b/src/testing/HostGroup.ts
@@ -15,7 +15,7 @@
 import type { IStore, IStoreValue, StoreError } from '../common/coordination/Types.js';
 import { createPublishUpdate } from '../common/coordination/UpdateQueue.js';
 import { disposeAll, type IDisposable } from '../common/Lifecycle.js';
-import type { RandomSource } from '../common/Types.js';
+import type { Millis, RandomSource } from '../common/Types.js';
 import { ManualClock } from './ManualClock.js';
 import { MemoryPeers, type IDelivery, type IMemoryPeersOptions } from './MemoryPeers.js';
 import { MemoryStore } from './MemoryStore.js';
@@ -54,6 +54,8 @@
   public readonly cutPairs = new Set<string>();
   public readonly storeAccess = new Map<string, StoreAccess>();
   public isStoreDown = false;
+  /** Time that the store takes for an answer. */
+  public storeDelayMs = 0;
   public readonly peers: MemoryPeers;
   private readonly _zones = new Map<string, string>();
   private _oldEntries = new Map<string, IStoreValue>();
@@ -175,25 +177,29 @@
 
   private _createStore(id: string): IStore {
     const { clock, store } = this;
-    const waitSilently = async (delay: number): Promise<Result<never, StoreError>> => {
-      await new Promise<void>((resolve) => {
+    const waitFor = (delay: Millis): Promise<void> =>
+      new Promise((resolve) => {
         clock.schedule(delay, resolve);
       });
+    const waitSilently = async (delay: Millis): Promise<Result<never, StoreError>> => {
+      await waitFor(delay);
       return SILENT;
     };
     const getAccess = (): StoreAccess => (this.isStoreDown ? 'silent' : (this.storeAccess.get(id) ?? 'up'));
     return {
       put: store.put,
       delete: store.delete,
-      get: (key) => {
+      get: async (key) => {
         if (getAccess() === 'silent') return waitSilently(SILENCE_MS);
-        return getAccess() === 'old' ? Promise.resolve(Result.ok(this._oldEntries.get(key))) : store.get(key);
+        if (this.storeDelayMs > 0) await waitFor(this.storeDelayMs);
+        return getAccess() === 'old' ? Result.ok(this._oldEntries.get(key)) : store.get(key);
       },
       watch: async (key, afterVersion, timeoutMs) => {
         if (getAccess() !== 'up') return waitSilently(timeoutMs + SILENCE_MS);
         const startedAt = clock.now();
         const found = await store.watch(key, afterVersion, timeoutMs);
         // A watch that was open when the host was cut off brings nothing.
+        if (this.storeDelayMs > 0) await waitFor(this.storeDelayMs);
         if (getAccess() === 'up') return found;
         return waitSilently(startedAt + timeoutMs + SILENCE_MS - clock.now());
       },
