Test the peer wiring with two host processes

Cause: only tests in one process showed that hosts reach one another. Conclusion: server, client and handlers are wired as the tests in memory assume.

--- a/src/daemons/EntryHost.test.ts
+++ b/src/daemons/EntryHost.test.ts
@@ -1,5 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
@@ -8,9 +9,9 @@
 import { createHttpStore } from '../adapters/HttpStore.js';
 import { DEMO_DOCUMENT, DEMO_KEY } from '../cli/quickstart/Documents.js';
 import { applyEdit } from '../common/config/ConfigEditor.js';
-import { startEngineServer } from '../standins/EngineServer.js';
-import { startHostListServer } from '../standins/HostListServer.js';
-import { startKeyValueServer } from '../standins/KeyValueServer.js';
+import { startEngineServer, type IEngineStandIn } from '../standins/EngineServer.js';
+import { startHostListServer, type IHostListStandIn } from '../standins/HostListServer.js';
+import { startKeyValueServer, type IKeyValueStandIn } from '../standins/KeyValueServer.js';
 
 const MAIN = new URL('../cli/Main.js', import.meta.url).pathname;
 const GRACE_MS = 1000;
@@ -73,8 +74,15 @@
   await new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-// Guards against a shutdown that refuses or cuts off requests which the load balancer still sends.
-test('a host that is told to stop under load completes every request, then ends', async (t) => {
+interface IPlatform {
+  store: IKeyValueStandIn;
+  hostList: IHostListStandIn;
+  engine: IEngineStandIn;
+  folder: string;
+  close: () => Promise<void>;
+}
+
+async function startPlatform(): Promise<IPlatform> {
   const store = await startKeyValueServer();
   const hostList = await startHostListServer();
   const engine = await startEngineServer({ versions: ['small-1'], batchSize: 64 });
@@ -85,16 +93,44 @@
   const edit = { text: DEMO_DOCUMENT, author: 'test', editedAt: '2026-12-04T00:00:00Z', baseNumber: 0 };
   await applyEdit(buildEditorOptions(createHttpStore({ address: store.address })), edit);
   const folder = mkdtempSync(join(tmpdir(), 'mulberryweir-'));
-  const settings = join(folder, 'host.ini');
+  return {
+    ...{ store, hostList, engine, folder },
+    close: async () => {
+      rmSync(folder, { recursive: true });
+      await Promise.all([store.close(), hostList.close(), engine.close()]);
+    },
+  };
+}
+
+function writeSettings(platform: IPlatform, id: string, store: string, peerPort: number): string {
+  const file = join(platform.folder, `${id}.ini`);
   writeFileSync(
-    settings,
-    `[host]\nid = host-1\nzone = zone-a\nport = 0\npeer_port = 0\npeer_key = a-shared-key-of-hosts\n
+    file,
+    `[host]\nid = ${id}\nzone = zone-a\nport = 0\npeer_port = ${peerPort}\npeer_key = a-shared-key-of-hosts\n
 [limits]\ndrain_grace_ms = ${GRACE_MS}\n
 [logs]\nlevel = error\n
-[platform]\nstore = ${store.address}\nhost_list = ${hostList.address}\n`,
+[platform]\nstore = ${store}\nhost_list = ${platform.hostList.address}\n`,
   );
-  const host = await startHostProcess(settings);
-  while (!(await isReady(host.address))) await waitFor(50);
+  return file;
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+async function waitUntilReady(address: string): Promise<void> {
+  while (!(await isReady(address))) await waitFor(50);
+}
+
+// Guards against a shutdown that refuses or cuts off requests which the load balancer still sends.
+test('a host that is told to stop under load completes every request, then ends', async (t) => {
+  const platform = await startPlatform();
+  const host = await startHostProcess(writeSettings(platform, 'host-1', platform.store.address, 0));
+  await waitUntilReady(host.address);
 
   const long = sendChat(host.address, LONG_TOKENS);
   const short: Promise<string>[] = [];
@@ -113,8 +149,37 @@
     isReadyInGrace,
     exitCode,
     outcomes: [...new Set(outcomes)],
-    runsFinished: engine.books.finished.length === outcomes.length,
+    runsFinished: platform.engine.books.finished.length === outcomes.length,
   });
-  rmSync(folder, { recursive: true });
-  await Promise.all([store.close(), hostList.close(), engine.close()]);
+  await platform.close();
+});
+
+// Guards against a wiring in which hosts do not reach one another over the peer port.
+test('a host that cannot reach the store serves with the configuration of its peer', async (t) => {
+  const platform = await startPlatform();
+  const [firstPort, secondPort, deadPort] = [
+    await findFreePort(),
+    await findFreePort(),
+    await findFreePort(),
+  ];
+  for (const [id, port] of [
+    ['host-1', firstPort],
+    ['host-2', secondPort],
+  ] as const) {
+    platform.hostList.machines.push({
+      ...{ id, role: 'entry-host', address: `127.0.0.1:${port}`, zone: 'zone-a' },
+      ...{ service: '', versions: [], state: 'live' },
+    });
+  }
+  const deadStore = `http://127.0.0.1:${deadPort}`;
+  const second = await startHostProcess(writeSettings(platform, 'host-2', deadStore, secondPort));
+  const wasReadyAlone = await isReady(second.address);
+  const first = await startHostProcess(writeSettings(platform, 'host-1', platform.store.address, firstPort));
+  await waitUntilReady(first.address);
+  await waitUntilReady(second.address);
+  t.snapshot({ wasReadyAlone, answer: await sendChat(second.address, 5) });
+  first.process.kill('SIGTERM');
+  second.process.kill('SIGTERM');
+  t.deepEqual(await Promise.all([first.exit, second.exit]), [0, 0]);
+  await platform.close();
 });
