Give the test of withdrawn versions an endpoint index

Change: the test passes an endpoint index; its expectations are the same. Conclusion: queued requests leave a withdrawn version in the new queues too.

--- a/src/common/request/RouteController.test.ts
+++ b/src/common/request/RouteController.test.ts
@@ -4,6 +4,7 @@
 import { ManualClock } from '../../testing/ManualClock.js';
 import { Blackboard } from '../blackboard/Blackboard.js';
 import type { IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
+import { EndpointIndex } from './EndpointIndex.js';
 import { RouteController } from './RouteController.js';
 
 const REQUEST: IRequestEntry = {
@@ -40,7 +41,8 @@
   const board = new Blackboard();
   let isOpen = false;
   new RouteController({
-    ...{ board, clock: new ManualClock(), compareQueued: () => 0, zone: 'zone-a' },
+    ...{ board, clock: new ManualClock(), zone: 'zone-a' },
+    index: new EndpointIndex({ board, host: 'host-1', zone: 'zone-a', hashTexts: (...texts) => texts.join() }),
     chooseEndpoint: () => (isOpen ? 'engine-1' : undefined),
     createId: () => 'a-1',
   });
