Believe a pace only after enough expected tokens; weigh reports at 0.05

Cause: in calm load the pace of few tokens made endpoints suspect; a report weight of 0.2 still spread load unevenly; hedges took slots while others queued. Change: stream time is added exactly, 12 expected tokens are needed; no hedge for missing output while the pool queues; a margin of 10 % on durations.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -196,6 +196,8 @@
   longInFlight?: number;
   /** Recent time between tokens of the streams in flight, also of those that stand still. */
   paceMs?: number | undefined;
+  /** Time of streams that `paceMs` rests on. */
+  streamMs?: Millis;
   /** Age of the oldest attempt in flight that has no output. */
   firstTokenWaitMs?: number | undefined;
   /** Attempt that tests the endpoint while it is `probing`. */
--- a/src/common/policy/Endpoints.ts
+++ b/src/common/policy/Endpoints.ts
@@ -18,7 +18,7 @@
  * Weight of the other hosts' reported work relative to own work in flight. All hosts see the same late
  * report, so a full weight sends them all to the endpoint that was least loaded seconds ago.
  */
-const REPORT_WEIGHT = 0.2;
+const REPORT_WEIGHT = 0.05;
 
 /** Score of a remote endpoint relative to an equal local one. Zones are close, so a small load outweighs it. */
 const REMOTE_ZONE_FACTOR = 1.2;
--- a/src/common/policy/Health.test.ts
+++ b/src/common/policy/Health.test.ts
@@ -6,7 +6,7 @@
 
 function createView(endpoint: Partial<IEndpointEntry>, patch: Partial<IHealthView> = {}): IHealthView {
   return {
-    endpoint: createTestEndpoint('e-1', endpoint),
+    endpoint: createTestEndpoint('e-1', { streamMs: 300, ...endpoint }),
     peerPaceMs: 10,
     peerFirstTokenMs: 70,
     poolSize: 13,
@@ -21,6 +21,7 @@
 /** Each view guards against an endpoint ejected or brought back wrongly. */
 const VIEWS: Readonly<Record<string, IHealthView>> = {
   'normal pace': createView({ paceMs: 14, firstTokenWaitMs: 90 }),
+  'pace of too few tokens': createView({ paceMs: 100, streamMs: 60 }),
   'ten times slower': createView({ paceMs: 100 }),
   'all ten times slower': createView(
     { paceMs: 100, firstTokenWaitMs: 700 },
--- a/src/common/policy/Health.ts
+++ b/src/common/policy/Health.ts
@@ -7,6 +7,9 @@
 /** Time between tokens, relative to the peers' median, below which an endpoint counts as recovered. */
 const RECOVERED_PACE_RATIO = 1.6;
 
+/** Tokens that must have been due before a pace is compared; chunks of several tokens come unevenly. */
+const MIN_EXPECTED_TOKENS = 12;
+
 /** Wait for the first token, relative to the peers' median, above which an endpoint is slow. */
 const SLOW_WAIT_RATIO = 4;
 
@@ -86,5 +89,6 @@
 
 function computePaceRatio({ endpoint, peerPaceMs }: IHealthView): number | undefined {
   if (endpoint.paceMs === undefined || peerPaceMs === undefined || peerPaceMs <= 0) return undefined;
+  if ((endpoint.streamMs ?? 0) < MIN_EXPECTED_TOKENS * peerPaceMs) return undefined;
   return endpoint.paceMs / peerPaceMs;
 }
--- a/src/common/policy/Queueing.ts
+++ b/src/common/policy/Queueing.ts
@@ -25,6 +25,9 @@
 /** Share of `maxTokens` that is assumed of an account without history. */
 const DEFAULT_LIMIT_USE = 0.5;
 
+/** Margin on the expected duration; work that starts too late to finish takes slots in vain. */
+const DURATION_MARGIN = 1.1;
+
 /** Longest wait for which a refused caller is asked to stay away. */
 const MAX_RETRY_AFTER_MS = 30_000;
 
@@ -57,7 +60,7 @@
 
 /** Refuses a request that would not finish before its deadline after the expected wait. */
 export const refuseUnreachable: DecideQueued = ({ item, now, waitMs }) => {
-  if (now + waitMs + item.expectedMs <= item.request.deadlineAt) return { kind: 'wait' };
+  if (now + waitMs + DURATION_MARGIN * item.expectedMs <= item.request.deadlineAt) return { kind: 'wait' };
   return { kind: 'refuse', retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, Math.max(1000, Math.ceil(waitMs))) };
 };
 
--- a/src/common/request/EndpointMeter.ts
+++ b/src/common/request/EndpointMeter.ts
@@ -21,10 +21,14 @@
 /** Tokens that must have been seen before a pace is believed sooner. */
 const MIN_TOKENS = 4;
 
+type IMeasuredFigures = Pick<IEndpointEntry, 'paceMs' | 'streamMs' | 'firstTokenWaitMs'>;
+
 interface IEndpointCounts {
   /** Attempts without output, oldest first, with the time when they were sent. */
   waiting: Map<string, Millis>;
   streams: number;
+  /** Time up to which `streamMs` includes the open streams. */
+  addedUntil: Millis;
   newTokens: number;
   streamMs: Millis;
   tokens: number;
@@ -38,7 +42,6 @@
 export class EndpointMeter extends Disposable {
   private readonly _counts = new Map<string, IEndpointCounts>();
   private _timer: IDisposable | undefined;
-  private _sampledAt: Millis = 0;
 
   constructor(private readonly _options: IEndpointMeterOptions) {
     super();
@@ -61,12 +64,12 @@
 
   /** Notes that an attempt has its first output. */
   public startStream(endpoint: string): void {
-    this._getCounts(endpoint).streams += 1;
+    this._updateStreams(endpoint, 1);
   }
 
   /** Notes that an attempt with output has ended. */
   public endStream(endpoint: string): void {
-    this._getCounts(endpoint).streams -= 1;
+    this._updateStreams(endpoint, -1);
   }
 
   /** Counts tokens that arrived. */
@@ -86,13 +89,21 @@
     counts.newTokens = 0;
     counts.streamMs = 0;
     counts.tokens = 0;
-    this._write(endpoint, { paceMs: undefined, firstTokenWaitMs: this._measureWait(counts) });
+    counts.addedUntil = this._options.clock.now();
+    this._write(endpoint, { paceMs: undefined, streamMs: 0, firstTokenWaitMs: this._measureWait(counts) });
   }
 
   private _getCounts(endpoint: string): IEndpointCounts {
     let counts = this._counts.get(endpoint);
     if (!counts) {
-      counts = { waiting: new Map(), streams: 0, newTokens: 0, streamMs: 0, tokens: 0 };
+      counts = {
+        waiting: new Map(),
+        streams: 0,
+        addedUntil: this._options.clock.now(),
+        newTokens: 0,
+        streamMs: 0,
+        tokens: 0,
+      };
       this._counts.set(endpoint, counts);
     }
     this._startTimer();
@@ -101,22 +112,18 @@
 
   private _startTimer(): void {
     if (this._timer || this._isDisposed) return;
-    const { clock } = this._options;
-    this._sampledAt = clock.now();
-    this._timer = clock.schedule(SAMPLE_INTERVAL_MS, this._sampleAll);
+    this._timer = this._options.clock.schedule(SAMPLE_INTERVAL_MS, this._sampleAll);
   }
 
   private readonly _sampleAll = (): void => {
     const { clock } = this._options;
-    const elapsedMs = clock.now() - this._sampledAt;
-    this._sampledAt = clock.now();
-    for (const [endpoint, counts] of this._counts) this._sample(endpoint, counts, elapsedMs);
+    for (const [endpoint, counts] of this._counts) this._sample(endpoint, counts);
     this._timer = this._counts.size > 0 ? clock.schedule(SAMPLE_INTERVAL_MS, this._sampleAll) : undefined;
   };
 
-  private _sample(endpoint: string, counts: IEndpointCounts, elapsedMs: Millis): void {
-    counts.streamMs = counts.streamMs * SAMPLE_DECAY + counts.streams * elapsedMs;
-    counts.tokens = counts.tokens * SAMPLE_DECAY + counts.newTokens;
+  private _sample(endpoint: string, counts: IEndpointCounts): void {
+    addStreamTime(counts, this._options.clock.now());
+    counts.tokens += counts.newTokens;
     counts.newTokens = 0;
     if (counts.streams === 0 && counts.waiting.size === 0 && counts.streamMs < 1)
       this._counts.delete(endpoint);
@@ -124,8 +131,17 @@
     // No token at all counts as half a one, which gives a lower bound of the pace.
     this._write(endpoint, {
       paceMs: isKnown ? counts.streamMs / Math.max(0.5, counts.tokens) : undefined,
+      streamMs: counts.streamMs,
       firstTokenWaitMs: this._measureWait(counts),
     });
+    counts.streamMs *= SAMPLE_DECAY;
+    counts.tokens *= SAMPLE_DECAY;
+  }
+
+  private _updateStreams(endpoint: string, change: 1 | -1): void {
+    const counts = this._getCounts(endpoint);
+    addStreamTime(counts, this._options.clock.now());
+    counts.streams += change;
   }
 
   private _measureWait({ waiting }: IEndpointCounts): Millis | undefined {
@@ -133,7 +149,7 @@
     return undefined;
   }
 
-  private _write(endpoint: string, figures: Pick<IEndpointEntry, 'paceMs' | 'firstTokenWaitMs'>): void {
+  private _write(endpoint: string, figures: IMeasuredFigures): void {
     const { board } = this._options;
     const entry = board.endpoints.get(endpoint);
     if (!entry) return;
@@ -141,3 +157,8 @@
     if (!isSame) board.endpoints.update(endpoint, figures);
   }
 }
+
+function addStreamTime(counts: IEndpointCounts, now: Millis): void {
+  counts.streamMs += counts.streams * (now - counts.addedUntil);
+  counts.addedUntil = now;
+}
--- a/src/common/request/HedgeController.ts
+++ b/src/common/request/HedgeController.ts
@@ -3,7 +3,7 @@
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
 import { planAttempt } from './AttemptPlan.js';
-import type { EndpointIndex } from './EndpointIndex.js';
+import { formatPool, type EndpointIndex } from './EndpointIndex.js';
 import { formatPrefixKey } from './PrefixController.js';
 import { estimateWork } from './RouteController.js';
 import type { ChooseEndpoint, DecideHedge } from './Types.js';
@@ -35,6 +35,7 @@
 export class HedgeController extends Disposable {
   private readonly _timers = new Map<string, IDisposable>();
   private readonly _undelivered = new Map<string, Set<string>>();
+  private readonly _queued = new Map<string, number>();
   private readonly _samples = new Map<string, FirstTokenSamples>();
 
   constructor(private readonly _options: IHedgeOptions) {
@@ -48,6 +49,8 @@
     );
     this._register(
       board.requests.onChange(({ before, after }) => {
+        if (before?.phase === 'queued') this._countQueued(before, -1);
+        if (after?.phase === 'queued') this._countQueued(after, 1);
         if (after?.winner !== undefined && before?.winner !== after.winner) this._cancelLosers(after);
       }),
     );
@@ -104,6 +107,8 @@
     const attempt = board.attempts.get(id);
     const request = attempt && board.requests.get(attempt.request);
     if (!attempt || !request || !isHedgeable(request, attempt, cause)) return;
+    // While requests queue for a slot, a hedge would only take one from them.
+    if (cause === 'no-output' && (this._queued.get(formatPool(request)) ?? 0) > 0) return;
     const now = clock.now();
     const work = estimateWork(board, request);
     const candidates = index
@@ -121,6 +126,11 @@
     planAttempt(board, { id: createId(), role: 'hedge', request, endpoint, ...work, now });
   }
 
+  private _countQueued(request: IRequestEntry, change: number): void {
+    const pool = formatPool(request);
+    this._queued.set(pool, (this._queued.get(pool) ?? 0) + change);
+  }
+
   private _cancelLosers(request: IRequestEntry): void {
     const { board } = this._options;
     for (const id of request.attemptIds ?? []) {
