--- a/bench/RoutingPolicies.ts
+++ b/bench/RoutingPolicies.ts
@@ -25,10 +25,10 @@
 import { PREFILL_MS, TimedEngine, TOKEN_MS } from './TimedEngine.js';
 
 type PolicyName = 'adaptive' | 'round-robin' | 'least-reported' | 'least-in-flight';
-type ScenarioName = 'slowed' | 'stragglers' | 'crest';
+type ScenarioName = 'slowed' | 'stragglers' | 'crest' | 'hot-path';
 
 const POLICIES: readonly PolicyName[] = ['adaptive', 'round-robin', 'least-reported', 'least-in-flight'];
-const SCENARIOS: readonly ScenarioName[] = ['slowed', 'stragglers', 'crest'];
+const SCENARIOS: readonly ScenarioName[] = ['slowed', 'stragglers', 'crest', 'hot-path'];
 
 const ENGINES = 13;
 const SLOTS = 16;
@@ -45,6 +45,10 @@
 const SLOW_MS = 5000;
 const SLOW_EVERY_MS = 15_000;
 const ORDINARY_RATE = 200;
+/** One host at its target rate: 1,000 requests/s with 40 chunks of one token each. */
+const HOT_PATH_RATE = 1000;
+const HOT_PATH_SLOTS = 128;
+const CHUNK_TOKENS = 4;
 const CREST_BASE_RATE = 120;
 const CREST_FACTOR = 5;
 const CREST_RAMP_MS = 2000;
@@ -72,6 +76,8 @@
   shortP99Ms: Millis;
   firstTokenP99Ms: Millis;
   longCompletedShare: number;
+  /** Processor time of the whole run, clock and engines included, per second of load. */
+  coreShare: number;
 }
 
 interface IOutcome {
@@ -123,16 +129,24 @@
   }
 
   public async run(): Promise<ITrialFigures> {
+    const startedAt = process.cpuUsage();
     this._scheduleArrival();
     this._scheduleReports();
     if (this._trial.scenario === 'slowed' && this._trial.isDisturbed) this._scheduleSlowness();
     await this._clock.advance(DURATION_MS + DRAIN_MS);
-    return this._buildFigures();
+    const { system, user } = process.cpuUsage(startedAt);
+    return { ...this._buildFigures(), coreShare: (system + user) / 1000 / DURATION_MS };
   }
 
   private _createEngine(): TimedEngine {
     const readTokens = (request: string): number => this._tokens.get(request) ?? 1;
-    return new TimedEngine({ clock: this._clock, slots: SLOTS, readTokens });
+    const isHotPath = this._trial.scenario === 'hot-path';
+    return new TimedEngine({
+      clock: this._clock,
+      slots: isHotPath ? HOT_PATH_SLOTS : SLOTS,
+      chunkTokens: isHotPath ? 1 : CHUNK_TOKENS,
+      readTokens,
+    });
   }
 
   private _createHost(index: number): Blackboard {
@@ -236,7 +250,7 @@
     }
   }
 
-  private _buildFigures(): ITrialFigures {
+  private _buildFigures(): Omit<ITrialFigures, 'coreShare'> {
     const completed = this._outcomes.filter(({ isCompleted }) => isCompleted);
     const short = completed.filter(({ isLong }) => !isLong);
     const long = this._outcomes.filter(({ isLong }) => isLong);
@@ -269,6 +283,7 @@
 }
 
 function computeRate({ isDisturbed, scenario }: ITrial, now: Millis): number {
+  if (scenario === 'hot-path') return HOT_PATH_RATE;
   if (scenario !== 'crest') return ORDINARY_RATE;
   if (!isDisturbed) return CREST_BASE_RATE;
   const rise = (now - CREST_START_MS) / CREST_RAMP_MS;
--- a/bench/TimedEngine.ts
+++ b/bench/TimedEngine.ts
@@ -8,6 +8,8 @@
   clock: IClock;
   /** Requests that run at once; the others wait at the engine in order of arrival. */
   slots: number;
+  /** Tokens in one chunk. */
+  chunkTokens: number;
   /** Tokens that a request produces, which the router does not know. */
   readTokens: (request: string) => number;
 }
@@ -18,9 +20,6 @@
 /** Time between tokens at an idle engine; it grows by half until all slots are in use. */
 export const TOKEN_MS = 8;
 
-/** Tokens in one chunk. */
-const CHUNK_TOKENS = 4;
-
 interface IRun {
   call: IAttemptCall;
   onPart: (part: AttemptPart) => void;
@@ -79,7 +78,7 @@
   }
 
   private _scheduleChunk(run: IRun): void {
-    const tokens = Math.min(CHUNK_TOKENS, run.tokensLeft);
+    const tokens = Math.min(this._options.chunkTokens, run.tokensLeft);
     const tokenMs = TOKEN_MS * (1 + (0.5 * this._running) / this._options.slots);
     this._schedule(run, tokens * tokenMs, tokens);
   }
--- a/src/common/request/AdmissionController.ts
+++ b/src/common/request/AdmissionController.ts
@@ -3,7 +3,7 @@
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import { refuseRequest } from './Refusals.js';
-import type { DecideAdmission } from './Types.js';
+import type { DecideAdmission, IAdmissionView } from './Types.js';
 
 /** Options of the admission controller. */
 export interface IAdmissionOptions {
@@ -32,14 +32,20 @@
 
   private _admitRequest(request: IRequestEntry): void {
     const { board, clock, decideAdmission, isDraining, takeRateShare } = this._options;
-    const decision = decideAdmission({
+    const view: IAdmissionView = {
       request,
       service: board.services.get(request.service),
       accountInFlight: this._inFlight.get(formatAccountKey(request)) ?? 0,
-      hasRateShare: takeRateShare(request),
+      hasRateShare: true,
       isDraining: isDraining(),
       now: clock.now(),
-    });
+    };
+    // Only a request that is allowed otherwise uses up the account's share.
+    const allowed = decideAdmission(view);
+    const decision =
+      allowed.kind === 'admit' && !takeRateShare(request)
+        ? decideAdmission({ ...view, hasRateShare: false })
+        : allowed;
     if (decision.kind === 'refuse') refuseRequest(board, request.id, decision.refusal);
     else board.requests.update(request.id, { phase: 'admitted' });
   }
