Adapt limits of plain services and hedge their idempotent calls

Cause: plain services show no first token, so their limit stayed at 4 in flight and a slow lookup was never hedged. Change: a whole answer counts as its own first output for latency, limit and hedge delay; samples are kept per pool. Figures: 300 calls in 600 ms: the limits of three endpoints grow above 4; the idempotent call of two slow ones is hedged, the other is not.

--- a/src/common/policy/Hedging.ts
+++ b/src/common/policy/Hedging.ts
@@ -9,10 +9,10 @@
 /** Shortest wait before a hedge; below it timers and the network decide. */
 const MIN_HEDGE_DELAY_MS = 20;
 
-/** Hedges an idempotent request for a model that has no output after a high quantile. */
+/** Hedges an idempotent request that has no output after a high quantile. */
 export const decideHedgeByQuantile: DecideHedge = ({ attempt, firstTokenTimes, request }) => {
   const isFirst = attempt.role === 'primary' && request.attemptCount <= 1;
-  if (!request.isIdempotent || request.target.kind !== 'model' || !isFirst) return undefined;
+  if (!request.isIdempotent || !isFirst) return undefined;
   if (firstTokenTimes.length < MIN_SAMPLES) return undefined;
   const index = Math.min(firstTokenTimes.length - 1, Math.floor(firstTokenTimes.length * HEDGE_QUANTILE));
   return Math.max(MIN_HEDGE_DELAY_MS, 1.5 * (firstTokenTimes[index] ?? 0));
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -83,7 +83,7 @@
       progress.handlePart(part);
     });
     this._running.delete(attempt.id);
-    progress.end();
+    progress.end(result.isOk);
     this._settle(attempt, progress, result);
   }
 
@@ -175,10 +175,12 @@
     if (this._isWinner()) this._options.deliverChunk(this._request.id, part.data);
   }
 
-  public end(): void {
+  /** Ends the attempt. A whole answer without chunks, as of a plain service, is its own first output. */
+  public end(isSuccess: boolean): void {
     this._hasEnded = true;
     if (this._firstTokenAt === undefined) this._meter.endWait(this._attempt.endpoint, this._attempt.id);
     else this._meter.endStream(this._attempt.endpoint);
+    if (isSuccess) this._firstTokenAt ??= this._options.clock.now();
     this._options.board.attempts.update(this._attempt.id, { tokens: this._tokens });
   }
 
--- a/src/common/request/HedgeController.ts
+++ b/src/common/request/HedgeController.ts
@@ -21,7 +21,7 @@
   zone: string;
 }
 
-/** Times to first token remembered per version. */
+/** Times to first output remembered per pool. */
 const SAMPLE_COUNT = 256;
 
 /** Samples between two sorts of the remembered times. */
@@ -74,7 +74,7 @@
     const waiting = this._undelivered.get(attempt.endpoint) ?? new Set<string>();
     waiting.add(attempt.id);
     this._undelivered.set(attempt.endpoint, waiting);
-    const firstTokenTimes = this._samples.get(attempt.version ?? '')?.sorted ?? [];
+    const firstTokenTimes = this._samples.get(formatPool(request))?.sorted ?? [];
     const delay = decideHedge({ request, attempt, firstTokenTimes });
     if (delay === undefined) return;
     const timer = clock.schedule(delay, () => {
@@ -88,11 +88,14 @@
     if (attempt.phase === 'planned' || attempt.phase === 'sent') return;
     this._timers.get(attempt.id)?.dispose();
     this._timers.delete(attempt.id);
-    const { firstTokenAt, phase, plannedAt, version } = attempt;
-    if (phase === 'streaming' && firstTokenAt !== undefined) {
-      this._getSamples(version ?? '').add(firstTokenAt - plannedAt);
-    }
+    const { endedAt, firstTokenAt, phase, plannedAt } = attempt;
     const request = this._options.board.requests.get(attempt.request);
+    // A plain service shows no output before its answer.
+    const outputAt = phase === 'streaming' ? firstTokenAt : (firstTokenAt ?? endedAt);
+    const isFirstOutput = phase === 'streaming' || (phase === 'finished' && firstTokenAt === undefined);
+    if (request && isFirstOutput && outputAt !== undefined) {
+      this._getSamples(formatPool(request)).add(outputAt - plannedAt);
+    }
     const isDelivered = phase !== 'streaming' || request?.winner !== undefined;
     if (isDelivered) this._undelivered.get(attempt.endpoint)?.delete(attempt.id);
   }
@@ -140,11 +143,11 @@
     }
   }
 
-  private _getSamples(version: string): FirstTokenSamples {
-    const known = this._samples.get(version);
+  private _getSamples(pool: string): FirstTokenSamples {
+    const known = this._samples.get(pool);
     if (known) return known;
     const created = new FirstTokenSamples();
-    this._samples.set(version, created);
+    this._samples.set(pool, created);
     return created;
   }
 }
@@ -169,7 +172,7 @@
   cause: 'no-output' | 'slow-endpoint',
 ): boolean {
   if (request.phase !== 'running' || request.winner !== undefined || !request.isIdempotent) return false;
-  if (request.target.kind !== 'model' || (request.attemptIds?.length ?? 0) > 1) return false;
+  if ((request.attemptIds?.length ?? 0) > 1) return false;
   if (attempt.phase === 'sent' || attempt.phase === 'planned') return true;
   return cause === 'slow-endpoint' && attempt.phase === 'streaming';
 }
--- a/src/common/request/InFlightLimitController.ts
+++ b/src/common/request/InFlightLimitController.ts
@@ -38,6 +38,10 @@
         if (after.phase === 'streaming' && after.firstTokenAt !== undefined) {
           this._updateLimit(after, after.firstTokenAt - after.plannedAt);
         }
+        // A plain service shows no output before its answer.
+        if (after.phase === 'finished' && after.firstTokenAt === undefined) {
+          this._updateLimit(after, (after.endedAt ?? after.plannedAt) - after.plannedAt);
+        }
         if (after.phase === 'failed' && after.error?.kind === 'overloaded') this._handleOverload(after);
       }),
     );
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -191,7 +191,7 @@
 export interface IHedgeView {
   request: IRequestEntry;
   attempt: IAttemptEntry;
-  /** Recent times to first token of the version, ascending. */
+  /** Recent times to first output of the pool, ascending. */
   firstTokenTimes: readonly Millis[];
 }
 
--- a/src/daemons/RoutingWiring.test.ts
+++ b/src/daemons/RoutingWiring.test.ts
@@ -176,6 +176,25 @@
   );
 });
 
+test('a plain service: its limit grows with its answers, and only idempotent calls are hedged', async (t) => {
+  const ledgers = ['l-1', 'l-2', 'l-3'].map((id) =>
+    createTestEndpoint(id, { kind: 'plain', service: 'ledger', versions: [] }),
+  );
+  const rig = createRoutingRig(ledgers, ({ attempt, request }) => ({
+    firstTokenMs: request.kind === 'slow' && attempt.role === 'primary' ? 5000 : 40,
+    tokenMs: 0,
+    tokens: 0,
+  }));
+  const target = { kind: 'plain' as const, plainService: 'ledger', method: 'GET', path: '/' };
+  const call = { target: { ...target, contentType: undefined, body: undefined }, version: undefined };
+  await sendEvenly(rig, 300, 2, () => call);
+  const limits = [...rig.board.endpoints.list()].map(({ inFlightLimit = 4 }) => inFlightLimit > 4);
+  rig.planned.length = 0;
+  await sendEvenly(rig, 2, 1000, (index) => ({ ...call, kind: 'slow', isIdempotent: index === 0 }));
+  await rig.clock.advance(10_000);
+  t.snapshot({ limits, roles: rig.planned.map(({ role }) => role), phases: countPhases(rig) });
+});
+
 const STEP = fc.oneof(
   fc.record({ kind: fc.constant('send' as const), isStreaming: fc.boolean(), isIdempotent: fc.boolean() }),
   fc.record({ kind: fc.constant('cancel' as const), index: fc.nat(30) }),
