--- a/src/common/request/HedgeController.ts
+++ b/src/common/request/HedgeController.ts
@@ -3,7 +3,7 @@
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
 import { planAttempt } from './AttemptPlan.js';
-import type { EndpointIndex } from './EndpointIndex.js';
+import { formatPool, type EndpointIndex } from './EndpointIndex.js';
 import { formatPrefixKey } from './PrefixController.js';
 import { estimateWork } from './RouteController.js';
 import type { ChooseEndpoint, DecideHedge } from './Types.js';
@@ -21,7 +21,7 @@
   zone: string;
 }
 
-/** Times to first token remembered per version. */
+/** Times to first output remembered per pool. */
 const SAMPLE_COUNT = 256;
 
 /** Samples between two sorts of the remembered times. */
@@ -35,6 +35,7 @@
 export class HedgeController extends Disposable {
   private readonly _timers = new Map<string, IDisposable>();
   private readonly _undelivered = new Map<string, Set<string>>();
+  private readonly _queued = new Map<string, number>();
   private readonly _samples = new Map<string, FirstTokenSamples>();
 
   constructor(private readonly _options: IHedgeOptions) {
@@ -48,6 +49,8 @@
     );
     this._register(
       board.requests.onChange(({ before, after }) => {
+        if (before?.phase === 'queued') this._countQueued(before, -1);
+        if (after?.phase === 'queued') this._countQueued(after, 1);
         if (after?.winner !== undefined && before?.winner !== after.winner) this._cancelLosers(after);
       }),
     );
@@ -71,7 +74,7 @@
     const waiting = this._undelivered.get(attempt.endpoint) ?? new Set<string>();
     waiting.add(attempt.id);
     this._undelivered.set(attempt.endpoint, waiting);
-    const firstTokenTimes = this._samples.get(attempt.version ?? '')?.sorted ?? [];
+    const firstTokenTimes = this._samples.get(formatPool(request))?.sorted ?? [];
     const delay = decideHedge({ request, attempt, firstTokenTimes });
     if (delay === undefined) return;
     const timer = clock.schedule(delay, () => {
@@ -85,11 +88,14 @@
     if (attempt.phase === 'planned' || attempt.phase === 'sent') return;
     this._timers.get(attempt.id)?.dispose();
     this._timers.delete(attempt.id);
-    const { firstTokenAt, phase, plannedAt, version } = attempt;
-    if (phase === 'streaming' && firstTokenAt !== undefined) {
-      this._getSamples(version ?? '').add(firstTokenAt - plannedAt);
-    }
+    const { endedAt, firstTokenAt, phase, plannedAt } = attempt;
     const request = this._options.board.requests.get(attempt.request);
+    // A plain service shows no output before its answer.
+    const outputAt = phase === 'streaming' ? firstTokenAt : (firstTokenAt ?? endedAt);
+    const isFirstOutput = phase === 'streaming' || (phase === 'finished' && firstTokenAt === undefined);
+    if (request && isFirstOutput && outputAt !== undefined) {
+      this._getSamples(formatPool(request)).add(outputAt - plannedAt);
+    }
     const isDelivered = phase !== 'streaming' || request?.winner !== undefined;
     if (isDelivered) this._undelivered.get(attempt.endpoint)?.delete(attempt.id);
   }
@@ -104,6 +110,8 @@
     const attempt = board.attempts.get(id);
     const request = attempt && board.requests.get(attempt.request);
     if (!attempt || !request || !isHedgeable(request, attempt, cause)) return;
+    // While requests queue for a slot, a hedge would only take one from them.
+    if (cause === 'no-output' && (this._queued.get(formatPool(request)) ?? 0) > 0) return;
     const now = clock.now();
     const work = estimateWork(board, request);
     const candidates = index
@@ -121,6 +129,11 @@
     planAttempt(board, { id: createId(), role: 'hedge', request, endpoint, ...work, now });
   }
 
+  private _countQueued(request: IRequestEntry, change: number): void {
+    const pool = formatPool(request);
+    this._queued.set(pool, (this._queued.get(pool) ?? 0) + change);
+  }
+
   private _cancelLosers(request: IRequestEntry): void {
     const { board } = this._options;
     for (const id of request.attemptIds ?? []) {
@@ -130,11 +143,11 @@
     }
   }
 
-  private _getSamples(version: string): FirstTokenSamples {
-    const known = this._samples.get(version);
+  private _getSamples(pool: string): FirstTokenSamples {
+    const known = this._samples.get(pool);
     if (known) return known;
     const created = new FirstTokenSamples();
-    this._samples.set(version, created);
+    this._samples.set(pool, created);
     return created;
   }
 }
@@ -159,7 +172,7 @@
   cause: 'no-output' | 'slow-endpoint',
 ): boolean {
   if (request.phase !== 'running' || request.winner !== undefined || !request.isIdempotent) return false;
-  if (request.target.kind !== 'model' || (request.attemptIds?.length ?? 0) > 1) return false;
+  if ((request.attemptIds?.length ?? 0) > 1) return false;
   if (attempt.phase === 'sent' || attempt.phase === 'planned') return true;
   return cause === 'slow-endpoint' && attempt.phase === 'streaming';
 }
