--- a/src/common/rollout/RolloutController.ts
+++ b/src/common/rollout/RolloutController.ts
@@ -164,7 +164,8 @@
     }
     const { fresh, stable } = this._sumOutcomes(service, version);
     const now = clock.now();
-    progress = addOutcomes(progress, fresh, stable, now - known.updatedAt);
+    // The time since a halt is no time at the first share of the next attempt.
+    progress = addOutcomes(progress, fresh, stable, isSameAttempt ? now - known.updatedAt : 0);
     const tracked = { ...known, progress, updatedAt: now };
     this._tracked.set(key, tracked);
     return tracked;
