--- a/src/common/policy/Plans.ts
+++ b/src/common/policy/Plans.ts
@@ -29,6 +29,9 @@
 
 type Steps = readonly [IVersionSpec, ...IVersionSpec[]];
 
+/** Largest share of requests that try a plan, however likely it meets the target. */
+const MAX_EXPLORATION = 0.2;
+const SMALLEST_RISK = 0.01;
 /** Longest plan. A third draft costs more time than it can save. */
 const MAX_STEPS = 3;
 /** Versions considered for cascades, cheapest first, so that the choice stays cheap with many versions. */
@@ -223,7 +226,8 @@
 /**
  * Picks a plan that is not yet known to fail the target and would be preferred if it met it. Half of the
  * time it is the cheapest one, so that it is settled with few requests; otherwise any, so that a plan
- * close to the target does not keep the others from being tried.
+ * close to the target does not keep the others from being tried. The more likely a plan meets the target,
+ * the more often it is tried: the document bounds the share of requests expected to run on one that fails.
  */
 function pickExploration(
   view: IVersionView,
@@ -231,9 +235,6 @@
   best: IPlanEstimate,
 ): IPlanEstimate | undefined {
   const { document } = view.service;
-  const share = document.learning.explorationShare;
-  const point = view.hashPoint('exploration');
-  if (point >= share) return undefined;
   const isBestSufficient = isSufficient(document, best);
   const open = estimates.filter(
     (estimate) =>
@@ -241,8 +242,12 @@
       estimate.openness > 1 - document.qualityConfidence &&
       (!isBestSufficient || estimate.cost < best.cost),
   );
-  const position = Math.max(0, (2 * point) / share - 1);
-  return open[Math.floor(position * open.length)];
+  const position = Math.max(0, 2 * view.hashPoint('explored plan') - 1);
+  const candidate = open[Math.floor(position * open.length)];
+  if (!candidate) return undefined;
+  const risk = Math.max(1 - candidate.confidence, 1 - document.qualityConfidence, SMALLEST_RISK);
+  const share = Math.min(document.learning.explorationShare / risk, MAX_EXPLORATION);
+  return view.hashPoint('exploration') < share ? candidate : undefined;
 }
 
 function buildDecision(
--- /dev/null
+++ b/src/common/rollout/PlacementController.test.ts
@@ -0,0 +1,100 @@
+import test from 'ava';
+import { createSendOrder } from '../../adapters/EngineOrders.js';
+import { createFetchLoadLimit } from '../../adapters/WeightStoreClient.js';
+import { startEngineServer } from '../../standins/EngineServer.js';
+import { startWeightStoreServer } from '../../standins/WeightStoreServer.js';
+import { ManualClock } from '../../testing/ManualClock.js';
+import { buildTestDocument, buildTestService } from '../../testing/VersionFixtures.js';
+import { Blackboard } from '../blackboard/Blackboard.js';
+import { planByDemand, type IPlacementView } from '../policy/Placement.js';
+import { PlacementController } from './PlacementController.js';
+
+const STAGES = {
+  'small-1': 'stable',
+  'small-2': 'rolling-out',
+  'large-1': 'withdrawing',
+  'large-0': 'withdrawn',
+} as const;
+
+function plan(view: Partial<IPlacementView>): string[] {
+  const service = buildTestService(buildTestDocument(STAGES));
+  const common = { service, demand: new Map<string, number>(), loadBudget: 10, maxPerEngine: 2 };
+  const engines = [
+    { id: 'e-1', versions: ['small-1', 'large-0'] },
+    { id: 'e-2', versions: ['large-1', 'small-1'] },
+  ];
+  const orders = planByDemand({ ...common, engines, ...view });
+  return orders.map((order) => `${order.endpoint}: ${order.versions.join(' ')} (${order.loads} loads)`);
+}
+
+// The last copy of a version that sessions may be pinned to must never be unloaded.
+test('orders for wanted, missing, withdrawn and much-used versions', (t) => {
+  const spread = [
+    { id: 'e-1', versions: ['small-1', 'small-2'] },
+    { id: 'e-2', versions: ['large-1', 'small-1'] },
+    { id: 'e-3', versions: ['small-1'] },
+  ];
+  t.snapshot({
+    missingVersion: plan({}),
+    noLoadsLeft: plan({ loadBudget: 0 }),
+    nothingToDo: plan({ engines: spread }),
+    demandMoves: plan({ engines: spread, demand: new Map([['small-2', 90]]) }),
+    demandMovesButLastCopyStays: plan({
+      engines: spread.slice(0, 2),
+      demand: new Map([['small-2', 90]]),
+    }),
+  });
+});
+
+// An engine that ignores tokens gets the whole list, so that a repeated or late order does no harm.
+test('the owner orders engines within the rate limit and stops when it is fenced', async (t) => {
+  const engine = await startEngineServer({ versions: ['small-1'], checksFencing: true });
+  const store = await startWeightStoreServer(1);
+  const clock = new ManualClock();
+  const board = new Blackboard();
+  const lease = { isHeld: true, token: 5 };
+  board.services.set('deposits', buildTestService(buildTestDocument(STAGES)));
+  board.endpoints.set('e-1', {
+    id: 'e-1',
+    kind: 'engine',
+    service: 'deposits',
+    address: engine.address,
+    zone: 'a',
+    health: 'healthy',
+    healthChangedAt: 0,
+    versions: ['small-1'],
+    inFlight: 0,
+    inFlightTokens: 0,
+    firstTokenMs: undefined,
+    tokenMs: undefined,
+    consecutiveFailures: 0,
+    report: undefined,
+    checksFencing: true,
+  });
+  const controller = new PlacementController({
+    board,
+    clock,
+    findLease: () => ({ isHeld: () => lease.isHeld, fencingToken: () => lease.token }),
+    planPlacement: planByDemand,
+    sendOrder: createSendOrder(),
+    fetchLoadLimit: createFetchLoadLimit(store.address),
+    maxPerEngine: 3,
+  });
+  const versions: (readonly string[] | undefined)[] = [];
+  const runOnce = async (): Promise<void> => {
+    await controller.run();
+    versions.push(board.endpoints.get('e-1')?.versions);
+  };
+  await runOnce();
+  await runOnce();
+  await clock.advance(60_000);
+  lease.token = 4;
+  await runOnce();
+  lease.isHeld = false;
+  await clock.advance(60_000);
+  await runOnce();
+  t.snapshot({ versions, orders: engine.books.orders });
+  controller.dispose();
+  await engine.close();
+  await store.close();
+});
--- a/src/standins/RatingServer.ts
+++ b/src/standins/RatingServer.ts
@@ -11,6 +11,8 @@
   version: z.string(),
 });
 
+const RATED_SHARE = 0.6;
+
 /** An answer as the rating service receives it. */
 export type RatedSubmission = z.output<typeof SUBMISSION_SCHEMA>;
 
@@ -20,8 +22,8 @@
   /** The hidden truth about an answer. */
   isGood: (submission: RatedSubmission) => boolean;
   random: () => number;
-  /** Share of submitted answers that are rated at all. Default 0.6. */
-  ratedShare?: number;
+  /** Whether a submitted answer is rated at all. Default: 60 in 100, at random. */
+  isRated?: (submission: RatedSubmission) => boolean;
   /** Time until a rating can be read. Default 2000. */
   delayMs?: number;
   /** Share of checked drafts whose score is wrong. Default 0.05. */
@@ -77,7 +79,8 @@
     sendJson(response, 400, { error: { message: parsed.error.message } });
     return;
   }
-  const { checkErrorShare = 0.05, delayMs = 2000, isGood, random, ratedShare = 0.6 } = options;
+  const { checkErrorShare = 0.05, delayMs = 2000, isGood, random } = options;
+  const { isRated = () => random() < RATED_SHARE } = options;
   const truth = isGood(parsed.data);
   if (url.pathname === '/checks') {
     const isRight = random() >= checkErrorShare;
@@ -87,7 +90,7 @@
   books.submissions.push(parsed.data);
   const { request, source } = parsed.data;
   const readyAt = performance.now() + delayMs;
-  if (random() < ratedShare) books.ratings.push({ source, request, score: truth ? 'good' : 'bad', readyAt });
+  if (isRated(parsed.data)) books.ratings.push({ source, request, score: truth ? 'good' : 'bad', readyAt });
   sendJson(response, 202, {});
 }
 
