Bound the quality panel and keep sessions out of exploration

Cause: callers name kinds freely, so the panel could grow without end; a session would keep a poor version that it happened to explore. Change: at most 10,000 entries, comparisons of rollouts kept; no exploration for sessions.

--- a/src/common/policy/Plans.test.ts
+++ b/src/common/policy/Plans.test.ts
@@ -80,6 +80,12 @@
     poorInSession: decide({ counts: POOR_SMALL, request: { session: 's' } }),
     cascadesOff: decide({ counts: POOR_SMALL, serviceLines: 'cascades = no' }),
     exploration: decide({ counts: POOR_SMALL, isStreaming: true, point: 0.001 }),
+    explorationInSession: decide({
+      counts: POOR_SMALL,
+      isStreaming: true,
+      point: 0.001,
+      request: { session: 's' },
+    }),
     explorationOff: decide({ counts: POOR_SMALL, point: 0.001, serviceLines: 'exploration_share = 0' }),
   });
 });
--- a/src/common/policy/Plans.ts
+++ b/src/common/policy/Plans.ts
@@ -234,6 +234,8 @@
   estimates: readonly IPlanEstimate[],
   best: IPlanEstimate,
 ): IPlanEstimate | undefined {
+  // A session would keep a version that turns out to be poor.
+  if (view.request.session !== undefined) return undefined;
   const { document } = view.service;
   const isBestSufficient = isSufficient(document, best);
   const open = estimates.filter(
--- a/src/common/rollout/Quality.ts
+++ b/src/common/rollout/Quality.ts
@@ -5,6 +5,9 @@
 /** Ratings after which older ones are discounted, so that a change of quality is learned in time. */
 const MAX_RATINGS = 2000;
 
+/** Callers name kinds of requests freely; the oldest entry is dropped beyond this number. */
+const MAX_ENTRIES = 10_000;
+
 /** Key of an entry of the `quality` panel. */
 export function formatQualityKey(service: string, kind: string, version: string): string {
   return `${service}|${kind}|${version}`;
@@ -24,6 +27,12 @@
   const key = formatQualityKey(place.service, place.kind, place.version);
   const known = board.quality.get(key) ?? createQuality(place);
   board.quality.set(key, { ...known, ...change(known) });
+  if (board.quality.size <= MAX_ENTRIES) return;
+  for (const [oldest, entry] of board.quality.listPairs()) {
+    if (entry.kind.startsWith(formatRolloutKind(''))) continue;
+    board.quality.delete(oldest);
+    return;
+  }
 }
 
 /** Counts one rating; halves the counts when there are many, so that old ratings fade. */
