--- a/bench/Capacity.ts
+++ b/bench/Capacity.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { measureControllers } from './capacity/Controllers.js';
+import { measureJournal, measureRecords } from './capacity/Journal.js';
 import { IDLE, measureDaemon, type IDaemonLoad } from './capacity/Daemons.js';
 import { renderTable } from './capacity/Table.js';
 import type { IPoint, ISeries } from './capacity/Types.js';
@@ -9,6 +10,7 @@
 const argv = await yargs(hideBin(process.argv))
   .scriptName('capacity')
   .usage('npm run capacity -- [options]\n\nMeasures slopes of processor time, memory and store calls.')
+  .option('series', { type: 'string', default: '', describe: 'Only the series whose name has this text' })
   .option('json', { type: 'string', describe: 'File for the points' })
   .strictOptions()
   .help()
@@ -63,16 +65,43 @@
 
 const series: ISeries[] = [];
 for (const { buildLoad, name, values, xUnit } of DAEMON_SERIES) {
-  const points: IPoint[] = [];
-  for (const x of values) points.push(await measureDaemon({ ...IDLE, ...buildLoad(x) }, x));
-  series.push({ name, xUnit, cpuUnit: DAEMON_CPU, points });
+  const measure = (x: number): Promise<IPoint> => measureDaemon({ ...IDLE, ...buildLoad(x) }, x);
+  await measureSeries(name, xUnit, DAEMON_CPU, values, measure);
 }
-series.push({
-  name: 'endpoints in one subset, version and route controllers alone',
-  xUnit: 'endpoint',
-  cpuUnit: 'processor ms/request',
-  points: [12, 150, 600, 1200, 2400].map(measureControllers),
-});
+await measureSeries(
+  'endpoints with the version, version and route controllers alone',
+  'endpoint',
+  'processor ms/request',
+  [12, 150, 600, 1200, 2400],
+  measureControllers,
+);
+await measureSeries(
+  'bills of one journal partition, partition log alone',
+  'bill/s',
+  DAEMON_CPU,
+  [35, 70, 140, 280],
+  measureJournal,
+);
+await measureSeries(
+  'records of one journal partition, state alone',
+  'record',
+  DAEMON_CPU,
+  [50_000, 100_000, 200_000, 400_000],
+  measureRecords,
+);
 process.stdout.write(renderTable(series));
 if (argv.json !== undefined) writeFileSync(argv.json, `${JSON.stringify(series, undefined, 2)}\n`);
 process.exit(0);
+
+async function measureSeries(
+  name: string,
+  xUnit: string,
+  cpuUnit: string,
+  values: readonly number[],
+  measure: (x: number) => IPoint | Promise<IPoint>,
+): Promise<void> {
+  if (!name.includes(argv.series)) return;
+  const points: IPoint[] = [];
+  for (const x of values) points.push(await measure(x));
+  series.push({ name, xUnit, cpuUnit, points });
+}
--- a/bench/capacity/Types.ts
+++ b/bench/capacity/Types.ts
@@ -1,8 +1,8 @@
 /** One measured point: the load on the x axis and the figures found there. */
 export interface IPoint {
   x: number;
-  /** Processor time in milliseconds per second, or per request for controllers alone. */
-  cpuMs: number;
+  /** Processor time in milliseconds per second, or per request for controllers alone; absent where it was not measured. */
+  cpuMs?: number;
   /** Resident memory; absent for controllers alone. */
   megabytes?: number;
   /** Store calls per second; absent where they were not counted. */
