--- a/src/common/coordination/PartitionLog.test.ts
+++ b/src/common/coordination/PartitionLog.test.ts
@@ -84,3 +84,41 @@
   await clock.advance(1000);
   t.snapshot({ waiting: await waiting, rejected });
 });
+
+test('a burst after an outage is split, so that no value exceeds what the store takes', async (t) => {
+  const { clock, createLog, store } = createBench();
+  const log = createLog('host-1');
+  await log.open();
+  const answer = { status: 200, contentType: 'text/plain', body: 'x'.repeat(65_536) };
+  const appends = Array.from({ length: 5000 }, (_, index) => {
+    const [key, request] = [`k-${index}`, `r-${index}`];
+    const bill = {
+      service: 's',
+      account: 'a',
+      request,
+      version: 'v',
+      promptTokens: 1,
+      completionTokens: 1,
+      cost: 1,
+    };
+    const entries: JournalEntry[] = [{ kind: 'bill', key, bill, atMs: 0 }];
+    if (index < 40) {
+      entries.unshift(
+        { kind: 'claim', key, request, atMs: 0 },
+        { kind: 'outcome', key, request, outcome: 'done', answer },
+      );
+    }
+    return log.append(entries);
+  });
+  await clock.advance(3000);
+  const results = await Promise.all(appends);
+  const next = createLog('host-2');
+  const reopened = next.open();
+  await clock.advance(1000);
+  t.snapshot({
+    committed: results.filter((result) => result.isOk).length,
+    isEveryValueShort: [...store.entries.values()].every(({ value }) => value.length <= 1_048_576),
+    reopened: (await reopened).isOk,
+    billsReadBack: next.listTotals().map(({ count }) => count),
+  });
+});
--- a/src/common/coordination/PartitionLog.ts
+++ b/src/common/coordination/PartitionLog.ts
@@ -3,7 +3,13 @@
 import type { PartitionPhase } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
-import { applyEntry, createPartitionState, expireRecords, type IPartitionState } from './PartitionState.js';
+import {
+  applyEntry,
+  createPartitionState,
+  estimateBytes,
+  expireRecords,
+  type IPartitionState,
+} from './PartitionState.js';
 import { PartitionStorage, type IPartitionStorageOptions } from './PartitionStorage.js';
 import type { AppendOutcome, IBillTotal, IJournalRecord, JournalEntry, JournalError } from './Types.js';
 
@@ -30,6 +36,8 @@
 
 const DAY_MS = 86_400_000;
 const MAX_PENDING_APPENDS = 20_000;
+/** Largest batch of one commit. The store refuses values above 1 MB, and a refused head never commits. */
+const MAX_BATCH_BYTES = 262_144;
 
 /**
  * Owner's side of one journal partition. Collects entries and commits them in batches, one at a
@@ -141,8 +149,7 @@
   }
 
   private async _runCommit(): Promise<void> {
-    const appends = this._pending;
-    this._pending = [];
+    const appends = this._takeBatch();
     const written: JournalEntry[] = [];
     const outcomes = appends.map((append) => this._applyEntries(append.entries, written));
     if (written.length > 0 && !(await this._commitBatch(written))) {
@@ -160,6 +167,15 @@
     this._scheduleCommit();
   }
 
+  private _takeBatch(): IPendingAppend[] {
+    let bytes = 0;
+    const end = this._pending.findIndex(({ entries }, index) => {
+      bytes += estimateBytes(entries);
+      return index > 0 && bytes > MAX_BATCH_BYTES;
+    });
+    return this._pending.splice(0, end < 0 ? this._pending.length : end);
+  }
+
   private _applyEntries(entries: readonly JournalEntry[], written: JournalEntry[]): AppendOutcome[] {
     return entries.map((entry) => {
       const outcome = applyEntry(this._state, entry);
--- a/src/common/coordination/PartitionState.ts
+++ b/src/common/coordination/PartitionState.ts
@@ -1,5 +1,10 @@
 import type { AppendOutcome, IBill, IBillTotal, IJournalRecord, JournalEntry } from './Types.js';
 
+/** Largest part of a checkpoint; the store takes values up to 1 MB. */
+const MAX_PART_BYTES = 524_288;
+/** Encoded size of an entry or record without its answer, at the longest names. */
+const FIELDS_BYTES = 512;
+
 /** In-memory state of a journal partition; rebuilt from the checkpoint and the batches after it. */
 export interface IPartitionState {
   records: Map<string, IJournalRecord>;
@@ -17,17 +22,33 @@
   return { records: new Map(), totals: new Map() };
 }
 
-/** Copies a state into parts of plain lists; the totals are in the first part. */
+/** Copies a state into parts of plain lists, bounded in records and size; the totals are in the first part. */
 export function toSnapshots(state: IPartitionState, recordsPerPart: number): IPartitionSnapshot[] {
-  const records = [...state.records.values()];
-  const parts: IPartitionSnapshot[] = [];
-  for (let start = 0; start === 0 || start < records.length; start += recordsPerPart) {
-    const totals = start === 0 ? [...state.totals.values()] : [];
-    parts.push({ records: records.slice(start, start + recordsPerPart), totals });
+  let part: IPartitionSnapshot = { records: [], totals: [...state.totals.values()] };
+  let bytes = 0;
+  const parts = [part];
+  for (const record of state.records.values()) {
+    bytes += estimateBytes([record]);
+    if (part.records.length >= recordsPerPart || bytes > MAX_PART_BYTES) {
+      part = { records: [], totals: [] };
+      parts.push(part);
+      bytes = estimateBytes([record]);
+    }
+    part.records.push(record);
   }
   return parts;
 }
 
+/** Bounds the encoded size of entries or records from above, without encoding them. */
+export function estimateBytes(items: readonly (JournalEntry | IJournalRecord)[]): number {
+  let bytes = 0;
+  for (const item of items) {
+    const answer = 'answer' in item ? item.answer : undefined;
+    bytes += FIELDS_BYTES + (answer?.body.length ?? 0);
+  }
+  return bytes;
+}
+
 /** Builds a state from the parts of a checkpoint. */
 export function buildState(parts: readonly IPartitionSnapshot[]): IPartitionState {
   const state = createPartitionState();
--- a/src/testing/MemoryStore.ts
+++ b/src/testing/MemoryStore.ts
@@ -29,6 +29,7 @@
 
   public readonly put: IStore['put'] = (key, value, options) => {
     this.counts.put += 1;
+    if (value.length > MAX_VALUE_LENGTH) return Promise.resolve(Result.err(UNAVAILABLE));
     const fault = this._chooseFault('put', key);
     if (fault === 'unavailable') return Promise.resolve(Result.err(UNAVAILABLE));
     if (fault === 'lost-request') return Promise.resolve(Result.err(UNKNOWN));
@@ -96,5 +97,8 @@
   }
 }
 
+/** Longest value that the platform's store takes. */
+const MAX_VALUE_LENGTH = 1_048_576;
+
 const UNAVAILABLE: StoreError = { kind: 'unavailable', message: 'The store is down.' };
 const UNKNOWN: StoreError = { kind: 'unknown-outcome', message: 'The reply was lost.' };
