Measure the capacity of an engine in the crest scenario

Cause: the computed capacity is above what an engine stand-in does on a busy machine, so the share of what capacity allows came out too low. Change: one engine is overloaded directly before the crest and its completions are counted. Conclusion: the share refers to a measured capacity of the same run.

--- a/bench/scenarios/Crest.ts
+++ b/bench/scenarios/Crest.ts
@@ -5,6 +5,7 @@
 import { readBooks } from '../Books.js';
 import { BENCH_VERSION, computeCapacity, DEPLOYMENTS, withDeployment } from '../Deployments.js';
 import type { IFleet } from '../Fleet.js';
+import { waitFor } from '../Http.js';
 import { buildTarget, runAndCollect } from '../Loads.js';
 import type { IPlotRow, IScenarioOptions, IScenarioResult } from '../Types.js';
 
@@ -14,6 +15,7 @@
 const CREST_FACTOR = 5;
 const BASE_MS = 8000;
 const CREST_MS = 20_000;
+const CALIBRATION_MS = 6000;
 const RAMP_STEP_MS = 500;
 const DEADLINE_MS = 6000;
 /** Reading of "immediate": a caller does not notice the wait. */
@@ -21,6 +23,8 @@
 
 interface ICrestRun {
   summary: ILoadSummary;
+  /** Requests per second that the engines complete when they are always full, measured at one engine. */
+  capacity: number;
   /** Requests of ramp and crest that completed within the deadline, per request that capacity allows. */
   completedShare: number;
   refusalP99Ms: number;
@@ -78,7 +82,7 @@
   { scale, seed }: IScenarioOptions,
   policy: EndpointPolicy,
 ): Promise<ICrestRun> {
-  const capacity = computeCapacity(DEPLOYMENTS.launderers.engines, TOKENS);
+  const capacity = (await measureEngine(fleet, seed)) * DEPLOYMENTS.launderers.engines;
   const steps = listSteps(BASE_SHARE * capacity, scale);
   const { outcomes, summary } = await runAndCollect(
     { seed, tokens: TOKENS, steps, accounts: 10 },
@@ -99,6 +103,7 @@
   );
   return {
     summary,
+    capacity,
     completedShare: crest.filter(isInTime).length / Math.max(1, allowed),
     refusalP99Ms: computeQuantiles(refused.map(({ totalMs }) => totalMs)).p99,
     refusals: refused.length,
@@ -107,6 +112,26 @@
   };
 }
 
+/** Overloads one engine directly and measures the requests per second that it completes. */
+async function measureEngine(fleet: IFleet, seed: number): Promise<number> {
+  const [engine] = fleet.engines;
+  if (!engine) throw new Error('The fleet has no engine.');
+  const requestsPerSecond = 2 * computeCapacity(1, TOKENS);
+  const load = runAndCollect(
+    // Another seed, so that the books tell these requests from those of the crest.
+    { seed: seed + 1000, tokens: TOKENS, steps: [{ requestsPerSecond, durationMs: CALIBRATION_MS }] },
+    buildTarget([engine.address], BENCH_VERSION),
+  );
+  await waitFor(CALIBRATION_MS / 3);
+  const before = await readBooks(fleet);
+  const startedAt = performance.now();
+  await waitFor((CALIBRATION_MS * 2) / 3);
+  const after = await readBooks(fleet);
+  const seconds = (performance.now() - startedAt) / 1000;
+  await load;
+  return (after.tokens - before.tokens) / TOKENS / seconds;
+}
+
 function listSteps(baseRate: number, scale: number): ILoadStep[] {
   const steps: ILoadStep[] = [{ requestsPerSecond: baseRate, durationMs: BASE_MS * scale }];
   for (let factor = 2; factor <= CREST_FACTOR; factor += 1) {
@@ -129,6 +154,13 @@
   return [...counts].sort(([first], [second]) => first - second).map(([x, y]) => ({ series, x, y }));
 }
 
-function describeRun({ completedShare, falseNotRun, refusalP99Ms, refusals, summary }: ICrestRun): unknown {
-  return { completedShare, falseNotRun, refusalP99Ms, refusals, ...summary };
+function describeRun({
+  capacity,
+  completedShare,
+  falseNotRun,
+  refusalP99Ms,
+  refusals,
+  summary,
+}: ICrestRun): unknown {
+  return { capacity, completedShare, falseNotRun, refusalP99Ms, refusals, ...summary };
 }
