--- a/src/daemons/JournalWiring.ts
+++ b/src/daemons/JournalWiring.ts
@@ -13,6 +13,7 @@
 import type { Blackboard } from '../common/blackboard/Blackboard.js';
 import { BillCustodyController } from '../common/coordination/BillCustody.js';
 import { createChooseCopyHolders } from '../common/coordination/CopyHolders.js';
+import { runDrain } from '../common/coordination/Drain.js';
 import { combineTotals } from '../common/coordination/LocalJournal.js';
 import { PartitionLog } from '../common/coordination/PartitionLog.js';
 import { PartitionOwnerController } from '../common/coordination/PartitionOwnerController.js';
@@ -32,6 +33,8 @@
 }
 
 const HOUR_MS = 3_600_000;
+/** A store that is down must not hold up a host's replacement for long; peers have its held bills. */
+const DRAIN_STEP_MS = 8000;
 
 /** The journal of an entry host: partition ownership, routing to owners and custody of bills. */
 export class JournalWiring extends Disposable {
@@ -74,9 +77,19 @@
 
   /** Appends held bills where the store allows it, commits and hands every partition over. */
   public async drain(): Promise<void> {
+    const results = await runDrain(systemClock, [
+      { name: 'append held bills', run: () => this._drainCustody(), timeoutMs: DRAIN_STEP_MS },
+      { name: 'hand partitions over', run: () => this._owner.drain(), timeoutMs: DRAIN_STEP_MS },
+    ]);
+    for (const { name, outcome } of results) {
+      if (outcome !== 'finished')
+        this._options.log('warn', 'A step of the drain was cut short', { name, outcome });
+    }
+  }
+
+  private async _drainCustody(): Promise<void> {
     const remaining = await this._custody.drain();
     if (remaining > 0) this._options.log('warn', 'Held bills stay with peers', { remaining });
-    await this._owner.drain();
   }
 
   /** Adds up the bills of the partitions that this host owns. */
