Recognise late repeats of bills whose record was dropped

Cause: records of request ids are kept for an hour; a host cut off for longer, whose first append had an unknown outcome, could count its bill twice. Change: the owner looks a bill of that age up among the archived bills before it counts it.

--- a/src/common/coordination/BillExport.test.ts
+++ b/src/common/coordination/BillExport.test.ts
@@ -14,9 +14,9 @@
   appendBills: (from: number, to: number) => Promise<void>;
 }
 
-function createBill(request: string): JournalEntry {
+function createBill(request: string, atMs = 0): JournalEntry {
   const common = { service: 's', account: 'a-1', version: 'small-1', promptTokens: 1, completionTokens: 1 };
-  return { kind: 'bill', key: request, bill: { ...common, request, cost: 1 }, atMs: 0 };
+  return { kind: 'bill', key: request, bill: { ...common, request, cost: 1 }, atMs, retention: 'short' };
 }
 
 /** A partition that folds after a few bills. */
@@ -45,7 +45,7 @@
   await log.open();
   const appendBills = async (from: number, to: number): Promise<void> => {
     for (let number = from; number < to; number += 1) {
-      void log.append([createBill(`r-${number}`)]);
+      void log.append([createBill(`r-${number}`, clock.now() < 3_600_000 ? 0 : clock.now())]);
       await clock.advance(50);
     }
   };
@@ -89,3 +89,14 @@
   const all = (await finish(clock, listBills(options))).unwrapOr(undefined)!;
   t.snapshot({ trimmed, totals: all.totals, trimmedTotals: all.trimmed, ownerTotals: log.listTotals() });
 });
+
+// Guards against a second count by a host that was cut off for longer than records are kept.
+test('a bill that is repeated after its record was dropped is found in the archive', async (t) => {
+  const { appendBills, clock, log } = await createBench();
+  await appendBills(0, 12);
+  await clock.advance(2 * 3_600_000);
+  await appendBills(20, 32);
+  const repeated = log.append([createBill('r-1'), createBill('r-99')]);
+  await clock.advance(50);
+  t.snapshot({ repeated: await repeated, count: log.listTotals()[0]?.count });
+});
--- a/src/common/coordination/PartitionLog.ts
+++ b/src/common/coordination/PartitionLog.ts
@@ -3,7 +3,13 @@
 import type { PartitionPhase } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
-import { applyEntry, createPartitionState, expireRecords, type IPartitionState } from './PartitionState.js';
+import {
+  applyEntry,
+  createPartitionState,
+  expireRecords,
+  restoreBill,
+  type IPartitionState,
+} from './PartitionState.js';
 import { PartitionStorage, type IPartitionStorageOptions } from './PartitionStorage.js';
 import type { AppendOutcome, IBillTotal, IJournalRecord, JournalEntry, JournalError } from './Types.js';
 
@@ -150,6 +156,7 @@
   private async _runCommit(): Promise<void> {
     const appends = this._pending;
     this._pending = [];
+    await this._restoreLateBills(appends);
     const written: JournalEntry[] = [];
     const outcomes = appends.map((append) => this._applyEntries(append.entries, written));
     if (written.length > 0 && !(await this._commitBatch(written))) {
@@ -167,6 +174,20 @@
     this._scheduleCommit();
   }
 
+  /**
+   * Finds out whether bills whose record may have been dropped were counted before: a host that was cut
+   * off for long repeats appends with an unknown outcome when it is back.
+   */
+  private async _restoreLateBills(appends: readonly IPendingAppend[]): Promise<void> {
+    const before = this._options.readWallClock() - this._options.shortRetentionMs;
+    for (const entry of appends.flatMap((append) => append.entries)) {
+      if (entry.kind !== 'bill' || entry.atMs >= before) continue;
+      if (this._state.records.get(entry.key)?.billedRequest !== undefined) continue;
+      const found = await this._storage.findArchivedBill(entry.key, entry.atMs);
+      if (found) restoreBill(this._state, found);
+    }
+  }
+
   private _applyEntries(entries: readonly JournalEntry[], written: JournalEntry[]): AppendOutcome[] {
     return entries.map((entry) => {
       const before = this._state.records.get(entry.key);
--- a/src/common/coordination/PartitionState.ts
+++ b/src/common/coordination/PartitionState.ts
@@ -86,6 +86,16 @@
   }
 }
 
+/** Puts back the record of a bill that was counted, without counting it again. */
+export function restoreBill(
+  state: IPartitionState,
+  counted: { key: string; bill: IBill; atMs: number },
+): void {
+  const record =
+    state.records.get(counted.key) ?? createRecord({ kind: 'bill', ...counted, retention: 'short' });
+  writeRecord(state, { ...record, billedRequest: counted.bill.request });
+}
+
 function applyClaim(state: IPartitionState, record: IJournalRecord, request: string): AppendOutcome {
   // The same request repeats its own append after a lost reply; it holds the claim already.
   if (record.claim === 'claimed' && record.request === request) return { kind: 'committed' };
--- a/src/common/coordination/PartitionStorage.ts
+++ b/src/common/coordination/PartitionStorage.ts
@@ -175,6 +175,18 @@
     return outcome;
   }
 
+  /** Looks for a bill of a key and time among those that left the segments. */
+  public async findArchivedBill(key: string, atMs: number): Promise<IJournalBill | undefined> {
+    for (const part of this._head.billParts) {
+      if (atMs < part.fromMs || atMs > part.toMs) continue;
+      // A part that is missing has been trimmed.
+      const bills = JSON.parse((await this._readPart(part.key)) ?? '[]') as IJournalBill[];
+      const found = bills.find((bill) => bill.key === key);
+      if (found) return found;
+    }
+    return undefined;
+  }
+
   /** Ends the waits of swaps in progress; they report `fenced`. */
   public close(): void {
     this._isClosed = true;
