Keep the list of bill parts in the head short

Cause: every checkpoint added keys of bill parts to the head, which is rewritten with each commit. Change: once there are 200 plain parts, the oldest 100 move to an index part. A trim replaces an index part that it cuts by the parts that stay. A patch of the head is built for each try, so that it joins what a trim left. The test of a trim now trims twice, at 7 and 9, through an index part. Conclusion: the list grows by one key in 200,000 bills of a partition.

--- a/bench/JournalCalls.ts
+++ b/bench/JournalCalls.ts
@@ -1,6 +1,7 @@
 /**
  * Counts the store calls of the journal at several request rates, in one process over a store in
- * memory. `npm run -s build && node dist/bench/JournalCalls.js [SECONDS]` prints one JSON line a rate.
+ * memory. `npm run -s build && node dist/bench/JournalCalls.js [SECONDS] [RATE]` prints one
+ * JSON line a rate.
  */
 import { createUniqueId, hashTexts } from '../src/adapters/Random.js';
 import { systemClock } from '../src/adapters/SystemClock.js';
@@ -128,5 +129,6 @@
 }
 
 const seconds = Number(process.argv[2] ?? 20);
-for (const rate of RATES) process.stdout.write(`${JSON.stringify(await measureRate(rate, seconds))}\n`);
+const rates = process.argv[3] === undefined ? RATES : [Number(process.argv[3])];
+for (const rate of rates) process.stdout.write(`${JSON.stringify(await measureRate(rate, seconds))}\n`);
 process.exit(0);
--- a/src/common/coordination/BillExport.test.ts
+++ b/src/common/coordination/BillExport.test.ts
@@ -41,6 +41,7 @@
     segmentBytes: 300,
     checkpointBytes: 600,
     recordsPerPart: 2,
+    billPartsPerIndex: 2,
   });
   await log.open();
   const appendBills = async (from: number, to: number): Promise<void> => {
@@ -65,13 +66,14 @@
   const trimmed = await finish(clock, trimBills(options, [7]));
   await appendBills(12, 15);
   const after = (await finish(clock, exportBills(options, before.positions))).unwrapOr(undefined)!;
+  await finish(clock, trimBills(options, [9]));
   const all = (await finish(clock, listBills(options))).unwrapOr(undefined)!;
   t.snapshot({
     before: before.bills.map((bill) => `${bill.number} ${bill.bill.request}`),
     totalsBefore: before.totals,
     trimmed,
     sinceExport: after.bills.map((bill) => `${bill.number} ${bill.bill.request}`),
-    remaining: all.bills.map((bill) => bill.number),
+    remaining: all.bills.map((bill) => `${bill.number} ${bill.bill.request}`),
     trimmedTotals: all.trimmed,
     totalsAfter: all.totals,
     ownerTotals: log.listTotals(),
--- a/src/common/coordination/BillExport.ts
+++ b/src/common/coordination/BillExport.ts
@@ -122,9 +122,11 @@
   const head = found.value ? decodeHead(found.value.value) : EMPTY_HEAD;
   const trimmed = await readTrimmed(store, head);
   if (trimmed.isErr) return Result.err(trimmed.error);
+  const leaves = await readLeaves(store, head.billParts);
+  if (leaves.isErr) return Result.err(leaves.error);
   const parts = await readParts<IJournalBill>(
     store,
-    head.billParts.map((part) => part.key),
+    leaves.value.map((part) => part.key),
   );
   if (parts.isErr) return Result.err(parts.error);
   const segments = await readParts<JournalEntry>(store, head.segments);
@@ -141,6 +143,14 @@
   return head.trimmed === '' ? Result.ok([]) : readParts<IBillTotal>(store, [head.trimmed]);
 }
 
+/** Replaces index parts by the parts that they list; sorts by number, as a trim can leave old parts last. */
+async function readLeaves(store: IStore, parts: readonly IBillPart[]): Promise<Try<IBillPart[]>> {
+  const indexes = parts.filter((part) => part.kind === 'index').map((part) => part.key);
+  const indexed = await readParts<IBillPart>(store, indexes);
+  const plain = parts.filter((part) => part.kind === 'bills');
+  return indexed.map((leaves) => [...leaves, ...plain].sort((first, second) => first.first - second.first));
+}
+
 /** Reads lists and joins them. */
 async function readParts<T>(store: IStore, keys: readonly string[]): Promise<Try<T[]>> {
   const values: T[] = [];
@@ -156,7 +166,8 @@
 /** A swap that drops parts from the head; `key` holds the new trimmed totals. */
 interface ITrimPlan {
   key: string;
-  parts: readonly IBillPart[];
+  /** Parts that stay in the head. An index part that is trimmed in part is replaced by its list. */
+  kept: readonly IBillPart[];
   replaced: readonly string[];
   count: number;
 }
@@ -175,9 +186,11 @@
     // The swap of an earlier try took effect although its reply was lost.
     const done = tried.find((plan) => plan.key === head.trimmed);
     if (done) return finishTrim(options.store, done);
-    const parts = head.billParts.filter((part) => part.first + part.count <= before);
-    if (parts.length === 0) return Result.ok(0);
-    const plan = await planTrim(options, partition, head, parts);
+    const touched = head.billParts.filter((part) => part.first < before);
+    const leaves = await readLeaves(options.store, touched);
+    if (leaves.isErr) return Result.err(leaves.error);
+    if (!leaves.value.some((part) => isBefore(part, before))) return Result.ok(0);
+    const plan = await planTrim(options, partition, head, leaves.value, before);
     if (plan.isErr) return Result.err(plan.error);
     tried.push(plan.value);
     return swapTrimmed(options.store, partition, found.value, plan.value);
@@ -189,9 +202,10 @@
   { createId, store }: IBillExportOptions,
   partition: number,
   head: IPartitionHead,
-  parts: readonly IBillPart[],
+  leaves: readonly IBillPart[],
+  before: number,
 ): Promise<Try<ITrimPlan>> {
-  const keys = parts.map((part) => part.key);
+  const keys = leaves.filter((part) => isBefore(part, before)).map((part) => part.key);
   const trimmed = await readTrimmed(store, head);
   if (trimmed.isErr) return Result.err(trimmed.error);
   const bills = await readParts<IJournalBill>(store, keys);
@@ -200,8 +214,17 @@
   const key = `journal/${partition}/trimmed/${createId()}`;
   const written = await store.put(key, JSON.stringify(totals), { expectedVersion: 0 });
   if (written.isErr) return Result.err(written.error);
-  const replaced = head.trimmed === '' ? keys : [...keys, head.trimmed];
-  return Result.ok({ key, parts, replaced, count: bills.value.length });
+  const kept = [
+    ...leaves.filter((part) => !isBefore(part, before)),
+    ...head.billParts.filter((part) => part.first >= before),
+  ];
+  const expanded = head.billParts.filter((part) => part.kind === 'index' && part.first < before);
+  const replaced = [
+    ...keys,
+    ...expanded.map((part) => part.key),
+    ...(head.trimmed === '' ? [] : [head.trimmed]),
+  ];
+  return Result.ok({ key, kept, replaced, count: bills.value.length });
 }
 
 async function swapTrimmed(
@@ -211,11 +234,10 @@
   plan: ITrimPlan,
 ): Promise<Try<number>> {
   const head = decodeHead(found.value);
-  const dropped = new Set(plan.parts.map((part) => part.key));
   // The batch id stays, so that the partition's owner takes this swap for a trim and not for another owner.
   const next: IPartitionHead = {
     ...head,
-    billParts: head.billParts.filter((part) => !dropped.has(part.key)),
+    billParts: plan.kept,
     trimmed: plan.key,
     trimmedCount: head.trimmedCount + plan.count,
   };
@@ -224,6 +246,10 @@
   return swapped.isErr ? Result.err(swapped.error) : finishTrim(store, plan);
 }
 
+function isBefore(part: IBillPart, before: number): boolean {
+  return part.first + part.count <= before;
+}
+
 async function finishTrim(store: IStore, plan: ITrimPlan): Promise<Try<number>> {
   for (const key of plan.replaced) {
     const found = await store.get(key);
--- a/src/common/coordination/Journal.property.test.ts
+++ b/src/common/coordination/Journal.property.test.ts
@@ -30,7 +30,7 @@
   | { kind: 'lose-peer-replies'; count: number }
   | { kind: 'outage'; isDown: boolean }
   | { kind: 'pause' | 'resume' | 'replace' | 'drain'; host: number }
-  | { kind: 'trim' };
+  | { kind: 'trim'; before: number };
 
 const HOST = fc.nat(3);
 const KEY = fc.nat(KEYS - 1);
@@ -39,6 +39,8 @@
   maxLength: 4,
 });
 
+const TRIM = fc.record({ kind: fc.constant('trim' as const), before: fc.nat(12) });
+
 const STEP: fc.Arbitrary<Step> = fc.oneof(
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('claim' as const), host: HOST, key: KEY }) },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('bill' as const), host: HOST, key: KEY }) },
@@ -70,7 +72,7 @@
       host: HOST,
     }),
   },
-  { weight: 1, arbitrary: fc.constant({ kind: 'trim' as const }) },
+  { weight: 1, arbitrary: TRIM },
 );
 
 interface IMember {
@@ -152,7 +154,7 @@
         });
         break;
       case 'trim':
-        void trimBills(this._exportOptions(), [1000, 1000]);
+        void trimBills(this._exportOptions(), [step.before, step.before]);
         break;
     }
     await settlePromises();
@@ -178,6 +180,11 @@
     const listing = listBills(this._exportOptions());
     await this.clock.advance(1000);
     const list = (await listing).unwrapOr(undefined)!;
+    list.positions.forEach((position, partition) => {
+      const numbers = list.bills.filter((bill) => bill.partition === partition).map((bill) => bill.number);
+      const expected = numbers.map((_, index) => position - numbers.length + index);
+      if (numbers.join() !== expected.join()) throw new Error(`Bills are out of order: ${numbers.join()}.`);
+    });
     const counts = new Map<string, number>();
     for (const { key } of list.bills) counts.set(key, (counts.get(key) ?? 0) + 1);
     for (const total of list.trimmed) counts.set('trimmed', (counts.get('trimmed') ?? 0) + total.count);
@@ -255,6 +262,7 @@
           segmentBytes: 300,
           checkpointBytes: 600,
           recordsPerPart: 2,
+          billPartsPerIndex: 2,
         }),
     });
     const sendAppend: SendAppend = (peer, partition, entries) =>
@@ -374,12 +382,13 @@
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('advance' as const), ms: fc.nat(3000) }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('outage' as const), isDown: fc.boolean() }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('lose-peer-replies' as const), count: fc.nat(3) }) },
+  { weight: 1, arbitrary: TRIM },
 );
 
 // Guards against a bill that is lost with its serving host, or counted by several holders of a copy.
 test('held bills are counted once, also when their serving host dies', async (t) => {
   await fc.assert(
-    fc.asyncProperty(fc.array(HOLD, { minLength: 5, maxLength: 30 }), HOST, async (steps, victim) => {
+    fc.asyncProperty(fc.array(HOLD, { minLength: 5, maxLength: 80 }), HOST, async (steps, victim) => {
       const fleet = new Fleet();
       await fleet.clock.advance(2000);
       for (const step of steps) await fleet.run(step);
--- a/src/common/coordination/PartitionStorage.ts
+++ b/src/common/coordination/PartitionStorage.ts
@@ -45,8 +45,12 @@
   trimmedCount: number;
 }
 
-/** A key with bills that left the segments. Bills of a partition are numbered in journal order from 0. */
+/**
+ * A key with bills that left the segments, or with a list of older parts, so that the head stays small.
+ * Bills of a partition are numbered in journal order from 0.
+ */
 export interface IBillPart {
+  kind: 'bills' | 'index';
   key: string;
   /** Number of the part's first bill. */
   first: number;
@@ -77,6 +81,8 @@
   segmentBytes?: number;
   /** Encoded records per part of a checkpoint. Default 2,000. */
   recordsPerPart?: number;
+  /** Bill parts in the head that are moved to an index part. Default 100, about 12 KB. */
+  billPartsPerIndex?: number;
   /** Smallest size of the segments, in bytes, that is folded into a checkpoint. Default 262,144. */
   checkpointBytes?: number;
 }
@@ -113,6 +119,7 @@
       retryDelayMs: 200,
       segmentBytes: 16_384,
       recordsPerPart: 2000,
+      billPartsPerIndex: 100,
       checkpointBytes: 262_144,
       ...options,
     };
@@ -138,7 +145,7 @@
 
   /** Makes this host the owner. Fails when another host swapped the head since `load`. */
   public takeOwnership(): Promise<SwapOutcome> {
-    return this._swapHead({ owner: this._options.host, epoch: this._head.epoch + 1 });
+    return this._swapHead(({ epoch }) => ({ owner: this._options.host, epoch: epoch + 1 }));
   }
 
   /** Commits a batch. Waits through store outages until the outcome is known. */
@@ -146,7 +153,7 @@
     const bytes = JSON.stringify(entries).length;
     if (this._entryBytes + bytes <= this._options.segmentBytes || this._head.entries.length === 0) {
       this._entryBytes += bytes;
-      return this._swapHead({ entries: [...this._head.entries, ...entries] });
+      return this._swapHead((head) => ({ entries: [...head.entries, ...entries] }));
     }
     return this._commitWithNewSegment(entries, bytes);
   }
@@ -164,27 +171,25 @@
     if (folded === 'fenced') return 'fenced';
     const keys: string[] = [];
     for (const part of parts) keys.push(await this._createPart('checkpoint', part));
-    const billParts = [...this._head.billParts, ...(await this._createBillParts(state, folded))];
+    const added = await this._createBillParts(state, folded);
     const replaced = [...this._head.checkpoint, ...this._head.segments];
-    const outcome = await this._swapHead({ checkpoint: keys, segments: [], entries: [] }, billParts);
+    const outcome = await this._swapHead((head) => ({
+      checkpoint: keys,
+      segments: [],
+      entries: [],
+      billParts: [...head.billParts, ...added],
+    }));
     if (outcome === 'fenced') return outcome;
     this._checkpointBytes = sumLengths(parts);
     this._segmentBytes = 0;
     this._entryBytes = 0;
     await this._deleteKeys(replaced);
-    return outcome;
+    return this._moveToIndex();
   }
 
   /** Looks for a bill of a key and time among those that left the segments. */
-  public async findArchivedBill(key: string, atMs: number): Promise<IJournalBill | undefined> {
-    for (const part of this._head.billParts) {
-      if (atMs < part.fromMs || atMs > part.toMs) continue;
-      // A part that is missing has been trimmed.
-      const bills = JSON.parse((await this._readPart(part.key)) ?? '[]') as IJournalBill[];
-      const found = bills.find((bill) => bill.key === key);
-      if (found) return found;
-    }
-    return undefined;
+  public findArchivedBill(key: string, atMs: number): Promise<IJournalBill | undefined> {
+    return this._findInParts(this._head.billParts, key, atMs);
   }
 
   /** Ends the waits of swaps in progress; they report `fenced`. */
@@ -192,6 +197,24 @@
     this._isClosed = true;
   }
 
+  private async _findInParts(
+    parts: readonly IBillPart[],
+    key: string,
+    atMs: number,
+  ): Promise<IJournalBill | undefined> {
+    for (const part of parts) {
+      if (atMs < part.fromMs || atMs > part.toMs) continue;
+      // A part that is missing has been trimmed.
+      const content = (await this._readPart(part.key)) ?? '[]';
+      const found =
+        part.kind === 'index'
+          ? await this._findInParts(JSON.parse(content) as IBillPart[], key, atMs)
+          : (JSON.parse(content) as IJournalBill[]).find((bill) => bill.key === key);
+      if (found) return found;
+    }
+    return undefined;
+  }
+
   /** Reads the bills of the segments and entries that the next checkpoint replaces. */
   private async _readFoldedBills(): Promise<IJournalBill[] | 'fenced'> {
     const bills: IJournalBill[] = [];
@@ -214,12 +237,33 @@
       const key = await this._createPart('bills', JSON.stringify(slice));
       const times = slice.map((bill) => bill.atMs);
       const range = { fromMs: Math.min(...times), toMs: Math.max(...times) };
-      parts.push({ key, first, count: slice.length, ...range });
+      parts.push({ kind: 'bills', key, first, count: slice.length, ...range });
       first += slice.length;
     }
     return parts;
   }
 
+  /** Moves the oldest plain parts to an index part once there are many. */
+  private async _moveToIndex(): Promise<SwapOutcome> {
+    const { billParts } = this._head;
+    const size = this._options.billPartsPerIndex;
+    const plain = billParts.filter((part) => part.kind === 'bills');
+    if (plain.length < 2 * size) return 'committed';
+    const moved = plain.slice(0, size);
+    const key = await this._createPart('bills', JSON.stringify(moved));
+    const index: IBillPart = {
+      kind: 'index',
+      key,
+      first: Math.min(...moved.map((part) => part.first)),
+      count: moved.reduce((sum, part) => sum + part.count, 0),
+      fromMs: Math.min(...moved.map((part) => part.fromMs)),
+      toMs: Math.max(...moved.map((part) => part.toMs)),
+    };
+    const next = [...billParts.filter((part) => part.kind === 'index'), index, ...plain.slice(size)];
+    // After a trim the index could list keys that are gone; the next checkpoint makes another one.
+    return this._swapHead((head) => ({ billParts: head.billParts === billParts ? next : head.billParts }));
+  }
+
   /** Reads a key that the head names. The key is absent only when the head has moved on. */
   private async _readPart(key: string): Promise<string | undefined> {
     while (!this._isClosed) {
@@ -234,7 +278,7 @@
     const key = await this._createPart('segment', JSON.stringify(this._head.entries));
     this._segmentBytes += this._entryBytes;
     this._entryBytes = bytes;
-    return this._swapHead({ segments: [...this._head.segments, key], entries });
+    return this._swapHead((head) => ({ segments: [...head.segments, key], entries }));
   }
 
   /** Creates a key with a unique name; it has no effect until the head names it. */
@@ -248,22 +292,14 @@
     }
   }
 
-  /** Swaps the head. A trim in between removes its parts from `billParts`. */
+  /** Swaps the head. The patch is built for each try, as a trim may have changed the head in between. */
   private async _swapHead(
-    patch: Partial<IPartitionHead>,
-    billParts?: readonly IBillPart[],
+    buildPatch: (head: IPartitionHead) => Partial<IPartitionHead>,
   ): Promise<SwapOutcome> {
     const batchId = this._options.createId();
     const sequence = this._head.sequence + 1;
     while (!this._isClosed) {
-      // Built for each try, as a trim may have changed the head since the last one.
-      const head: IPartitionHead = {
-        ...this._head,
-        ...patch,
-        ...(billParts ? { billParts: dropTrimmed(billParts, this._head.trimmedCount) } : {}),
-        batchId,
-        sequence,
-      };
+      const head: IPartitionHead = { ...this._head, ...buildPatch(this._head), batchId, sequence };
       const outcome = await this._trySwap(head);
       if (outcome === 'committed' || outcome === 'fenced') return outcome;
       if (outcome === 'unknown') await this._waitToRetry();
@@ -373,11 +409,6 @@
   );
 }
 
-/** Removes the parts that have been trimmed. */
-function dropTrimmed(billParts: readonly IBillPart[], trimmedCount: number): IBillPart[] {
-  return billParts.filter((part) => part.first >= trimmedCount);
-}
-
 function sumCounts(totals: Iterable<IBillTotal>): number {
   let sum = 0;
   for (const total of totals) sum += total.count;
