--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -89,6 +89,11 @@
     this._registerControllers();
   }
 
+  /** Port for other hosts; 0 before the start. */
+  public get peerPort(): number {
+    return this._peerServer?.port ?? 0;
+  }
+
   /** Starts all parts; resolves with the port for callers. */
   public async start(): Promise<number> {
     void this._feed.run();
