Hold the release of a claim through an outage

Cause: a claim whose reply was lost as an outage began could not be released; its repeats were refused with ran unknown for 7 days although the request was refused as not run. Change: claim and outcome controllers give a release that fails to the bill custody.

--- a/src/common/request/ClaimController.ts
+++ b/src/common/request/ClaimController.ts
@@ -1,7 +1,7 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IRequestEntry } from '../blackboard/Types.js';
 import { isBeyondRetention } from '../coordination/IdempotencyKeys.js';
-import type { IJournal, IJournalRecord, JournalError } from '../coordination/Types.js';
+import type { IJournal, IJournalRecord, JournalEntry, JournalError } from '../coordination/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { Millis } from '../Types.js';
 import { refuseRequest } from './Refusals.js';
@@ -14,6 +14,8 @@
   readWallClock: () => number;
   /** Hashes client account and idempotency key, or the request id where there is no key. */
   hashKey: (request: IRequestEntry) => string;
+  /** Keeps entries until the journal can take them. */
+  holdEntries: (key: string, entries: readonly JournalEntry[]) => Promise<void>;
   /** How long the journal remembers idempotency keys. */
   retentionMs: Millis;
 }
@@ -87,7 +89,10 @@
   }
 
   private async _release(request: IRequestEntry, key: string): Promise<void> {
-    await this._options.journal.append(key, [{ kind: 'release', key, request: request.id }]);
+    const entries: JournalEntry[] = [{ kind: 'release', key, request: request.id }];
+    const released = await this._options.journal.append(key, entries);
+    // A claim that stays would refuse every repeat of a request that was never run.
+    if (released.isErr) await this._options.holdEntries(key, entries);
   }
 
   private _handleDuplicate(request: IRequestEntry, record: IJournalRecord): void {
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
-import type { IJournal } from '../coordination/Types.js';
+import type { IJournal, JournalEntry } from '../coordination/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import { combineRan, hasEnded, refuseRequest } from './Refusals.js';
@@ -15,6 +15,8 @@
   /** Takes one attempt from the retry budget; false when it is used up. */
   takeRetryBudget: () => boolean;
   hashKey: (request: IRequestEntry) => string;
+  /** Keeps entries until the journal can take them. */
+  holdEntries: (key: string, entries: readonly JournalEntry[]) => Promise<void>;
 }
 
 /** Turns ended attempts into an answer, a retry or a refusal. */
@@ -75,6 +77,11 @@
   private _releaseClaim(request: IRequestEntry): void {
     if (request.isIdempotent || request.attemptCount === 0 || request.refusal?.ran !== 'no') return;
     const key = this._options.hashKey(request);
-    void this._options.journal.append(key, [{ kind: 'release', key, request: request.id }]);
+    void this._release(key, [{ kind: 'release', key, request: request.id }]);
+  }
+
+  private async _release(key: string, entries: readonly JournalEntry[]): Promise<void> {
+    const released = await this._options.journal.append(key, entries);
+    if (released.isErr) await this._options.holdEntries(key, entries);
   }
 }
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -204,7 +204,7 @@
       }),
     );
     const retentionMs = this._options.settings.journal.claim_retention_hours * 3_600_000;
-    this._register(new ClaimController({ ...common, hashKey, retentionMs }));
+    this._register(new ClaimController({ ...common, hashKey, retentionMs, holdEntries: holdBill }));
     this._register(new VersionController({ ...common, chooseVersion: chooseCheapestExpected, hashSession }));
     const chooseEndpoint = createChooseLeastInFlight(Math.random);
     const createId = createUniqueId;
@@ -221,7 +221,15 @@
       }),
     );
     const decideRetry = createDecideRetry(Math.random);
-    this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget: () => true, hashKey }));
+    this._register(
+      new OutcomeController({
+        ...common,
+        decideRetry,
+        takeRetryBudget: () => true,
+        hashKey,
+        holdEntries: holdBill,
+      }),
+    );
     this._register(new BillController({ ...common, hashKey, encodeAnswer: encodeStoredAnswer, holdBill }));
     this._register(new DeadlineController(common));
     this._register(new CleanUpController(this._board));
