Bound batches and checkpoint parts by size

Cause: batches and checkpoint parts were bounded by count only. With stored answers of 64 KB they could exceed the store's 1 MB, and a rejected swap is tried for ever, which blocks the partition. Change: a batch ends at 200,000 characters and a part at 250,000.

--- a/src/common/coordination/PartitionLog.test.ts
+++ b/src/common/coordination/PartitionLog.test.ts
@@ -84,3 +84,23 @@
   await clock.advance(1000);
   t.snapshot({ waiting: await waiting, rejected });
 });
+
+// Guards against a value that the store rejects for its size, which would block the partition for ever.
+test('many long answers are committed in values that the store takes', async (t) => {
+  const { clock, createLog, store } = createBench();
+  const log = createLog('host-1');
+  await log.open();
+  const answer = { status: 200, contentType: 'text/plain', body: 'x'.repeat(65_536) };
+  const done = Array.from({ length: 40 }, (_, index) => {
+    const common = { key: `k-${index}`, request: `r-${index}` };
+    return log.append([
+      { kind: 'claim', ...common, atMs: 0 },
+      { kind: 'outcome', ...common, outcome: 'done', answer },
+    ]);
+  });
+  await clock.advance(2500);
+  const results = await Promise.all(done);
+  t.true(results.every((result) => result.isOk));
+  // Half of the store's 1 MB, as the store counts bytes.
+  t.true(Math.max(...[...store.entries.values()].map(({ value }) => value.length)) < 524_288);
+});
--- a/src/common/coordination/PartitionLog.ts
+++ b/src/common/coordination/PartitionLog.ts
@@ -33,6 +33,8 @@
 
 interface IPendingAppend {
   entries: readonly JournalEntry[];
+  /** Size of the entries as JSON. */
+  length: number;
   settle: (result: Result<readonly AppendOutcome[], JournalError>) => void;
 }
 
@@ -41,6 +43,11 @@
 /** A caller's clock may run ahead by this much; its UUIDv7 keys then look younger than their records. */
 const CLOCK_SKEW_MS = HOUR_MS;
 const MAX_PENDING_APPENDS = 20_000;
+/**
+ * Longest batch as JSON, apart from a single longer append. The store takes values up to 1 MB, and a
+ * character takes up to 3 bytes; a batch that it rejects would block the partition for ever.
+ */
+const MAX_BATCH_LENGTH = 200_000;
 
 /**
  * Owner's side of one journal partition. Collects entries and commits them in batches, one at a
@@ -99,6 +106,7 @@
       });
       this._pending.push({
         entries,
+        length: JSON.stringify(entries).length,
         settle: (result) => {
           timeout.dispose();
           resolve(result);
@@ -154,8 +162,7 @@
   }
 
   private async _runCommit(): Promise<void> {
-    const appends = this._pending;
-    this._pending = [];
+    const appends = this._takeBatch();
     await this._restoreLateBills(appends);
     const written: JournalEntry[] = [];
     const outcomes = appends.map((append) => this._applyEntries(append.entries, written));
@@ -174,6 +181,15 @@
     this._scheduleCommit();
   }
 
+  private _takeBatch(): IPendingAppend[] {
+    let length = 0;
+    const end = this._pending.findIndex((append, index) => {
+      length += append.length;
+      return index > 0 && length > MAX_BATCH_LENGTH;
+    });
+    return this._pending.splice(0, end < 0 ? this._pending.length : end);
+  }
+
   /**
    * Finds out whether bills whose record may have been dropped were counted before: a host that was cut
    * off for long repeats appends with an unknown outcome when it is back.
--- a/src/common/coordination/PartitionState.ts
+++ b/src/common/coordination/PartitionState.ts
@@ -17,13 +17,25 @@
   return { records: new Map(), totals: new Map() };
 }
 
+/**
+ * Longest part of a checkpoint as JSON, apart from a single longer record: the store takes values up to
+ * 1 MB, and a character takes up to 3 bytes.
+ */
+const MAX_PART_LENGTH = 250_000;
+
 /** Copies a state into parts of plain lists; the totals are in the first part. */
 export function toSnapshots(state: IPartitionState, recordsPerPart: number): IPartitionSnapshot[] {
-  const records = [...state.records.values()];
-  const parts: IPartitionSnapshot[] = [];
-  for (let start = 0; start === 0 || start < records.length; start += recordsPerPart) {
-    const totals = start === 0 ? [...state.totals.values()] : [];
-    parts.push({ records: records.slice(start, start + recordsPerPart), totals });
+  const parts: IPartitionSnapshot[] = [{ records: [], totals: [...state.totals.values()] }];
+  let records = parts[0]?.records ?? [];
+  let length = 0;
+  for (const record of state.records.values()) {
+    length += JSON.stringify(record).length;
+    if (records.length > 0 && (records.length >= recordsPerPart || length > MAX_PART_LENGTH)) {
+      records = [];
+      parts.push({ records, totals: [] });
+      length = JSON.stringify(record).length;
+    }
+    records.push(record);
   }
   return parts;
 }
