--- a/bench/RoutingPolicies.ts
+++ b/bench/RoutingPolicies.ts
@@ -148,7 +148,10 @@
     const { takeRetryBudget } = routing;
     const decideRetry = createDecideRetry(random);
     const hashKey = (request: IRequestEntry): string => request.id;
-    new OutcomeController({ board, clock, journal: NO_JOURNAL, decideRetry, takeRetryBudget, hashKey });
+    const holdEntries = (): Promise<void> => Promise.resolve();
+    new OutcomeController({
+      ...{ board, clock, journal: NO_JOURNAL, decideRetry, takeRetryBudget, hashKey, holdEntries },
+    });
     new DeadlineController({ board, clock });
     new CleanUpController(board);
     board.requests.onChange(({ before, after }) => {
--- a/src/common/coordination/PartitionLog.ts
+++ b/src/common/coordination/PartitionLog.ts
@@ -6,8 +6,8 @@
 import {
   applyEntry,
   createPartitionState,
-  estimateBytes,
   expireRecords,
+  restoreBill,
   type IPartitionState,
 } from './PartitionState.js';
 import { PartitionStorage, type IPartitionStorageOptions } from './PartitionStorage.js';
@@ -33,6 +33,8 @@
 
 interface IPendingAppend {
   entries: readonly JournalEntry[];
+  /** Size of the entries as JSON. */
+  length: number;
   settle: (result: Result<readonly AppendOutcome[], JournalError>) => void;
 }
 
@@ -41,8 +43,11 @@
 /** A caller's clock may run ahead by this much; its UUIDv7 keys then look younger than their records. */
 const CLOCK_SKEW_MS = HOUR_MS;
 const MAX_PENDING_APPENDS = 20_000;
-/** Largest batch of one commit. The store refuses values above 1 MB, and a refused head never commits. */
-const MAX_BATCH_BYTES = 262_144;
+/**
+ * Longest batch as JSON, apart from a single longer append. The store takes values up to 1 MB, and a
+ * character takes up to 3 bytes; a batch that it rejects would block the partition for ever.
+ */
+const MAX_BATCH_LENGTH = 200_000;
 
 /**
  * Owner's side of one journal partition. Collects entries and commits them in batches, one at a
@@ -101,6 +106,7 @@
       });
       this._pending.push({
         entries,
+        length: JSON.stringify(entries).length,
         settle: (result) => {
           timeout.dispose();
           resolve(result);
@@ -157,6 +163,7 @@
 
   private async _runCommit(): Promise<void> {
     const appends = this._takeBatch();
+    await this._restoreLateBills(appends);
     const written: JournalEntry[] = [];
     const outcomes = appends.map((append) => this._applyEntries(append.entries, written));
     if (written.length > 0 && !(await this._commitBatch(written))) {
@@ -175,14 +182,28 @@
   }
 
   private _takeBatch(): IPendingAppend[] {
-    let bytes = 0;
-    const end = this._pending.findIndex(({ entries }, index) => {
-      bytes += estimateBytes(entries);
-      return index > 0 && bytes > MAX_BATCH_BYTES;
+    let length = 0;
+    const end = this._pending.findIndex((append, index) => {
+      length += append.length;
+      return index > 0 && length > MAX_BATCH_LENGTH;
     });
     return this._pending.splice(0, end < 0 ? this._pending.length : end);
   }
 
+  /**
+   * Finds out whether bills whose record may have been dropped were counted before: a host that was cut
+   * off for long repeats appends with an unknown outcome when it is back.
+   */
+  private async _restoreLateBills(appends: readonly IPendingAppend[]): Promise<void> {
+    const before = this._options.readWallClock() - this._options.shortRetentionMs;
+    for (const entry of appends.flatMap((append) => append.entries)) {
+      if (entry.kind !== 'bill' || entry.atMs >= before) continue;
+      if (this._state.records.get(entry.key)?.billedRequest !== undefined) continue;
+      const found = await this._storage.findArchivedBill(entry.key, entry.atMs);
+      if (found) restoreBill(this._state, found);
+    }
+  }
+
   private _applyEntries(entries: readonly JournalEntry[], written: JournalEntry[]): AppendOutcome[] {
     return entries.map((entry) => {
       const before = this._state.records.get(entry.key);
--- a/src/common/coordination/PartitionState.ts
+++ b/src/common/coordination/PartitionState.ts
@@ -1,10 +1,5 @@
 import type { AppendOutcome, IBill, IBillTotal, IJournalRecord, JournalEntry, Retention } from './Types.js';
 
-/** Largest part of a checkpoint; the store takes values up to 1 MB. */
-const MAX_PART_BYTES = 524_288;
-/** Encoded size of an entry or record without its answer, at the longest names. */
-const FIELDS_BYTES = 512;
-
 /** In-memory state of a journal partition; rebuilt from the checkpoint and the batches after it. */
 export interface IPartitionState {
   records: Map<string, IJournalRecord>;
@@ -22,33 +17,29 @@
   return { records: new Map(), totals: new Map() };
 }
 
-/** Copies a state into parts of plain lists, bounded in records and size; the totals are in the first part. */
+/**
+ * Longest part of a checkpoint as JSON, apart from a single longer record: the store takes values up to
+ * 1 MB, and a character takes up to 3 bytes.
+ */
+const MAX_PART_LENGTH = 250_000;
+
+/** Copies a state into parts of plain lists; the totals are in the first part. */
 export function toSnapshots(state: IPartitionState, recordsPerPart: number): IPartitionSnapshot[] {
-  let part: IPartitionSnapshot = { records: [], totals: [...state.totals.values()] };
-  let bytes = 0;
-  const parts = [part];
+  const parts: IPartitionSnapshot[] = [{ records: [], totals: [...state.totals.values()] }];
+  let records = parts[0]?.records ?? [];
+  let length = 0;
   for (const record of state.records.values()) {
-    bytes += estimateBytes([record]);
-    if (part.records.length >= recordsPerPart || bytes > MAX_PART_BYTES) {
-      part = { records: [], totals: [] };
-      parts.push(part);
-      bytes = estimateBytes([record]);
+    length += JSON.stringify(record).length;
+    if (records.length > 0 && (records.length >= recordsPerPart || length > MAX_PART_LENGTH)) {
+      records = [];
+      parts.push({ records, totals: [] });
+      length = JSON.stringify(record).length;
     }
-    part.records.push(record);
+    records.push(record);
   }
   return parts;
 }
 
-/** Bounds the encoded size of entries or records from above, without encoding them. */
-export function estimateBytes(items: readonly (JournalEntry | IJournalRecord)[]): number {
-  let bytes = 0;
-  for (const item of items) {
-    const answer = 'answer' in item ? item.answer : undefined;
-    bytes += FIELDS_BYTES + (answer?.body.length ?? 0);
-  }
-  return bytes;
-}
-
 /** Builds a state from the parts of a checkpoint. */
 export function buildState(parts: readonly IPartitionSnapshot[]): IPartitionState {
   const state = createPartitionState();
@@ -107,6 +98,16 @@
   }
 }
 
+/** Puts back the record of a bill that was counted, without counting it again. */
+export function restoreBill(
+  state: IPartitionState,
+  counted: { key: string; bill: IBill; atMs: number },
+): void {
+  const record =
+    state.records.get(counted.key) ?? createRecord({ kind: 'bill', ...counted, retention: 'short' });
+  writeRecord(state, { ...record, billedRequest: counted.bill.request });
+}
+
 function applyClaim(state: IPartitionState, record: IJournalRecord, request: string): AppendOutcome {
   // The same request repeats its own append after a lost reply; it holds the claim already.
   if (record.claim === 'claimed' && record.request === request) return { kind: 'committed' };
--- a/src/common/request/EscalationController.test.ts
+++ b/src/common/request/EscalationController.test.ts
@@ -50,6 +50,7 @@
     takeRetryBudget: () => true,
     hashKey,
     decideAcceptance,
+    holdEntries: () => Promise.resolve(),
   });
   new EscalationController({
     board,
--- a/src/common/request/RouteController.test.ts
+++ b/src/common/request/RouteController.test.ts
@@ -42,7 +42,12 @@
   let isOpen = false;
   new RouteController({
     ...{ board, clock: new ManualClock(), zone: 'zone-a' },
-    index: new EndpointIndex({ board, host: 'host-1', zone: 'zone-a', hashTexts: (...texts) => texts.join() }),
+    index: new EndpointIndex({
+      board,
+      host: 'host-1',
+      zone: 'zone-a',
+      hashTexts: (...texts) => texts.join(),
+    }),
     chooseEndpoint: () => (isOpen ? 'engine-1' : undefined),
     createId: () => 'a-1',
   });
--- a/src/common/request/VersionController.test.ts
+++ b/src/common/request/VersionController.test.ts
@@ -23,8 +23,10 @@
   const chooseVersion = createChooseLearned({ readQuality: () => undefined, isCheckAvailable: () => true });
   const hashSession = (request: { session: string | undefined }): string => request.session ?? '';
   const hashPoint = hashRequestPoint;
-  const options = { board, clock, journal, chooseVersion, hashSession, hashPoint, readWallClock: () => 0 };
-  new VersionController(options);
+  const hasVersion = (version: string): boolean =>
+    [...board.endpoints.list()].some((endpoint) => endpoint.versions.includes(version));
+  const options = { board, clock, journal, chooseVersion, hashSession, hashPoint, hasVersion };
+  new VersionController({ ...options, readWallClock: () => 0 });
   for (const name of NAMES) {
     board.endpoints.set(name, {
       id: name,
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -80,6 +80,11 @@
     this._drain = this._createDrain();
   }
 
+  /** Port for other hosts; 0 before the start. */
+  public get peerPort(): number {
+    return this._membership.peerPort;
+  }
+
   /** Starts all parts; resolves with the port for callers. */
   public async start(): Promise<number> {
     await this._membership.start({
--- a/src/daemons/MembershipWiring.ts
+++ b/src/daemons/MembershipWiring.ts
@@ -38,6 +38,7 @@
   private readonly _client: IPeerClient;
   private _server: IPeerServer | undefined;
   private _gossip: GossipController | undefined;
+  private _closed: Promise<unknown> = Promise.resolve();
 
   constructor(private readonly _options: IMembershipWiringOptions) {
     super();
@@ -59,6 +60,11 @@
     return this._client.send;
   }
 
+  /** Port for other hosts; 0 before the start. */
+  public get peerPort(): number {
+    return this._server?.port ?? 0;
+  }
+
   /** Starts the peer server with the handlers of all parts, then membership, gossip and configuration. */
   public async start(handlers: PeerHandlers): Promise<void> {
     const { board, lamport, settings } = this._options;
@@ -88,7 +94,14 @@
   public async stop(): Promise<void> {
     await this._gossip?.flush();
     this.dispose();
-    await Promise.all([this._server?.close(), this._client.close()]);
+    await this._closed;
+  }
+
+  /** Closes the peer protocol at once: a host that has stopped must not answer as if it were alive. */
+  public override dispose(): void {
+    if (this._isDisposed) return;
+    super.dispose();
+    this._closed = Promise.all([this._server?.close(), this._client.close()]);
   }
 
   private _createMembership(address: string): void {
--- a/src/daemons/RequestWiring.ts
+++ b/src/daemons/RequestWiring.ts
@@ -83,7 +83,14 @@
     const { takeRateShare } = this._routing;
     this._register(new AdmissionController({ ...this._common, decideAdmission, takeRateShare, isDraining }));
     const retentionMs = settings.journal.claim_retention_hours * HOUR_MS;
-    this._register(new ClaimController({ ...this._common, hashKey, retentionMs }));
+    this._register(
+      new ClaimController({
+        ...this._common,
+        hashKey,
+        retentionMs,
+        holdEntries: this._options.journal.holdBill,
+      }),
+    );
   }
 
   private _registerVersions(): void {
@@ -103,7 +110,10 @@
     this._register(new AttemptController({ ...this._common, runAttempt: this._runAttempt, deliverChunk }));
     const decideRetry = createDecideRetry(Math.random);
     this._register(
-      new OutcomeController({ ...this._common, decideRetry, takeRetryBudget, hashKey, decideAcceptance }),
+      new OutcomeController({
+        ...{ ...this._common, decideRetry, takeRetryBudget, hashKey, decideAcceptance },
+        holdEntries: journal.holdBill,
+      }),
     );
     const encodeAnswer = encodeStoredAnswer;
     this._register(
--- a/src/testing/RoutingRig.ts
+++ b/src/testing/RoutingRig.ts
@@ -73,7 +73,11 @@
   };
   const { takeRetryBudget } = routing;
   const decideRetry = createDecideRetry(random);
-  new OutcomeController({ board, clock, journal, decideRetry, takeRetryBudget, hashKey: ({ id }) => id });
+  const holdEntries = (): Promise<void> => Promise.resolve();
+  new OutcomeController({
+    ...{ board, clock, journal, decideRetry, takeRetryBudget, holdEntries },
+    hashKey: ({ id }) => id,
+  });
   new DeadlineController({ board, clock });
   new CleanUpController(board);
   return { board, clock, routing, planned, delivered };
