Merge old segments so that the head names few keys

Cause: the head, rewritten with each commit, named every segment since the checkpoint. Change: 16 old segments become one once there are 32. Conclusion: the keys that a head names shrink to about a sixteenth before a large checkpoint.

--- a/src/common/coordination/BillExport.ts
+++ b/src/common/coordination/BillExport.ts
@@ -129,7 +129,7 @@
     leaves.value.map((part) => part.key),
   );
   if (parts.isErr) return Result.err(parts.error);
-  const segments = await readParts<JournalEntry>(store, head.segments);
+  const segments = await readParts<JournalEntry>(store, [...head.mergedSegments, ...head.segments]);
   if (segments.isErr) return Result.err(segments.error);
   const bills = [...parts.value, ...selectBills(segments.value), ...selectBills(head.entries)];
   return Result.ok({
--- a/src/common/coordination/PartitionStorage.ts
+++ b/src/common/coordination/PartitionStorage.ts
@@ -33,7 +33,9 @@
   sequence: number;
   /** Keys of the checkpoint's parts. */
   checkpoint: readonly string[];
-  /** Keys of the segments after the checkpoint, oldest first. */
+  /** Keys of merged segments after the checkpoint, oldest first. */
+  mergedSegments: readonly string[];
+  /** Keys of the segments after the merged ones, oldest first. */
   segments: readonly string[];
   /** Entries after the last segment. */
   entries: readonly JournalEntry[];
@@ -79,6 +81,11 @@
   retryDelayMs?: Millis;
   /** Entries of this encoded size move from the head to a segment. Default 16,384. */
   segmentBytes?: number;
+  /**
+   * Number of segments that are merged into one, so that the head names few keys. Default 16, about
+   * 256 KB.
+   */
+  segmentsPerMerge?: number;
   /** Encoded records per part of a checkpoint. Default 2,000. */
   recordsPerPart?: number;
   /** Bill parts in the head that are moved to an index part. Default 100, about 12 KB. */
@@ -90,6 +97,9 @@
 /** Result of a swap: whether this host is still the owner. */
 export type SwapOutcome = 'committed' | 'fenced';
 
+/** Longest merged segment as JSON; the store takes values up to 1 MB, at up to 3 bytes a character. */
+const MAX_MERGED_LENGTH = 300_000;
+
 /** Head of a partition that nobody has opened. */
 export const EMPTY_HEAD: IPartitionHead = {
   batchId: '',
@@ -97,6 +107,7 @@
   epoch: 0,
   sequence: 0,
   checkpoint: [],
+  mergedSegments: [],
   segments: [],
   entries: [],
   billParts: [],
@@ -110,6 +121,8 @@
   private _headVersion = 0;
   private _entryBytes = 0;
   private _segmentBytes = 0;
+  /** Contents of the segments that are not merged. */
+  private _segmentTexts: string[] = [];
   private _checkpointBytes = 0;
   private _isClosed = false;
   private readonly _options: Required<IPartitionStorageOptions>;
@@ -118,6 +131,7 @@
     this._options = {
       retryDelayMs: 200,
       segmentBytes: 16_384,
+      segmentsPerMerge: 16,
       recordsPerPart: 2000,
       billPartsPerIndex: 100,
       checkpointBytes: 262_144,
@@ -136,8 +150,9 @@
     this._setHead(found.value ? decodeHead(found.value.value) : EMPTY_HEAD, found.value?.version ?? 0);
     const checkpoint = await this._readAll(this._head.checkpoint);
     if (checkpoint.isErr) return Result.err(checkpoint.error);
-    const segments = await this._readAll(this._head.segments);
+    const segments = await this._readAll([...this._head.mergedSegments, ...this._head.segments]);
     if (segments.isErr) return Result.err(segments.error);
+    this._segmentTexts = segments.value.slice(this._head.mergedSegments.length);
     this._checkpointBytes = sumLengths(checkpoint.value);
     this._segmentBytes = sumLengths(segments.value);
     return Result.ok(rebuildState(checkpoint.value, segments.value, this._head.entries));
@@ -172,9 +187,11 @@
     const keys: string[] = [];
     for (const part of parts) keys.push(await this._createPart('checkpoint', part));
     const added = await this._createBillParts(state, folded);
-    const replaced = [...this._head.checkpoint, ...this._head.segments];
+    const { checkpoint, mergedSegments, segments } = this._head;
+    const replaced = [...checkpoint, ...mergedSegments, ...segments];
     const outcome = await this._swapHead((head) => ({
       checkpoint: keys,
+      mergedSegments: [],
       segments: [],
       entries: [],
       billParts: [...head.billParts, ...added],
@@ -182,6 +199,7 @@
     if (outcome === 'fenced') return outcome;
     this._checkpointBytes = sumLengths(parts);
     this._segmentBytes = 0;
+    this._segmentTexts = [];
     this._entryBytes = 0;
     await this._deleteKeys(replaced);
     return this._moveToIndex();
@@ -218,7 +236,7 @@
   /** Reads the bills of the segments and entries that the next checkpoint replaces. */
   private async _readFoldedBills(): Promise<IJournalBill[] | 'fenced'> {
     const bills: IJournalBill[] = [];
-    for (const key of this._head.segments) {
+    for (const key of [...this._head.mergedSegments, ...this._head.segments]) {
       const segment = await this._readPart(key);
       if (segment === undefined) return 'fenced';
       bills.push(...selectBills(JSON.parse(segment) as JournalEntry[]));
@@ -275,10 +293,41 @@
   }
 
   private async _commitWithNewSegment(entries: readonly JournalEntry[], bytes: number): Promise<SwapOutcome> {
-    const key = await this._createPart('segment', JSON.stringify(this._head.entries));
+    const text = JSON.stringify(this._head.entries);
+    const key = await this._createPart('segment', text);
+    const mergedCount = this._countMergeable();
+    const merged = mergedCount > 0 ? await this._mergeSegments(mergedCount) : [];
+    const replaced = this._head.segments.slice(0, mergedCount);
+    const outcome = await this._swapHead((head) => ({
+      mergedSegments: [...head.mergedSegments, ...merged],
+      segments: [...head.segments.slice(mergedCount), key],
+      entries,
+    }));
+    if (outcome === 'fenced') return outcome;
+    this._segmentTexts = [...this._segmentTexts.slice(mergedCount), text];
     this._segmentBytes += this._entryBytes;
     this._entryBytes = bytes;
-    return this._swapHead((head) => ({ segments: [...head.segments, key], entries }));
+    // Not awaited: the commit is done, and a key that no head names has no effect.
+    void this._deleteKeys(replaced);
+    return outcome;
+  }
+
+  /** Counts the oldest segments that are due to be merged into one value of the store. */
+  private _countMergeable(): number {
+    const size = this._options.segmentsPerMerge;
+    if (this._segmentTexts.length < 2 * size) return 0;
+    let length = 0;
+    const oldest = this._segmentTexts.slice(0, size);
+    const end = oldest.findIndex((text) => (length += text.length) > MAX_MERGED_LENGTH);
+    // A single long segment is moved as it is.
+    return end < 0 ? size : Math.max(1, end);
+  }
+
+  /** Writes the oldest segments as one; the next swap names it in their place. */
+  private async _mergeSegments(count: number): Promise<string[]> {
+    const texts = this._segmentTexts.slice(0, count);
+    const entries = texts.flatMap((text) => JSON.parse(text) as JournalEntry[]);
+    return [await this._createPart('segment', JSON.stringify(entries))];
   }
 
   /** Creates a key with a unique name; it has no effect until the head names it. */
