Count work that turns out long, and refuse no request on a guess

Cause: a request with a generous max_tokens from an account without history was refused with deadline_unreachable although slots were free; long work that no limit announced could fill all slots. Change: unknown accounts are expected to ask for usual work, a request that need not wait is tried, attempts beyond 8 times the usual tokens count as long; live hosts are counted at changes instead of at each request.

--- a/src/common/policy/Queueing.test.ts
+++ b/src/common/policy/Queueing.test.ts
@@ -51,14 +51,17 @@
 
 test('early refusal when the deadline cannot be met', (t) => {
   const decide = (waitMs: number): unknown => refuseUnreachable({ item: createItem({}), waitMs, now: 0 });
+  const long = createItem({ expectedMs: 60_000 });
+  t.deepEqual(refuseUnreachable({ item: long, waitMs: 0, now: 0 }), { kind: 'wait' }, 'refused on a guess');
   t.snapshot([0, 9700, 9701, 60_000].map(decide));
 });
 
 test('length from the limit and the history of its use', (t) => {
   t.snapshot({
-    unknownAccount: estimateTokens(100, undefined),
-    generousLimit: estimateTokens(2000, 0.02),
-    exactLimit: estimateTokens(2000, 0.9),
+    unknownAccount: estimateTokens(100, undefined, undefined),
+    unknownAccountAtKnownVersion: estimateTokens(4000, undefined, 40),
+    generousLimit: estimateTokens(2000, 0.02, 40),
+    exactLimit: estimateTokens(2000, 0.9, 40),
     classes: [10, 320, 321].map((tokens) => classifyLength(tokens, 40)),
     unknownVersion: classifyLength(2000, undefined),
   });
--- a/src/common/policy/Queueing.ts
+++ b/src/common/policy/Queueing.ts
@@ -58,8 +58,12 @@
 /** Baseline: first come, first served. */
 export const ARRIVAL_ORDER: IQueueOrder = { rankQueued: rankByArrival, compareHeads: compareByRank };
 
-/** Refuses a request that would not finish before its deadline after the expected wait. */
+/**
+ * Refuses a request that would not finish before its deadline after the expected wait. A request that need
+ * not wait is tried: its expected length alone is too uncertain to refuse it.
+ */
 export const refuseUnreachable: DecideQueued = ({ item, now, waitMs }) => {
+  if (waitMs === 0 && now === item.queuedAt) return { kind: 'wait' };
   if (now + waitMs + DURATION_MARGIN * item.expectedMs <= item.request.deadlineAt) return { kind: 'wait' };
   return { kind: 'refuse', retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, Math.max(1000, Math.ceil(waitMs))) };
 };
@@ -74,10 +78,19 @@
 
 /**
  * Estimates the tokens of a completion from the caller's limit and the share of its limits that the
- * account usually uses, because many callers set one generous limit for everything.
+ * account usually uses, because many callers set one generous limit for everything. An account without
+ * history is taken to ask for no more than the usual work of the version.
  */
-export function estimateTokens(maxTokens: number, limitUse: number | undefined): number {
-  return Math.max(1, maxTokens * (limitUse ?? DEFAULT_LIMIT_USE));
+export function estimateTokens(
+  maxTokens: number,
+  limitUse: number | undefined,
+  usualTokens: number | undefined,
+): number {
+  const tokens =
+    limitUse === undefined
+      ? Math.min(maxTokens * DEFAULT_LIMIT_USE, usualTokens ?? Infinity)
+      : maxTokens * limitUse;
+  return Math.max(1, tokens);
 }
 
 function rankPriority({ queuedAt, request }: IQueuedRequest, now: Millis): number {
--- a/src/common/request/AccountLimitController.ts
+++ b/src/common/request/AccountLimitController.ts
@@ -61,9 +61,18 @@
  */
 export class AccountLimitController extends Disposable {
   private readonly _states = new Map<string, IAccountState>();
+  /** Counted at changes of the panel, not at each request. */
+  private _liveHosts: number;
 
   constructor(private readonly _options: IAccountLimitOptions) {
     super();
+    const { board } = _options;
+    this._liveHosts = countLiveHosts(board);
+    this._register(
+      board.hosts.onChange(({ before, after }) => {
+        if (before?.state !== after?.state) this._liveHosts = countLiveHosts(board);
+      }),
+    );
   }
 
   /** Takes one request from the account's share at this host; false when the share is used up. */
@@ -90,7 +99,7 @@
     const known = this._states.get(key);
     if (known) return known;
     const { service, account } = request;
-    const liveHosts = countLiveHosts(this._options.board);
+    const liveHosts = this._liveHosts;
     const burst = computeBurst(computeFallbackRate(limit, liveHosts));
     const state: IAccountState = {
       service,
@@ -191,7 +200,7 @@
    * those that other hosts got before); else the small rate that needs no lease.
    */
   private _refreshRate(state: IAccountState, limit: number, now: Millis): void {
-    const liveHosts = countLiveHosts(this._options.board);
+    const liveHosts = this._liveHosts;
     const entry = this._getEntry(state);
     const unleased = computeUnleasedRate(limit, liveHosts);
     const isLeased = entry !== undefined && entry.leasedUntil > now;
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -9,9 +9,11 @@
   IRequestEntry,
 } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
+import { classifyLength } from '../policy/Queueing.js';
 import type { IClock, Millis } from '../Types.js';
 import { releaseAttempt } from './AttemptPlan.js';
 import { EndpointMeter } from './EndpointMeter.js';
+import { formatPool } from './EndpointIndex.js';
 import { hasEnded } from './Refusals.js';
 import type { AttemptPart, DeliverChunk, RunAttempt } from './Types.js';
 
@@ -142,6 +144,8 @@
   private _firstTokenAt: Millis | undefined;
   private _lastTokenAt: Millis | undefined;
   private _hasEnded = false;
+  private _isLong: boolean;
+  private readonly _usualTokens: number | undefined;
 
   constructor(
     private readonly _options: IAttemptOptions,
@@ -149,6 +153,8 @@
     private readonly _attempt: IAttemptEntry,
     private readonly _request: IRequestEntry,
   ) {
+    this._isLong = _attempt.isLong ?? false;
+    this._usualTokens = _options.board.estimates.get(formatPool(_request))?.tokens;
     _meter.startWait(_attempt.endpoint, _attempt.id);
   }
 
@@ -172,6 +178,7 @@
     if (this._firstTokenAt === undefined) this._handleFirstToken(this._lastTokenAt);
     this._tokens += part.tokens;
     this._meter.countTokens(this._attempt.endpoint, part.tokens);
+    if (!this._isLong && classifyLength(this._tokens, this._usualTokens) === 'long') this._markLong();
     if (this._isWinner()) this._options.deliverChunk(this._request.id, part.data);
   }
 
@@ -198,6 +205,15 @@
     board.requests.update(request.id, { ran: 'yes', ...(isStreaming ? { winner: this._attempt.id } : {}) });
   }
 
+  /** Counts work that turns out long, so that it leaves slots of the endpoint to short work. */
+  private _markLong(): void {
+    const { board } = this._options;
+    this._isLong = true;
+    const endpoint = board.endpoints.get(this._attempt.endpoint);
+    if (!endpoint || !board.attempts.update(this._attempt.id, { isLong: true })) return;
+    board.endpoints.update(endpoint.id, { longInFlight: (endpoint.longInFlight ?? 0) + 1 });
+  }
+
   private _isWinner(): boolean {
     return this._options.board.requests.get(this._request.id)?.winner === this._attempt.id;
   }
--- a/src/common/request/RouteController.ts
+++ b/src/common/request/RouteController.ts
@@ -274,7 +274,10 @@
 ): { expectedTokens: number; length: LengthClass } {
   if (request.target.kind === 'plain') return { expectedTokens: 1, length: 'short' };
   const limitUse = board.estimates.get(formatAccountEstimate(request))?.limitUse;
-  const expectedTokens = estimateTokens(request.target.maxTokens, limitUse);
   const usual = board.estimates.get(formatPool(request))?.tokens;
-  return { expectedTokens, length: classifyLength(expectedTokens, usual) };
+  const expectedTokens = estimateTokens(request.target.maxTokens, limitUse, usual);
+  // Without history the length class goes by the limit alone: the cautious guess there is long, and the
+  // cautious guess of a duration, which may refuse the request, is the usual one.
+  const classifiedTokens = estimateTokens(request.target.maxTokens, limitUse, undefined);
+  return { expectedTokens, length: classifyLength(classifiedTokens, usual) };
 }
--- a/src/daemons/RoutingWiring.test.ts
+++ b/src/daemons/RoutingWiring.test.ts
@@ -86,6 +86,23 @@
   t.snapshot({ shortStartedAtOnce: waits.filter((wait) => wait === 0).length, phases: countPhases(rig) });
 });
 
+test("work that turns out long, against its account's history, counts as long from then on", async (t) => {
+  const rig = createRoutingRig(['e-1'], ({ request }) => ({
+    ...NORMAL,
+    tokens: request.priority === 'low' ? 400 : 20,
+  }));
+  const target = { ...TEST_TARGET, maxTokens: 4000 };
+  await sendEvenly(rig, 60, 50, () => ({ target }));
+  const counts: string[] = [];
+  rig.board.endpoints.onChange(({ before, after }) => {
+    if (after && before?.longInFlight !== after.longInFlight) {
+      counts.push(`${Math.round(rig.clock.now() / 1000)} s: ${after.longInFlight ?? 0}`);
+    }
+  });
+  await sendEvenly(rig, 1, 10_000, () => ({ priority: 'low', target }));
+  t.snapshot({ counts, phases: countPhases(rig) });
+});
+
 test('a burst of 5 times is refused early, and a refusal that says "not run" is true', async (t) => {
   const rig = createRoutingRig(FOUR, ({ endpoint }) => ({
     ...NORMAL,
