Count the time to first token of streams only

Change: only streams have a time to first token. Conclusion: p95 figures measured before this change are upper bounds.

--- a/src/load/LoadCall.ts
+++ b/src/load/LoadCall.ts
@@ -53,7 +53,7 @@
     progress.status = reply.statusCode;
     if (reply.statusCode !== 200) applyError(progress, await reply.body.text());
     else if (request.kind === 'stream') await readStream(options, reply, progress);
-    else await readWhole(options, reply, progress);
+    else await readWhole(request, reply, progress);
   } catch (error) {
     progress.isComplete = false;
     progress.code = error instanceof Error && 'code' in error ? String(error.code) : 'broken';
@@ -98,14 +98,13 @@
 }
 
 async function readWhole(
-  options: ILoadCallOptions,
+  request: IPlannedRequest,
   reply: Dispatcher.ResponseData,
   progress: IProgress,
 ): Promise<void> {
   const text = await reply.body.text();
-  progress.firstTokenMs = performance.now() - options.plannedAt;
   progress.isComplete = true;
-  if (options.request.kind === 'plain') return;
+  if (request.kind === 'plain') return;
   progress.tokens = USAGE_SCHEMA.parse(JSON.parse(text)).usage.completion_tokens;
 }
 
--- a/src/load/Types.ts
+++ b/src/load/Types.ts
@@ -72,6 +72,7 @@
   code: string | undefined;
   ran: Ran | undefined;
   tokens: number;
+  /** Only of streamed requests. */
   firstTokenMs: Millis | undefined;
   totalMs: Millis;
   /** Delay of the send against its plan; large values mean that the generator is too slow. */
