Split the bench's fleet into small files

Cause: one file held the stand-ins, the hosts, the machine list and the edits. Change: bench/fleet with one job a file; the bench ends its processes when it is stopped by a signal.

--- a/bench/Books.ts
+++ b/bench/Books.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { IFleet } from './Fleet.js';
+import type { IFleet } from './fleet/Types.js';
 import { fetchJson } from './Http.js';
 
 const ENGINE_BOOKS_SCHEMA = z.object({ users: z.array(z.string()), tokens: z.number() });
--- a/bench/Deployments.ts
+++ b/bench/Deployments.ts
@@ -1,6 +1,7 @@
 import type { EndpointPolicy } from '../src/daemons/Policies.js';
 import type { IEngineOptions } from '../src/standins/engine/Types.js';
-import { startFleet, type IFleet } from './Fleet.js';
+import { startFleet } from './Fleet.js';
+import type { IFleet } from './fleet/Types.js';
 import type { IScenarioOptions } from './Types.js';
 
 /** Name of a deployment of design section 1.2. */
--- a/bench/Faults.ts
+++ b/bench/Faults.ts
@@ -1,6 +1,6 @@
 import { createSeededRandom } from '../src/adapters/Random.js';
 import type { RandomSource } from '../src/common/Types.js';
-import type { IFleet } from './Fleet.js';
+import type { IFleet } from './fleet/Types.js';
 import { putJson, waitFor } from './Http.js';
 
 /** Kind of a fault that the bench injects. */
--- a/bench/Processes.ts
+++ b/bench/Processes.ts
@@ -37,6 +37,13 @@
   for (const child of running) child.kill('SIGKILL');
 });
 
+// Without an exit of its own a stopped bench would leave its processes behind.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => {
+    process.exit(1);
+  });
+}
+
 /** Starts a Node.js script and waits for its first line, one JSON object. */
 export async function startProcess(
   script: string,
--- a/bench/capacity/Daemons.ts
+++ b/bench/capacity/Daemons.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { IBenchVersion } from '../Documents.js';
-import { startFleet, type IFleet } from '../Fleet.js';
+import { startFleet } from '../Fleet.js';
+import type { IFleet } from '../fleet/Types.js';
 import { fetchJson, waitFor } from '../Http.js';
 import { buildTarget, runAndCollect } from '../Loads.js';
 import type { IPoint } from './Types.js';
--- /dev/null
+++ b/bench/fleet/StandIns.ts
@@ -0,0 +1,38 @@
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { z } from 'zod';
+import { startProcess } from '../Processes.js';
+import type { IFleetSpec, IPlatform, IStandInProcess } from './Types.js';
+
+type StandInKind = 'engine' | 'plain' | 'store' | 'host-list';
+
+const STANDIN_SCRIPT = fileURLToPath(new URL('../../src/standins/Main.js', import.meta.url));
+const RELAY_SCRIPT = fileURLToPath(new URL('../Relay.js', import.meta.url));
+const LISTENING_SCHEMA = z.object({ address: z.string() });
+
+/** Starts the platform's services and the endpoints, each as a process of its own. */
+export async function startPlatform(spec: IFleetSpec, folder: string): Promise<IPlatform> {
+  const [store, hostList] = await Promise.all([
+    startStandIn('store', folder),
+    startStandIn('host-list', folder),
+  ]);
+  const engines = await Promise.all(spec.engines.map((options) => startStandIn('engine', folder, options)));
+  const plains = await Promise.all(Array.from({ length: spec.plains }, () => startStandIn('plain', folder)));
+  return { store, hostList, engines, plains };
+}
+
+/** Starts a bare TCP relay to the address of a stand-in. */
+export async function startRelay(address: string): Promise<IStandInProcess> {
+  const started = await startProcess(RELAY_SCRIPT, [new URL(address).port], { log: '/dev/null' });
+  return { ...started, address: LISTENING_SCHEMA.parse(started.listening).address };
+}
+
+async function startStandIn(
+  kind: StandInKind,
+  folder: string,
+  options: unknown = {},
+): Promise<IStandInProcess> {
+  const log = join(folder, 'standins.log');
+  const started = await startProcess(STANDIN_SCRIPT, [kind, '--options', JSON.stringify(options)], { log });
+  return { ...started, address: LISTENING_SCHEMA.parse(started.listening).address };
+}
--- a/bench/scenarios/Crest.ts
+++ b/bench/scenarios/Crest.ts
@@ -4,7 +4,7 @@
 import type { ICallOutcome, ILoadStep, ILoadSummary } from '../../src/load/Types.js';
 import { readBooks } from '../Books.js';
 import { BENCH_VERSION, computeCapacity, DEPLOYMENTS, withDeployment } from '../Deployments.js';
-import type { IFleet } from '../Fleet.js';
+import type { IFleet } from '../fleet/Types.js';
 import { waitFor } from '../Http.js';
 import { buildTarget, runAndCollect } from '../Loads.js';
 import type { IPlotRow, IScenarioOptions, IScenarioResult } from '../Types.js';
--- a/bench/scenarios/RouterCost.ts
+++ b/bench/scenarios/RouterCost.ts
@@ -1,4 +1,6 @@
-import { startFleet, startRelay, type IFleet } from '../Fleet.js';
+import { startFleet } from '../Fleet.js';
+import { startRelay } from '../fleet/StandIns.js';
+import type { IFleet } from '../fleet/Types.js';
 import { buildTarget, listFirstTokens, measureCpu, runAndCollect } from '../Loads.js';
 import { listQuantileRows } from '../Plots.js';
 import type { IMeasure, IScenarioOptions, IScenarioResult } from '../Types.js';
--- a/bench/scenarios/SlowedEndpoints.ts
+++ b/bench/scenarios/SlowedEndpoints.ts
@@ -1,7 +1,7 @@
 import type { EndpointPolicy } from '../../src/daemons/Policies.js';
 import { readBooks } from '../Books.js';
 import { BENCH_VERSION, computeCapacity, DEPLOYMENTS, withDeployment } from '../Deployments.js';
-import type { IFleet } from '../Fleet.js';
+import type { IFleet } from '../fleet/Types.js';
 import { putJson } from '../Http.js';
 import { buildTarget, runAndCollect, type ILoadResult } from '../Loads.js';
 import { listQuantileRows } from '../Plots.js';
