--- a/bench/scenarios/OnceAndBilled.ts
+++ b/bench/scenarios/OnceAndBilled.ts
@@ -4,7 +4,8 @@
 import type { ICallOutcome, ILoadSummary, IPlannedRequest } from '../../src/load/Types.js';
 import { readBooks } from '../Books.js';
 import { planFaults, runFaults } from '../Faults.js';
-import { startFleet, type IFleet } from '../Fleet.js';
+import { startFleet } from '../Fleet.js';
+import type { IFleet } from '../fleet/Types.js';
 import { waitFor } from '../Http.js';
 import { hashRequestKey, readJournal } from '../JournalReader.js';
 import { buildTarget } from '../Loads.js';
@@ -44,7 +45,11 @@
     measures: [
       { name: 'answers delivered without a bill', value: sum((run) => run.deliveredWithoutBill), ...none },
       { name: 'bills without an answer delivered', value: sum((run) => run.billedWithoutDelivery), ...none },
-      { name: 'bills minus answers delivered', value: sum((run) => run.bills - run.delivered), ...none },
+      {
+        name: 'difference of bills and answers delivered',
+        value: sum((run) => Math.abs(run.bills - run.delivered)),
+        ...none,
+      },
       {
         name: 'most runs of a non-idempotent request',
         value: Math.max(...runs.map((run) => run.mostNonIdempotentRuns)),
