Refuse an idempotency key that is reused for another request

Cause: a claim did not keep what it was for, so a repeat with another body received the stored answer of the first request. A plain service named 'constructor' threw in the parser. Change: the claim entry and its record keep the request's fingerprint, which now covers the method; a mismatch is refused as idempotency_conflict, not run. Service names are looked up as own properties only.

--- a/src/adapters/JournalMessages.ts
+++ b/src/adapters/JournalMessages.ts
@@ -37,6 +37,7 @@
     request: z.string(),
     atMs: z.number(),
     retention: RETENTION_SCHEMA,
+    fingerprint: z.string().optional(),
   }),
   z.object({ kind: z.literal('release'), key: KEY, request: z.string() }),
   z.object({
@@ -68,6 +69,7 @@
   version: z.string().optional(),
   atMs: z.number(),
   retention: RETENTION_SCHEMA,
+  fingerprint: z.string().optional(),
 });
 const OUTCOME_SCHEMA = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('committed') }),
--- a/src/common/coordination/PartitionState.ts
+++ b/src/common/coordination/PartitionState.ts
@@ -60,7 +60,7 @@
   const record = state.records.get(entry.key) ?? createRecord(entry);
   switch (entry.kind) {
     case 'claim':
-      return applyClaim(state, record, entry.request);
+      return applyClaim(state, record, entry);
     case 'release':
       return applyRelease(state, record, entry.request);
     case 'outcome':
@@ -108,11 +108,20 @@
   writeRecord(state, { ...record, billedRequest: counted.bill.request });
 }
 
-function applyClaim(state: IPartitionState, record: IJournalRecord, request: string): AppendOutcome {
+function applyClaim(
+  state: IPartitionState,
+  record: IJournalRecord,
+  { fingerprint, request }: Extract<JournalEntry, { kind: 'claim' }>,
+): AppendOutcome {
   // The same request repeats its own append after a lost reply; it holds the claim already.
   if (record.claim === 'claimed' && record.request === request) return { kind: 'committed' };
   if (record.claim !== 'unclaimed') return { kind: 'duplicate', record };
-  return writeRecord(state, { ...record, claim: 'claimed', request });
+  return writeRecord(state, {
+    ...record,
+    claim: 'claimed',
+    request,
+    ...(fingerprint === undefined ? {} : { fingerprint }),
+  });
 }
 
 function applyRelease(state: IPartitionState, record: IJournalRecord, request: string): AppendOutcome {
--- a/src/common/coordination/Types.ts
+++ b/src/common/coordination/Types.ts
@@ -65,7 +65,15 @@
 
 /** One entry of the journal. Keys are hashes of client account and idempotency key. */
 export type JournalEntry =
-  | { kind: 'claim'; key: string; request: string; atMs: number; retention?: Retention }
+  | {
+      kind: 'claim';
+      key: string;
+      request: string;
+      atMs: number;
+      retention?: Retention;
+      /** Hash of what is to run, so that a repeat of the key with other content is detected. */
+      fingerprint?: string;
+    }
   | { kind: 'release'; key: string; request: string }
   | {
       kind: 'outcome';
@@ -95,6 +103,8 @@
   atMs: number;
   /** Default: `long`. */
   retention?: Retention;
+  /** Hash of what the first claim of the key was to run. */
+  fingerprint?: string;
 }
 
 /** Result of one appended entry. `duplicate` entries changed nothing; the record stands as found. */
--- a/src/common/request/ClaimController.ts
+++ b/src/common/request/ClaimController.ts
@@ -64,7 +64,10 @@
     // A key that comes from the request id is never repeated by a caller.
     const retention = request.idempotencyKey === undefined ? 'short' : 'long';
     const result = await journal.append(key, [
-      { kind: 'claim', key, request: request.id, atMs: readWallClock(), retention },
+      {
+        ...{ kind: 'claim', key, request: request.id, atMs: readWallClock(), retention },
+        fingerprint: request.fingerprint,
+      },
     ]);
     if (result.isErr) {
       this._refuseUnclaimed(request, key, result.error);
@@ -97,6 +100,14 @@
 
   private _handleDuplicate(request: IRequestEntry, record: IJournalRecord): void {
     const { board } = this._options;
+    if (record.fingerprint !== undefined && record.fingerprint !== request.fingerprint) {
+      refuseRequest(board, request.id, {
+        code: 'idempotency_conflict',
+        message: 'The idempotency key was used before for another request; this one was not run.',
+        ran: 'no',
+      });
+      return;
+    }
     if (record.answer) {
       board.requests.update(request.id, { phase: 'billed', answer: { kind: 'stored', ...record.answer } });
       return;
--- a/src/daemons/RequestParser.ts
+++ b/src/daemons/RequestParser.ts
@@ -78,7 +78,7 @@
     target,
     isIdempotent,
     idempotencyKey,
-    fingerprint: hashTexts(arrived.account, arrived.path, arrived.body.toString('latin1')),
+    fingerprint: hashTexts(arrived.account, arrived.method, arrived.path, arrived.body.toString('latin1')),
     session: headers['x-mulberryweir-session'],
     priority,
     receivedAt: arrived.receivedAt,
@@ -137,6 +137,8 @@
   const stated = headers['x-mulberryweir-idempotent'];
   if (stated !== undefined) return stated === 'true';
   if (target.kind === 'model') return true;
+  // Callers choose the name: `constructor` must not find a property of Object.prototype.
+  if (!Object.hasOwn(document.plainServices, target.plainService)) return false;
   return document.plainServices[target.plainService]?.idempotentMethods.includes(target.method) ?? false;
 }
 
