Answer bad requests at the callers' edge in the API's format

Cause: requests that Node's parser rejected or that arrived late got a reply without a body; late ones were looked for every 30 s only; an oversize body destroyed the connection before its error was sent; unknown paths got 400, a query string made a path unknown; pipelined requests of callers that left stayed until their deadline. Change: OpenExchanges tracks the open requests of each connection and answers parser errors after the responses that are due. Codes unknown_path, method_not_allowed, request_timeout, body_too_large, headers_too_large.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -10,6 +10,11 @@
 /** Machine-readable reason of a refusal. The front end maps it to an HTTP status. */
 export type RefusalCode =
   | 'invalid_request'
+  | 'unknown_path'
+  | 'method_not_allowed'
+  | 'request_timeout'
+  | 'body_too_large'
+  | 'headers_too_large'
   | 'unknown_key'
   | 'unknown_service'
   | 'not_ready'
--- a/src/daemons/Encoding.ts
+++ b/src/daemons/Encoding.ts
@@ -5,6 +5,11 @@
 /** HTTP status of each refusal. */
 export const REFUSAL_STATUS: Readonly<Record<RefusalCode, number>> = {
   invalid_request: 400,
+  unknown_path: 404,
+  method_not_allowed: 405,
+  request_timeout: 408,
+  body_too_large: 413,
+  headers_too_large: 431,
   unknown_key: 401,
   unknown_service: 404,
   not_ready: 503,
--- a/src/daemons/FrontEnd.ts
+++ b/src/daemons/FrontEnd.ts
@@ -7,6 +7,7 @@
 import type { IServiceDocument } from '../common/config/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import type { IClock, Millis } from '../common/Types.js';
+import { OpenExchanges, type IOpenExchange } from './OpenExchanges.js';
 import { parseRequest } from './RequestParser.js';
 import { ResponseWriter } from './ResponseWriter.js';
 
@@ -29,6 +30,22 @@
 
 /** Time between two looks for connections that became idle during a drain. */
 const IDLE_CHECK_MS = 100;
+/** Node looks for late requests every 30 s by default, three times the usual limit. */
+const LATE_REQUEST_CHECK_MS = 500;
+
+/**
+ * An oversize body is read on and discarded up to this many times the limit: a caller that is still
+ * sending when the connection closes loses the response.
+ */
+const DISCARD_FACTOR = 4;
+
+/** Methods of the paths with a single method. */
+const METHODS: Readonly<Partial<Record<string, string>>> = Object.freeze(
+  Object.assign(Object.create(null) as Partial<Record<string, string>>, {
+    '/v1/chat/completions': 'POST',
+    '/v1/models': 'GET',
+  }),
+);
 
 interface IAuthenticated {
   document: IServiceDocument;
@@ -39,6 +56,11 @@
 export class FrontEnd extends Disposable {
   private readonly _writers = new Map<string, ResponseWriter>();
   private readonly _server: Server;
+  private readonly _exchanges = new OpenExchanges({
+    onCallerGone: (id) => {
+      this._options.board.requests.update(id, { isCallerGone: true });
+    },
+  });
 
   constructor(private readonly _options: IFrontEndOptions) {
     super();
@@ -46,12 +68,24 @@
       {
         requestTimeout: _options.bodyTimeoutMs,
         headersTimeout: _options.bodyTimeoutMs,
+        connectionsCheckingInterval: Math.min(LATE_REQUEST_CHECK_MS, _options.bodyTimeoutMs),
         maxHeaderSize: 16_384,
       },
       (request, response) => {
         void this._handle(request, response);
       },
     );
+    this._server.on('clientError', (error, socket) => {
+      this._exchanges.handleClientError(error, socket);
+    });
+    // Without a listener Node sends 417 without a body.
+    this._server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+      const message = 'The expectation is not supported.';
+      this._createWriter(this._options.createId(), response).endWithRefusal({
+        ...{ code: 'invalid_request', message, ran: 'no' },
+      });
+      request.resume();
+    });
     this._register(
       _options.board.requests.onChange(({ before, after }) => {
         if (after && before?.phase !== after.phase) this._handlePhase(after);
@@ -102,13 +136,15 @@
 
   private async _handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const id = this._options.createId();
-    const writer = new ResponseWriter(response, id, Math.floor(this._options.readWallClock() / 1000));
+    const writer = this._createWriter(id, response);
+    const exchange: IOpenExchange = { id, request, response };
+    this._exchanges.add(exchange);
     response.on('error', () => {
       this._writers.delete(id);
     });
     if (this._options.isClosing()) response.setHeader('connection', 'close');
     try {
-      await this._route(id, request, response, writer);
+      await this._route(exchange, writer);
     } catch {
       writer.endWithRefusal({
         code: 'internal_error',
@@ -118,13 +154,13 @@
     }
   }
 
-  private async _route(
-    id: string,
-    request: IncomingMessage,
-    response: ServerResponse,
-    writer: ResponseWriter,
-  ): Promise<void> {
-    const path = request.url ?? '/';
+  private _createWriter(id: string, response: ServerResponse): ResponseWriter {
+    return new ResponseWriter(response, id, Math.floor(this._options.readWallClock() / 1000));
+  }
+
+  private async _route(exchange: IOpenExchange, writer: ResponseWriter): Promise<void> {
+    const { request, response } = exchange;
+    const path = request.url?.split('?', 1)[0] ?? '/';
     if (path === '/health') {
       this._sendHealth(response);
       return;
@@ -134,23 +170,26 @@
       writer.endWithRefusal({ code: 'unknown_key', message: 'The key is missing or not known.', ran: 'no' });
       return;
     }
-    if (path === '/v1/models' && request.method === 'GET') this._sendModels(response, caller);
-    else if (isRunPath(request.method, path))
-      await this._acceptRequest(id, request, response, writer, caller);
-    else writer.endWithRefusal({ code: 'invalid_request', message: `Unknown path ${path}.`, ran: 'no' });
+    const method = METHODS[path];
+    if (method === undefined && !path.startsWith('/services/')) {
+      writer.endWithRefusal({ code: 'unknown_path', message: 'The path is not known.', ran: 'no' });
+    } else if (method !== undefined && method !== request.method) {
+      response.setHeader('allow', method);
+      const message = `The path takes ${method} only.`;
+      writer.endWithRefusal({ code: 'method_not_allowed', message, ran: 'no' });
+    } else if (path === '/v1/models') this._sendModels(response, caller);
+    else await this._acceptRequest(exchange, writer, caller);
   }
 
   private async _acceptRequest(
-    id: string,
-    request: IncomingMessage,
-    response: ServerResponse,
+    exchange: IOpenExchange,
     writer: ResponseWriter,
     caller: IAuthenticated,
   ): Promise<void> {
+    const { id, request } = exchange;
     const receivedAt = this._options.clock.now();
-    const body = await this._readBody(request);
+    const body = await this._readBody(exchange);
     if (!Buffer.isBuffer(body)) {
-      response.setHeader('connection', 'close');
       writer.endWithRefusal(body);
       return;
     }
@@ -161,24 +200,37 @@
       return;
     }
     this._writers.set(id, writer);
-    response.on('close', () => {
-      if (!response.writableFinished) this._options.board.requests.update(id, { isCallerGone: true });
-    });
     this._options.board.requests.set(id, parsed.value);
+    // The connection may have closed between the end of the body and this point.
+    if (request.socket.destroyed) this._options.board.requests.update(id, { isCallerGone: true });
   }
 
-  private async _readBody(request: IncomingMessage): Promise<Buffer | IRefusal> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    for await (const chunk of request) {
-      length += (chunk as Buffer).length;
-      if (length > this._options.maxBodyBytes) {
-        const message = `The body is larger than ${this._options.maxBodyBytes} bytes.`;
-        return { code: 'invalid_request', message, ran: 'no' };
-      }
-      chunks.push(chunk as Buffer);
-    }
-    return Buffer.concat(chunks);
+  /** Events instead of an async iterator, which destroys the connection when it is left early. */
+  private _readBody(exchange: IOpenExchange): Promise<Buffer | IRefusal> {
+    const { maxBodyBytes } = this._options;
+    const { request } = exchange;
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let length = 0;
+      const fail = (refusal: IRefusal): void => {
+        chunks.length = 0;
+        resolve(refusal);
+      };
+      exchange.failBody = fail;
+      request.on('data', (chunk: Buffer) => {
+        length += chunk.length;
+        if (length <= maxBodyBytes) chunks.push(chunk);
+        else if (length <= DISCARD_FACTOR * maxBodyBytes) fail(describeOversize(maxBodyBytes));
+        else request.destroy();
+      });
+      request.once('end', () => {
+        resolve(Buffer.concat(chunks));
+      });
+      request.once('close', () => {
+        fail({ code: 'cancelled', message: 'The caller closed its connection.', ran: 'no' });
+      });
+      request.on('error', () => undefined);
+    });
   }
 
   private _authenticate(request: IncomingMessage): IAuthenticated | undefined {
@@ -222,6 +274,6 @@
   }
 }
 
-function isRunPath(method: string | undefined, path: string): boolean {
-  return (method === 'POST' && path === '/v1/chat/completions') || path.startsWith('/services/');
+function describeOversize(maxBodyBytes: number): IRefusal {
+  return { code: 'body_too_large', message: `The body is larger than ${maxBodyBytes} bytes.`, ran: 'no' };
 }
