Check and limit what engines answer

Change: positions, deltas and usage are validated, answers end at 16 MiB, events and error bodies at 1 MiB. A chunk with usage is held for one chunk.

--- a/src/adapters/EngineClient.ts
+++ b/src/adapters/EngineClient.ts
@@ -24,7 +24,16 @@
   isLeaving: z.boolean(),
 });
 
-const USAGE_SCHEMA = z.looseObject({ prompt_tokens: z.number(), completion_tokens: z.number() });
+/** Bills are computed from these figures: a negative one would pay the client account. */
+const TOKEN_COUNT = z.number().int().min(0);
+const USAGE_SCHEMA = z.looseObject({ prompt_tokens: TOKEN_COUNT, completion_tokens: TOKEN_COUNT });
+
+/** Longest answer that is kept in memory, as received. */
+const MAX_ANSWER_BYTES = 16_777_216;
+/** Longest event of a stream, and longest body of an error. */
+const MAX_CHUNK_BYTES = 1_048_576;
+/** Choices and tool calls of an answer; their positions come from the endpoint. */
+const MAX_POSITION = 1024;
 
 const REFUSAL_SCHEMA = z.looseObject({
   ran: z.enum(['no', 'yes', 'unknown']).optional(),
@@ -103,6 +112,7 @@
   });
   const decoder = new TextDecoder();
   await readBody(body, (bytes) => {
+    reader.addBytes(bytes.length);
     parser.feed(decoder.decode(bytes, { stream: true }));
     return reader.problem === undefined;
   });
@@ -141,14 +151,26 @@
   public problem: string | undefined;
   public usage: NonNullable<ChatChunk['usage']> | undefined;
   public readonly chunks: ChatChunk[] = [];
+  private _bytes = 0;
+  private _bytesSinceChunk = 0;
 
   constructor(
     private readonly _runId: string,
     private readonly _onPart: (part: AttemptPart) => void,
   ) {}
 
+  /** Counts received bytes, so that an endless answer or an event without an end stops. */
+  public addBytes(bytes: number): void {
+    this._bytes += bytes;
+    this._bytesSinceChunk += bytes;
+    if (this._bytes > MAX_ANSWER_BYTES || this._bytesSinceChunk > MAX_CHUNK_BYTES) {
+      this.problem ??= 'The endpoint sent too many bytes.';
+    }
+  }
+
   public accept(data: string): void {
-    if (this.problem !== undefined) return;
+    this._bytesSinceChunk = 0;
+    if (this.problem !== undefined || this.isComplete) return;
     if (data === '[DONE]') {
       this.isComplete = true;
       return;
@@ -181,15 +203,43 @@
   if (!isRecord(raw) || !Array.isArray(raw.choices)) return false;
   if (raw.id !== undefined && typeof raw.id !== 'string') return false;
   if (raw.usage != null && !USAGE_SCHEMA.safeParse(raw.usage).success) return false;
-  return raw.choices.every((choice) => isRecord(choice) && typeof choice.index === 'number');
+  return raw.choices.every(isChoice);
+}
+
+function isChoice(choice: unknown): boolean {
+  if (!isRecord(choice) || !isPosition(choice.index)) return false;
+  if (choice.delta == null) return true;
+  if (!isRecord(choice.delta)) return false;
+  const calls = choice.delta.tool_calls;
+  return calls == null || (Array.isArray(calls) && calls.every(isToolCall));
+}
+
+function isToolCall(call: unknown): boolean {
+  return isRecord(call) && isPosition(call.index) && (call.function == null || isRecord(call.function));
+}
+
+function isPosition(value: unknown): boolean {
+  return Number.isInteger(value) && Number(value) >= 0 && Number(value) < MAX_POSITION;
 }
 
 function isRecord(value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null;
 }
 
+/** Reads a body up to a limit; what follows is not read. */
+async function readText(body: Dispatcher.ResponseData['body'], limit: number): Promise<string> {
+  const parts: Uint8Array[] = [];
+  let length = 0;
+  await readBody(body, (bytes) => {
+    length += bytes.length;
+    if (length <= limit) parts.push(bytes);
+    return length <= limit;
+  });
+  return Buffer.concat(parts).toString();
+}
+
 async function mapRefusal(reply: Dispatcher.ResponseData): Promise<Result<IAnswer, IAttemptError>> {
-  const refusal = decodeRefusal(await reply.body.text());
+  const refusal = decodeRefusal(await readText(reply.body, MAX_CHUNK_BYTES));
   const ran = refusal?.ran;
   if (reply.statusCode === 400) return failAttempt('rejected', 'no', 'The endpoint rejected the request.');
   if (reply.statusCode === 429) return failAttempt('overloaded', ran ?? 'no', 'The endpoint is overloaded.');
--- a/src/daemons/Encoding.ts
+++ b/src/daemons/Encoding.ts
@@ -59,12 +59,14 @@
 interface IDelta {
   role?: string;
   content?: string | null;
-  tool_calls?: {
-    index: number;
-    id?: string;
-    type?: string;
-    function?: { name?: string; arguments?: string };
-  }[];
+  tool_calls?:
+    | {
+        index: number;
+        id?: string;
+        type?: string;
+        function?: { name?: string | null; arguments?: string | null } | null;
+      }[]
+    | null;
 }
 
 /** Joins the chunks of a stream into the body of a whole chat completion. */
--- a/src/daemons/ResponseWriter.ts
+++ b/src/daemons/ResponseWriter.ts
@@ -6,6 +6,7 @@
 /** Writes the response of one request: chunks while it runs, then the end or a refusal. */
 export class ResponseWriter {
   private _hasHeaders = false;
+  private _held: ChatChunk | undefined;
 
   constructor(
     private readonly _response: ServerResponse,
@@ -13,11 +14,15 @@
     private readonly _createdAt: number,
   ) {}
 
-  /** Writes a chunk of a streamed chat completion. The chunk with the usage is held for the end. */
+  /**
+   * Writes a chunk of a streamed chat completion. A chunk with usage is held until the next one: the last
+   * is sent with the end, and some engines send usage with every chunk.
+   */
   public writeChunk(chunk: ChatChunk): void {
-    if (chunk.usage) return;
     this._startStream();
-    this._writeEvent({ ...chunk, id: this._requestId, created: this._createdAt });
+    if (this._held && this._held.choices.length > 0) this._sendChunk({ ...this._held, usage: null });
+    this._held = chunk.usage ? chunk : undefined;
+    if (!chunk.usage) this._sendChunk(chunk);
   }
 
   /** Completes the response with the whole answer. */
@@ -55,8 +60,7 @@
 
   private _endStream(answer: Extract<IAnswer, { kind: 'model' }>): void {
     this._startStream();
-    const chunks = answer.content as readonly ChatChunk[];
-    const last = chunks.find((chunk) => chunk.usage);
+    const last = this._held;
     const usage = encodeUsage(answer.usage);
     this._writeEvent({
       ...last,
@@ -80,6 +84,10 @@
     });
   }
 
+  private _sendChunk(chunk: ChatChunk): void {
+    this._writeEvent({ ...chunk, id: this._requestId, created: this._createdAt });
+  }
+
   private _writeEvent(event: unknown): void {
     this._response.write(`data: ${JSON.stringify(event)}\n\n`);
   }
