--- a/src/daemons/Encoding.ts
+++ b/src/daemons/Encoding.ts
@@ -5,6 +5,11 @@
 /** HTTP status of each refusal. */
 export const REFUSAL_STATUS: Readonly<Record<RefusalCode, number>> = {
   invalid_request: 400,
+  unknown_path: 404,
+  method_not_allowed: 405,
+  request_timeout: 408,
+  body_too_large: 413,
+  headers_too_large: 431,
   unknown_key: 401,
   unknown_service: 404,
   not_ready: 503,
@@ -54,12 +59,14 @@
 interface IDelta {
   role?: string;
   content?: string | null;
-  tool_calls?: {
-    index: number;
-    id?: string;
-    type?: string;
-    function?: { name?: string; arguments?: string };
-  }[];
+  tool_calls?:
+    | {
+        index: number;
+        id?: string;
+        type?: string;
+        function?: { name?: string | null; arguments?: string | null } | null;
+      }[]
+    | null;
 }
 
 /** Joins the chunks of a stream into the body of a whole chat completion. */
