Run the requests of a crashed endpoint again one at a time

Cause: a request that crashes engines was retried like any other, by the host and by its caller. Change: the requests in flight at a crash become suspects at all hosts before their failure is known. Each runs again under a grant of its fingerprint's and its endpoint's owner. A crash on trial blocks it. Conclusion: the grant of the fingerprint is needed as well, since hedges and repeats would run two trials at once.

--- a/src/daemons/RequestWiring.ts
+++ b/src/daemons/RequestWiring.ts
@@ -2,6 +2,7 @@
 import { runEngineAttempt } from '../adapters/EngineClient.js';
 import { runPlainAttempt } from '../adapters/PlainClient.js';
 import { createUniqueId, hashTexts } from '../adapters/Random.js';
+import { createSendSuspectMessage, createSuspectHandlers } from '../adapters/SuspectMessages.js';
 import { systemClock } from '../adapters/SystemClock.js';
 import type { Blackboard } from '../common/blackboard/Blackboard.js';
 import type { IRequestEntry } from '../common/blackboard/Types.js';
@@ -14,8 +15,10 @@
 import { BillController } from '../common/request/BillController.js';
 import { ClaimController } from '../common/request/ClaimController.js';
 import { CleanUpController } from '../common/request/CleanUpController.js';
+import { CrashController } from '../common/request/CrashController.js';
 import { DeadlineController } from '../common/request/DeadlineController.js';
 import { OutcomeController } from '../common/request/OutcomeController.js';
+import { withBlockedRefusal, withBlockedRetry } from '../common/request/Suspects.js';
 import type { DeliverChunk, RunAttempt } from '../common/request/Types.js';
 import { VersionController } from '../common/request/VersionController.js';
 import { encodeStoredAnswer } from './Encoding.js';
@@ -41,9 +44,11 @@
 export class RequestWiring extends Disposable {
   private readonly _agent = new Agent({ connections: 256, pipelining: 1 });
   private readonly _routing: Routing;
+  private readonly _crashes: CrashController;
 
   constructor(private readonly _options: IRequestWiringOptions) {
     super();
+    this._crashes = this._register(this._createCrashController());
     this._routing = this._register(this._createRouting());
     this._registerAdmission();
     this._registerVersions();
@@ -54,7 +59,8 @@
 
   /** Handlers for calls of other hosts. */
   public get peerHandlers(): PeerHandlers {
-    return this._routing.peerHandlers;
+    const handlers = createSuspectHandlers((message) => this._crashes.handleMessage(message));
+    return { ...this._routing.peerHandlers, ...handlers };
   }
 
   public override dispose(): void {
@@ -67,6 +73,14 @@
     return { board, clock: systemClock, journal: journal.journal, readWallClock: Date.now };
   }
 
+  private _createCrashController(): CrashController {
+    const { sendToPeer, settings } = this._options;
+    return new CrashController({
+      ...{ ...this._common, self: settings.host.id, hash: hashTexts },
+      ...{ send: createSendSuspectMessage(sendToPeer), runAttempt: this._runAttempt },
+    });
+  }
+
   private _createRouting(): Routing {
     const { sendToPeer, settings } = this._options;
     const { host, policy } = settings;
@@ -81,7 +95,12 @@
     const { board, settings } = this._options;
     const isDraining = (): boolean => hasStoppedAccepting(board);
     const { takeRateShare } = this._routing;
-    this._register(new AdmissionController({ ...this._common, decideAdmission, takeRateShare, isDraining }));
+    this._register(
+      new AdmissionController({
+        ...{ ...this._common, takeRateShare, isDraining },
+        decideAdmission: withBlockedRefusal(board, decideAdmission),
+      }),
+    );
     const retentionMs = settings.journal.claim_retention_hours * HOUR_MS;
     this._register(
       new ClaimController({
@@ -104,11 +123,12 @@
   }
 
   private _registerAttempts(): void {
-    const { deliverChunk, journal, versions } = this._options;
+    const { board, deliverChunk, journal, versions } = this._options;
     const { takeRetryBudget } = this._routing;
     const { decideAcceptance } = versions;
-    this._register(new AttemptController({ ...this._common, runAttempt: this._runAttempt, deliverChunk }));
-    const decideRetry = createDecideRetry(Math.random);
+    const { runAttempt } = this._crashes;
+    this._register(new AttemptController({ ...this._common, runAttempt, deliverChunk }));
+    const decideRetry = withBlockedRetry(board, createDecideRetry(Math.random));
     this._register(
       new OutcomeController({
         ...{ ...this._common, decideRetry, takeRetryBudget, hashKey, decideAcceptance },
