Start a trial only where no suspect still runs

Cause: a copy that was in flight before the report made a crash on trial ambiguous. Change: after its grants, a trial asks every peer whether a suspect still runs at the endpoint. Conclusion: a peer that cannot be reached holds up trials until membership drops it.

--- a/src/adapters/SuspectMessages.ts
+++ b/src/adapters/SuspectMessages.ts
@@ -12,6 +12,7 @@
       .max(10_000),
   }),
   z.object({ kind: z.literal('clear'), fingerprint: KEY_SCHEMA }),
+  z.object({ kind: z.literal('check'), endpoint: KEY_SCHEMA }),
   z.object({
     kind: z.literal('acquire'),
     key: KEY_SCHEMA,
--- a/src/common/request/CrashController.test.ts
+++ b/src/common/request/CrashController.test.ts
@@ -166,7 +166,11 @@
   async (t, stream, starts, poisonStart) => {
     const numbers = stream[Symbol.iterator]();
     const fleet = new Fleet((limit) => (numbers.next().value as number) % limit);
-    const innocents = starts.map((start, index) => fleet.repeat(`innocent-${index}`, start));
+    // Two callers send each innocent request, so that copies run at two endpoints at once.
+    const innocents = starts.flatMap((start, index) => [
+      fleet.repeat(`innocent-${index}`, start),
+      fleet.repeat(`innocent-${index}`, start + 10),
+    ]);
     const poison = fleet.repeat('poison', poisonStart);
     await fleet.clock.advance(120_000);
     fleet.dispose();
--- a/src/common/request/CrashController.ts
+++ b/src/common/request/CrashController.ts
@@ -12,6 +12,7 @@
 export type SuspectMessage =
   | { kind: 'crash'; sights: readonly ICrashSight[] }
   | { kind: 'clear'; fingerprint: string }
+  | { kind: 'check'; endpoint: string }
   | { kind: 'acquire'; key: string; holder: string; durationMs: Millis }
   | { kind: 'release'; key: string; holder: string };
 
@@ -79,6 +80,7 @@
     const keys = [`fingerprint ${fingerprint}`, `endpoint ${call.endpoint.id}`];
     try {
       for (const key of keys) if (!(await this._acquire(key, call))) return WAITED;
+      if (!(await this._waitUntilAlone(call))) return WAITED;
       // Another copy may have ended its trial while this one waited.
       if (isBlocked(this._options.board, fingerprint)) return BLOCKED;
       if (!needsTrial(this._options.board, fingerprint)) return await this._runAndReport(call, onPart);
@@ -102,6 +104,8 @@
       case 'clear':
         this._clear(message.fingerprint);
         return true;
+      case 'check':
+        return !this._hasSuspectAt(message.endpoint);
       case 'acquire':
         return this._grants.acquire(message.key, message.holder, message.durationMs);
       case 'release':
@@ -176,6 +180,33 @@
     if (oldest !== undefined) suspects.delete(oldest);
   }
 
+  /** Whether a suspect that started before it was suspected still runs at the endpoint. */
+  private _hasSuspectAt(endpoint: string): boolean {
+    const { board } = this._options;
+    return [...board.attempts.list()].some(
+      ({ endpoint: at, id, phase, request }) =>
+        at === endpoint &&
+        (phase === 'sent' || phase === 'streaming') &&
+        !this._waiting.has(id) &&
+        needsTrial(board, board.requests.get(request)?.fingerprint ?? ''),
+    );
+  }
+
+  /** Waits until all hosts say that no suspect runs at the endpoint; the grant keeps new ones away. */
+  private async _waitUntilAlone({ attempt, endpoint, signal }: IAttemptCall): Promise<boolean> {
+    this._waiting.add(attempt.id);
+    try {
+      while (!signal.aborted) {
+        const answers = this._sendToPeers({ kind: 'check', endpoint: endpoint.id });
+        if (!this._hasSuspectAt(endpoint.id) && (await answers).every(Boolean)) return !signal.aborted;
+        await this._waitFor(TRIAL_RETRY_MS);
+      }
+      return false;
+    } finally {
+      this._waiting.delete(attempt.id);
+    }
+  }
+
   private async _acquire(key: string, call: IAttemptCall): Promise<boolean> {
     const { clock } = this._options;
     const holder = call.attempt.id;
@@ -204,9 +235,13 @@
   }
 
   private async _tellPeers(message: SuspectMessage): Promise<void> {
+    const isAlone = listPeers(this._options.board, this._options.self).length === 0;
+    if (!isAlone) await Promise.race([this._sendToPeers(message), this._waitFor(REPORT_TIMEOUT_MS)]);
+  }
+
+  private _sendToPeers(message: SuspectMessage): Promise<boolean[]> {
     const { board, self, send } = this._options;
-    const told = listPeers(board, self).map(({ id }) => send(id, message));
-    if (told.length > 0) await Promise.race([Promise.all(told), this._waitFor(REPORT_TIMEOUT_MS)]);
+    return Promise.all(listPeers(board, self).map(({ id }) => send(id, message)));
   }
 
   private _waitFor(delay: Millis): Promise<void> {
