Let non-idempotent requests go on after their deadline

Cause: the deadline cancelled a running refund, whose outcome no repeat could learn. Change: its caller is refused at once by an early refusal and the attempt goes on. Waits for a trial end at the deadline. A cancelled run at an engine gets DELETE /v1/runs/<id>. Conclusion: an answer after the early refusal is recorded and billed; a repeat gets it.

--- a/src/adapters/EngineClient.ts
+++ b/src/adapters/EngineClient.ts
@@ -16,6 +16,8 @@
   silenceMs?: Millis;
 }
 
+const CANCEL_TIMEOUT_MS = 2000;
+
 const REPORT_SCHEMA = z.object({
   running: z.number(),
   waiting: z.number(),
@@ -74,10 +76,25 @@
     if (reply.statusCode !== 200) return await mapRefusal(reply);
     return await readStream(reply.body, attempt.version ?? '', attempt.id, onPart);
   } catch (error) {
+    if (signal.aborted) void cancelRun(options, endpoint.address, attempt.id);
     return mapCallError(error, signal);
   }
 }
 
+/** Cancels a run; a closed connection alone leaves it running, as its stream can be resumed. */
+async function cancelRun(options: IEngineClientOptions, address: string, run: string): Promise<void> {
+  try {
+    const reply = await sendRequest(`${address}/v1/runs/${encodeURIComponent(run)}`, {
+      method: 'DELETE',
+      headersTimeout: CANCEL_TIMEOUT_MS,
+      ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+    });
+    await reply.body.dump();
+  } catch {
+    // The engine ends the run by itself; its output has no reader.
+  }
+}
+
 /** Decodes a load report from a response header or body; `undefined` when it is missing or malformed. */
 export function decodeReport(value: unknown, receivedAt: Millis): ILoadReport | undefined {
   try {
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -100,6 +100,8 @@
   isCallerGone: boolean;
   answer: IAnswer | undefined;
   refusal: IRefusal | undefined;
+  /** Refusal that the caller gets at once while the attempt goes on, so that its outcome is recorded. */
+  earlyRefusal?: IRefusal;
 }
 
 /** Tokens counted by the engine. */
--- a/src/common/request/CrashController.ts
+++ b/src/common/request/CrashController.ts
@@ -193,10 +193,10 @@
   }
 
   /** Waits until all hosts say that no suspect runs at the endpoint; the grant keeps new ones away. */
-  private async _waitUntilAlone({ attempt, endpoint, signal }: IAttemptCall): Promise<boolean> {
+  private async _waitUntilAlone({ attempt, endpoint, request, signal }: IAttemptCall): Promise<boolean> {
     this._waiting.add(attempt.id);
     try {
-      while (!signal.aborted) {
+      while (!signal.aborted && this._options.clock.now() < request.deadlineAt) {
         const answers = this._sendToPeers({ kind: 'check', endpoint: endpoint.id });
         if (!this._hasSuspectAt(endpoint.id) && (await answers).every(Boolean)) return !signal.aborted;
         await this._waitFor(TRIAL_RETRY_MS);
@@ -212,7 +212,7 @@
     const holder = call.attempt.id;
     this._waiting.add(holder);
     try {
-      while (!call.signal.aborted) {
+      while (!call.signal.aborted && clock.now() < call.request.deadlineAt) {
         const durationMs = Math.max(0, call.request.deadlineAt - clock.now()) + GRANT_MARGIN_MS;
         if (await this._ask(key, { kind: 'acquire', key, holder, durationMs })) return !call.signal.aborted;
         await this._waitFor(TRIAL_RETRY_MS);
--- /dev/null
+++ b/src/common/request/DeadlineController.test.ts
@@ -0,0 +1,27 @@
+import test from 'ava';
+import { createTestRequest } from '../../testing/Entries.js';
+import { ManualClock } from '../../testing/ManualClock.js';
+import { Blackboard } from '../blackboard/Blackboard.js';
+import { DeadlineController } from './DeadlineController.js';
+
+// Guards against the loss of a non-idempotent request's outcome when its deadline passes.
+test('a running non-idempotent request goes on after its deadline; its caller is told unknown', async (t) => {
+  const board = new Blackboard();
+  const clock = new ManualClock();
+  const controller = new DeadlineController({ board, clock });
+  const running = { phase: 'running', deadlineAt: 100 } as const;
+  board.requests.set('refund', createTestRequest('refund', { ...running, isIdempotent: false }));
+  board.requests.set('lookup', createTestRequest('lookup', running));
+  board.requests.set(
+    'queued',
+    createTestRequest('queued', { ...running, phase: 'queued', isIdempotent: false }),
+  );
+  board.requests.set('gone', createTestRequest('gone', { ...running, isIdempotent: false }));
+  board.requests.update('gone', { isCallerGone: true });
+  await clock.advance(100);
+  controller.dispose();
+  const describe = [...board.requests.list()].map(({ id, phase, refusal, earlyRefusal }) => ({
+    ...{ id, phase, refused: refusal?.ran, toldEarly: earlyRefusal?.ran },
+  }));
+  t.snapshot(describe);
+});
--- a/src/common/request/DeadlineController.ts
+++ b/src/common/request/DeadlineController.ts
@@ -1,4 +1,5 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IRefusal } from '../blackboard/Types.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import { hasEnded, refuseRequest } from './Refusals.js';
@@ -51,7 +52,10 @@
     if (!request || request.phase === 'answered') return;
     const ran = request.phase === 'running' && request.ran === 'no' ? 'unknown' : request.ran;
     const message = 'The deadline passed before the answer was complete.';
-    refuseRequest(this._options.board, id, { code: 'deadline_exceeded', message, ran });
+    const refusal: IRefusal = { code: 'deadline_exceeded', message, ran };
+    if (!request.isIdempotent && request.phase === 'running') {
+      this._options.board.requests.update(id, { earlyRefusal: refusal });
+    } else refuseRequest(this._options.board, id, refusal);
   }
 
   private _handleCallerGone(id: string): void {
--- a/src/daemons/CrashWiring.test.ts
+++ b/src/daemons/CrashWiring.test.ts
@@ -37,7 +37,7 @@
     const place = { id, address: `127.0.0.1:${host.peerPort}`, zone: 'a', state: 'live' as const };
     hostList.machines.push({ ...place, role: 'entry-host', service: '', versions: [] });
   }
-  const call = async (index: number, content: string): Promise<{ status: number; body: string }> => {
+  const sendChat = async (index: number, content: string): Promise<{ status: number; body: string }> => {
     const reply = await sendRequest(`http://127.0.0.1:${hosts[index]!.port}/v1/chat/completions`, {
       method: 'POST',
       headers: { authorization: `Bearer ${DEMO_KEY}`, 'content-type': 'application/json' },
@@ -46,18 +46,18 @@
     return { status: reply.statusCode, body: await reply.body.text() };
   };
   const deadline = Date.now() + 20_000;
-  while ((await call(0, 'warm-up')).status !== 200 || (await call(1, 'warm-up')).status !== 200) {
+  while ((await sendChat(0, 'warm-up')).status !== 200 || (await sendChat(1, 'warm-up')).status !== 200) {
     if (Date.now() > deadline) throw new Error('The hosts did not become ready within 20 s.');
     await new Promise((resolve) => setTimeout(resolve, 100));
   }
   // The host list has to show both hosts to one another.
   await new Promise((resolve) => setTimeout(resolve, 1000));
 
-  const beside = Array.from({ length: 10 }, (_, index) => call(index % 2, `manifest ${index}`));
+  const beside = Array.from({ length: 10 }, (_, index) => sendChat(index % 2, `manifest ${index}`));
   await new Promise((resolve) => setTimeout(resolve, 200));
-  const poison = [await call(0, 'poison'), await call(1, 'poison'), await call(0, 'poison')];
+  const poison = [await sendChat(0, 'poison'), await sendChat(1, 'poison'), await sendChat(0, 'poison')];
   const answered = await Promise.all(beside);
-  const repeated = [await call(1, 'manifest 0'), await call(0, 'manifest 1')];
+  const repeated = [await sendChat(1, 'manifest 0'), await sendChat(0, 'manifest 1')];
   const crashes = engines.reduce((sum, engine) => sum + engine.books.crashes, 0);
   await Promise.all(hosts.map(({ host }) => host.stop()));
   await Promise.all([store, hostList, ...engines].map((standIn) => standIn.close()));
--- a/src/daemons/FrontEnd.ts
+++ b/src/daemons/FrontEnd.ts
@@ -54,7 +54,8 @@
     );
     this._register(
       _options.board.requests.onChange(({ before, after }) => {
-        if (after && before?.phase !== after.phase) this._handlePhase(after);
+        const isTold = after?.earlyRefusal !== before?.earlyRefusal;
+        if (after && (isTold || before?.phase !== after.phase)) this._handlePhase(after);
       }),
     );
   }
@@ -193,10 +194,15 @@
   }
 
   private _handlePhase(request: IRequestEntry): void {
-    if (request.phase !== 'billed' && request.phase !== 'refused') return;
     const writer = this._writers.get(request.id);
+    if (request.earlyRefusal) {
+      this._writers.delete(request.id);
+      writer?.endWithRefusal(request.earlyRefusal);
+    }
+    if (request.phase !== 'billed' && request.phase !== 'refused') return;
     this._writers.delete(request.id);
     this._options.board.requests.delete(request.id);
+    if (request.earlyRefusal) return;
     if (request.phase === 'billed' && request.answer) writer?.endWithAnswer(request, request.answer);
     else if (request.refusal) writer?.endWithRefusal(request.refusal);
   }
