Add commands for service documents and bills

Cause: operators had no way to edit a document or to read bills but the library. Change: config check, show, diff, apply and history, and bills export and totals.

--- /dev/null
+++ b/src/cli/CommandLine.ts
@@ -0,0 +1,49 @@
+import yargs from 'yargs';
+import { EXIT_CODES, type ICommandOutput } from './CommandResult.js';
+import { createBillsCommand } from './commands/BillsCommand.js';
+import { createConfigCommand } from './commands/ConfigCommand.js';
+import { hostCommand } from './commands/HostCommand.js';
+import { loadCommand } from './commands/LoadCommand.js';
+import { quickstartCommand } from './commands/QuickstartCommand.js';
+
+/** Runs one command line. Errors are printed as one line and set the exit code. */
+export async function runCommandLine(args: readonly string[], output: ICommandOutput): Promise<void> {
+  const parser = yargs([...args])
+    .scriptName('mulberryweir')
+    .usage('$0 <command> [options]')
+    .command(hostCommand)
+    .command(loadCommand)
+    .command(quickstartCommand)
+    .command(createConfigCommand(output))
+    .command(createBillsCommand(output))
+    .completion('completion', 'Print a script for shell completion')
+    .demandCommand(1, 'Name a command.')
+    .strict()
+    .exitProcess(false)
+    .wrap(100)
+    .epilogue(
+      'Exit codes: 0 success, 1 failure, 2 wrong settings or arguments, 3 conflict, 4 store unavailable.',
+    )
+    .help()
+    .fail((message: string | null, error: Error | undefined) => {
+      // yargs gives no message of its own for an error that a handler threw.
+      if (message === null && error) throw error;
+      throw new ArgumentError(message ?? 'Wrong arguments.', error);
+    });
+  try {
+    await parser.parseAsync([...args], {}, (_, __, text) => {
+      if (text !== '') output.writeOut(`${text}\n`);
+    });
+  } catch (error) {
+    const isArgumentError = error instanceof ArgumentError;
+    const message = error instanceof Error ? error.message : String(error);
+    output.writeError(`${message}\n${isArgumentError ? 'See mulberryweir --help.\n' : ''}`);
+    output.setExitCode(EXIT_CODES[isArgumentError ? 'wrong-arguments' : 'failure']);
+  }
+}
+
+class ArgumentError extends Error {
+  constructor(message: string, cause: Error | undefined) {
+    super(message, { cause });
+  }
+}
--- /dev/null
+++ b/src/cli/commands/BillsCommand.ts
@@ -0,0 +1,18 @@
+import type { CommandModule } from 'yargs';
+import type { ICommandOutput } from '../CommandResult.js';
+import { createBillsExportCommand } from './BillsExportCommand.js';
+import { createBillsTotalsCommand } from './BillsTotalsCommand.js';
+
+/** `mulberryweir bills`: reads bills from the store; needs no host. */
+export function createBillsCommand(output: ICommandOutput): CommandModule {
+  return {
+    command: 'bills',
+    describe: 'Read bills from the store',
+    builder: (parser) =>
+      parser
+        .command(createBillsExportCommand(output))
+        .command(createBillsTotalsCommand(output))
+        .demandCommand(1, 'Name a command of bills.'),
+    handler: () => undefined,
+  };
+}
