Add the timeline command and name the allowed keys

Cause: the events of several hosts could be read only file by file, and an unknown key of a service document did not say which keys are allowed. Change: timeline merges, filters and renders events as text, JSON or one HTML page.

--- a/src/cli/CommandLine.ts
+++ b/src/cli/CommandLine.ts
@@ -5,6 +5,7 @@
 import { hostCommand } from './commands/HostCommand.js';
 import { loadCommand } from './commands/LoadCommand.js';
 import { quickstartCommand } from './commands/QuickstartCommand.js';
+import { createTimelineCommand } from './commands/TimelineCommand.js';
 
 /** Runs one command line. Errors are printed as one line and set the exit code. */
 export async function runCommandLine(args: readonly string[], output: ICommandOutput): Promise<void> {
@@ -16,6 +17,7 @@
     .command(quickstartCommand)
     .command(createConfigCommand(output))
     .command(createBillsCommand(output))
+    .command(createTimelineCommand(output))
     .completion('completion', 'Print a script for shell completion')
     .demandCommand(1, 'Name a command.')
     .strict()
--- /dev/null
+++ b/src/cli/timeline/HtmlRenderer.ts
@@ -0,0 +1,100 @@
+import type { ITimelineLayout, ITimelineMark, TimelineStep } from '../../common/timeline/Layout.js';
+import { formatEventFields } from './TextRenderer.js';
+
+const COLUMN_WIDTH = 14;
+const LANE_HEIGHT = 40;
+const LABEL_WIDTH = 120;
+const HEADER_HEIGHT = 30;
+
+const COLOURS: Readonly<Record<TimelineStep, string>> = {
+  claim: '#7b3294',
+  route: '#2c7bb6',
+  endpoint: '#1a9641',
+  hedge: '#d8820a',
+  escalation: '#c51b7d',
+  bill: '#333333',
+  other: '#999999',
+};
+
+/** Renders a layout as one self-contained HTML page with inline SVG. */
+export function renderTimelineHtml(layout: ITimelineLayout): string {
+  const width = LABEL_WIDTH + (layout.columns + 1) * COLUMN_WIDTH;
+  const height = HEADER_HEIGHT + layout.lanes.length * LANE_HEIGHT;
+  const { request } = layout;
+  const title = request === undefined ? 'Time line' : `Time line of request ${request}`;
+  return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>${encodeText(title)}</title>
+<style>
+body { font: 14px sans-serif; margin: 16px; }
+.drawing { overflow-x: auto; }
+text { font: 12px sans-serif; }
+.lane { stroke: #cccccc; }
+.way { fill: none; stroke: #222222; stroke-width: 1.5; }
+.dimmed { opacity: 0.25; }
+</style>
+</head>
+<body>
+<h1>${encodeText(title)}</h1>
+<p>${formatLegend()}</p>
+<div class="drawing">
+<svg xmlns="http://www.w3.org/2000/svg" width="${width}" height="${height}" role="img">
+${layout.lanes.map((host, lane) => formatLane(host, lane, width)).join('\n')}
+${formatWay(layout.marks)}
+${layout.marks.map((mark) => formatMark(mark, request !== undefined)).join('\n')}
+</svg>
+</div>
+</body>
+</html>
+`;
+}
+
+function formatLegend(): string {
+  return Object.entries(COLOURS)
+    .map(([step, colour]) => `<span style="color: ${colour}">&#9679; ${step}</span>`)
+    .join(' ');
+}
+
+function formatLane(host: string, lane: number, width: number): string {
+  const y = locateLane(lane);
+  return `<text x="0" y="${y + 4}">${encodeText(host)}</text><line class="lane" x1="${LABEL_WIDTH}" y1="${y}" x2="${width}" y2="${y}"/>`;
+}
+
+function formatWay(marks: readonly ITimelineMark[]): string {
+  const points = marks
+    .filter((mark) => mark.isHighlighted)
+    .map((mark) => `${locateColumn(mark.column)},${locateLane(mark.lane)}`);
+  return points.length < 2 ? '' : `<polyline class="way" points="${points.join(' ')}"/>`;
+}
+
+function formatMark(mark: ITimelineMark, dimsOthers: boolean): string {
+  const { event, isHighlighted, step } = mark;
+  const hover = [
+    `${event.lamport} ${event.host} ${event.kind}`,
+    event.at,
+    ...(event.fields.request === undefined ? [] : [`request=${String(event.fields.request)}`]),
+    formatEventFields(event, '\n'),
+  ].join('\n');
+  const className = dimsOthers && !isHighlighted ? ' class="dimmed"' : '';
+  const position = `cx="${locateColumn(mark.column)}" cy="${locateLane(mark.lane)}"`;
+  return `<circle${className} ${position} r="${isHighlighted ? 6 : 4}" fill="${COLOURS[step]}"><title>${encodeText(hover)}</title></circle>`;
+}
+
+function locateLane(lane: number): number {
+  return HEADER_HEIGHT + lane * LANE_HEIGHT;
+}
+
+function locateColumn(column: number): number {
+  return LABEL_WIDTH + (column + 1) * COLUMN_WIDTH;
+}
+
+/** Escapes text for HTML: fields hold names that callers choose. */
+function encodeText(text: string): string {
+  return text
+    .replaceAll('&', '&amp;')
+    .replaceAll('<', '&lt;')
+    .replaceAll('>', '&gt;')
+    .replaceAll('"', '&quot;');
+}
--- a/src/common/config/ServiceDocument.ts
+++ b/src/common/config/ServiceDocument.ts
@@ -115,7 +115,8 @@
     }
     const parsed = schema.safeParse(section);
     if (parsed.success) return parsed.data;
-    for (const issue of parsed.error.issues) this._addIssue(title, issue);
+    const allowed = schema instanceof z.ZodObject ? Object.keys(schema.shape) : [];
+    for (const issue of parsed.error.issues) this._addIssue(title, issue, allowed);
     return undefined;
   }
 
@@ -171,9 +172,10 @@
     }
   }
 
-  private _addIssue(title: string, issue: z.core.$ZodIssue): void {
+  private _addIssue(title: string, issue: z.core.$ZodIssue, allowed: readonly string[]): void {
     if (issue.code === 'unrecognized_keys') {
-      for (const key of issue.keys) this._addProblem(title, key, 'unknown key');
+      const message = `unknown key; allowed are ${allowed.join(', ')}`;
+      for (const key of issue.keys) this._addProblem(title, key, message);
       return;
     }
     const key = issue.path[0];
