Add the status command over the signed peer protocol

Cause: an operator could not see what a host knows of versions, endpoints, partitions and hosts. It needs the key that the hosts share; the callers' port shows nothing new.

--- a/src/cli/CommandLine.ts
+++ b/src/cli/CommandLine.ts
@@ -5,6 +5,7 @@
 import { hostCommand } from './commands/HostCommand.js';
 import { loadCommand } from './commands/LoadCommand.js';
 import { quickstartCommand } from './commands/QuickstartCommand.js';
+import { createStatusCommand } from './commands/StatusCommand.js';
 import { createTimelineCommand } from './commands/TimelineCommand.js';
 
 /** Runs one command line. Errors are printed as one line and set the exit code. */
@@ -18,6 +19,7 @@
     .command(createConfigCommand(output))
     .command(createBillsCommand(output))
     .command(createTimelineCommand(output))
+    .command(createStatusCommand(output))
     .completion('completion', 'Print a script for shell completion')
     .demandCommand(1, 'Name a command.')
     .strict()
--- a/src/common/coordination/Peers.ts
+++ b/src/common/coordination/Peers.ts
@@ -9,6 +9,7 @@
   | 'config.push'
   | 'gossip.exchange'
   | 'host.check'
+  | 'host.status'
   | 'suspect.report'
   | 'account.lease'
   | 'rollout.report';
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -8,6 +8,7 @@
 import { ServiceOwnerController } from '../common/coordination/ServiceOwnerController.js';
 import type { IBillTotal, IStore } from '../common/coordination/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
+import { buildStatusReport } from '../common/status/StatusReport.js';
 import { TimelineRecorder } from '../common/timeline/TimelineRecorder.js';
 import type { ITimelineEvent } from '../common/timeline/Types.js';
 import { EndpointTracker } from './EndpointTracker.js';
@@ -91,6 +92,8 @@
       ...this._journal.handlers,
       ...this._versions.peerHandlers,
       ...this._requests.peerHandlers,
+      'host.status': () =>
+        Promise.resolve(buildStatusReport(this._board, this._options.settings.host.id, systemClock.now())),
     });
     this._versions.start();
     await this._tracker.run();
