--- a/bench/JournalReader.ts
+++ b/bench/JournalReader.ts
@@ -1,9 +1,11 @@
 import { createHttpStore } from '../src/adapters/HttpStore.js';
-import { createUniqueId, hashTexts } from '../src/adapters/Random.js';
+import { createUniqueId } from '../src/adapters/Random.js';
 import { systemClock } from '../src/adapters/SystemClock.js';
 import { PartitionStorage } from '../src/common/coordination/PartitionStorage.js';
 import type { IJournalRecord } from '../src/common/coordination/Types.js';
-import type { IPlannedRequest } from '../src/load/Types.js';
+import { hashFingerprint, hashRequestKey } from '../src/daemons/RequestKeys.js';
+import { encodeCallBody, getCallPath } from '../src/load/LoadCall.js';
+import type { ILoadTarget, IPlannedRequest } from '../src/load/Types.js';
 import { BENCH_SERVICE } from './Documents.js';
 
 /** What the journal's partitions hold together. */
@@ -37,6 +39,12 @@
 }
 
 /** Hashes a request of the load into the journal's key. */
-export function hashRequestKey(request: IPlannedRequest): string {
-  return hashTexts('request', BENCH_SERVICE, `account-${request.account}`, request.idempotencyKey ?? '');
+export function hashPlannedRequest(target: ILoadTarget, request: IPlannedRequest): string {
+  const account = `account-${request.account}`;
+  const path = getCallPath(target, request);
+  return hashRequestKey({
+    ...{ id: '', service: BENCH_SERVICE, account, idempotencyKey: request.idempotencyKey },
+    isIdempotent: request.kind !== 'plain',
+    fingerprint: hashFingerprint(account, 'POST', path, encodeCallBody(target, request)),
+  });
 }
--- a/bench/scenarios/OnceAndBilled.ts
+++ b/bench/scenarios/OnceAndBilled.ts
@@ -1,13 +1,13 @@
 import { formatRequestName } from '../../src/load/LoadCall.js';
 import { runLoad } from '../../src/load/LoadRunner.js';
 import { DEFAULT_PLAN } from '../../src/load/Schedule.js';
-import type { ICallOutcome, ILoadSummary, IPlannedRequest } from '../../src/load/Types.js';
+import type { ICallOutcome, ILoadSummary, ILoadTarget, IPlannedRequest } from '../../src/load/Types.js';
 import { readBooks } from '../Books.js';
 import { planFaults, runFaults } from '../Faults.js';
 import { startFleet } from '../Fleet.js';
 import type { IFleet } from '../fleet/Types.js';
 import { waitFor } from '../Http.js';
-import { hashRequestKey, readJournal } from '../JournalReader.js';
+import { hashPlannedRequest, readJournal } from '../JournalReader.js';
 import { buildTarget } from '../Loads.js';
 import type { IPlotRow, IScenarioOptions, IScenarioResult } from '../Types.js';
 
@@ -117,6 +117,14 @@
 
 async function runWithFaults(fleet: IFleet, seed: number, durationMs: number): Promise<ISeedRun> {
   const outcomes = new Map<string, ICallOutcome[]>();
+  const target = buildTarget(
+    fleet.hosts.map(({ address }) => address),
+    VERSION,
+    {
+      deadlineMs: 10_000,
+      timeoutMs: 15_000,
+    },
+  );
   const load = runLoad({
     plan: {
       ...DEFAULT_PLAN,
@@ -128,14 +136,7 @@
       accounts: 10,
       sessions: 20,
     },
-    target: buildTarget(
-      fleet.hosts.map(({ address }) => address),
-      VERSION,
-      {
-        deadlineMs: 10_000,
-        timeoutMs: 15_000,
-      },
-    ),
+    target,
     decideRepeat,
     onOutcome: (outcome) => {
       const name = formatRequestName(outcome.request);
@@ -144,7 +145,7 @@
   });
   const [summary] = await Promise.all([load, runFaults(fleet, planFaults(seed, durationMs))]);
   await waitFor(SETTLE_MS);
-  return { seed, summary, ...(await checkOutcomes(fleet, outcomes)) };
+  return { seed, summary, ...(await checkOutcomes(fleet, target, outcomes)) };
 }
 
 /** Callers repeat with the same key after broken connections, refusals for now and unknown outcomes. */
@@ -155,12 +156,13 @@
 
 async function checkOutcomes(
   fleet: IFleet,
+  target: ILoadTarget,
   outcomes: ReadonlyMap<string, readonly ICallOutcome[]>,
 ): Promise<Omit<ISeedRun, 'seed' | 'summary'>> {
   const { engineRuns, plainRuns } = await readBooks(fleet);
   const journal = await readJournal(fleet.store.address);
   const isBilled = (request: IPlannedRequest): boolean =>
-    journal.records.get(hashRequestKey(request))?.billedRequest !== undefined;
+    journal.records.get(hashPlannedRequest(target, request))?.billedRequest !== undefined;
   const named = [...outcomes].map(([name, tries]) => ({
     name,
     tries,
--- a/src/daemons/RequestParser.ts
+++ b/src/daemons/RequestParser.ts
@@ -6,6 +6,7 @@
 import type { IServiceDocument } from '../common/config/Types.js';
 import { classifyKind } from '../common/policy/Kinds.js';
 import type { Millis, Priority } from '../common/Types.js';
+import { hashFingerprint } from './RequestKeys.js';
 
 /** A request as it arrived, after authentication. */
 export interface IArrivedRequest {
@@ -78,7 +79,12 @@
     target,
     isIdempotent,
     idempotencyKey,
-    fingerprint: hashTexts(arrived.account, arrived.method, arrived.path, arrived.body.toString('latin1')),
+    fingerprint: hashFingerprint(
+      arrived.account,
+      arrived.method,
+      arrived.path,
+      arrived.body.toString('latin1'),
+    ),
     session: headers['x-mulberryweir-session'],
     priority,
     receivedAt: arrived.receivedAt,
--- a/src/daemons/RequestWiring.ts
+++ b/src/daemons/RequestWiring.ts
@@ -5,7 +5,6 @@
 import { createSendSuspectMessage, createSuspectHandlers } from '../adapters/SuspectMessages.js';
 import { systemClock } from '../adapters/SystemClock.js';
 import type { Blackboard } from '../common/blackboard/Blackboard.js';
-import type { IRequestEntry } from '../common/blackboard/Types.js';
 import type { PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
@@ -23,6 +22,7 @@
 import { VersionController } from '../common/request/VersionController.js';
 import { encodeStoredAnswer } from './Encoding.js';
 import type { JournalWiring } from './JournalWiring.js';
+import { hashRequestKey, hashSessionKey } from './RequestKeys.js';
 import { createRoutingPolicies, selectChooseVersion } from './Policies.js';
 import { Routing } from './RoutingWiring.js';
 import type { HostSettings } from './Settings.js';
@@ -105,7 +105,7 @@
     this._register(
       new ClaimController({
         ...this._common,
-        hashKey,
+        hashKey: hashRequestKey,
         retentionMs,
         holdEntries: this._options.journal.holdBill,
       }),
@@ -118,7 +118,13 @@
     const hasVersion = (version: string): boolean => this._routing.index.hasVersion(version);
     const { hashPoint } = versions;
     this._register(
-      new VersionController({ ...this._common, chooseVersion, hashSession, hashPoint, hasVersion }),
+      new VersionController({
+        ...this._common,
+        chooseVersion,
+        hashSession: hashSessionKey,
+        hashPoint,
+        hasVersion,
+      }),
     );
   }
 
@@ -131,13 +137,18 @@
     const decideRetry = withBlockedRetry(board, createDecideRetry(Math.random));
     this._register(
       new OutcomeController({
-        ...{ ...this._common, decideRetry, takeRetryBudget, hashKey, decideAcceptance },
+        ...{ ...this._common, decideRetry, takeRetryBudget, hashKey: hashRequestKey, decideAcceptance },
         holdEntries: journal.holdBill,
       }),
     );
     const encodeAnswer = encodeStoredAnswer;
     this._register(
-      new BillController({ ...this._common, hashKey, encodeAnswer, holdBill: journal.holdBill }),
+      new BillController({
+        ...this._common,
+        hashKey: hashRequestKey,
+        encodeAnswer,
+        holdBill: journal.holdBill,
+      }),
     );
   }
 
@@ -152,11 +163,3 @@
   const phase = board.lifecycle.get('host')?.phase;
   return phase === 'finishing' || phase === 'stopped';
 }
-
-function hashKey(request: IRequestEntry): string {
-  return hashTexts('request', request.service, request.account, request.idempotencyKey ?? request.id);
-}
-
-function hashSession(request: IRequestEntry): string {
-  return hashTexts('session', request.service, request.account, request.session ?? '');
-}
--- a/src/load/LoadCall.ts
+++ b/src/load/LoadCall.ts
@@ -63,17 +63,27 @@
 
 function openCall(options: ILoadCallOptions): Promise<Dispatcher.ResponseData> {
   const { dispatcher, request, target, tries } = options;
-  const isPlain = request.kind === 'plain';
   const address = target.chooseAddress(request, tries);
-  return sendRequest(address + (isPlain ? target.plainPath : '/v1/chat/completions'), {
+  return sendRequest(address + getCallPath(target, request), {
     method: 'POST',
     headers: buildHeaders(options),
-    body: JSON.stringify(isPlain ? { load: formatRequestName(request) } : buildChat(target, request)),
+    body: encodeCallBody(target, request),
     dispatcher,
     signal: AbortSignal.timeout(target.timeoutMs ?? DEFAULT_TIMEOUT_MS),
   });
 }
 
+/** Path of the call that a planned request makes. */
+export function getCallPath(target: ILoadTarget, request: IPlannedRequest): string {
+  return request.kind === 'plain' ? target.plainPath : '/v1/chat/completions';
+}
+
+/** Body of the call that a planned request makes; the same each time it is repeated. */
+export function encodeCallBody(target: ILoadTarget, request: IPlannedRequest): string {
+  const isPlain = request.kind === 'plain';
+  return JSON.stringify(isPlain ? { load: formatRequestName(request) } : buildChat(target, request));
+}
+
 function buildChat(target: ILoadTarget, request: IPlannedRequest): unknown {
   return {
     model: target.model,
