--- a/bench/capacity/Controllers.ts
+++ b/bench/capacity/Controllers.ts
@@ -2,11 +2,12 @@
 import { systemClock } from '../../src/adapters/SystemClock.js';
 import { parseDocumentText } from '../../src/adapters/ConfigStore.js';
 import { Blackboard } from '../../src/common/blackboard/Blackboard.js';
-import type { IEndpointEntry, IRequestEntry } from '../../src/common/blackboard/Types.js';
+import type { IRequestEntry } from '../../src/common/blackboard/Types.js';
 import { disposeAll } from '../../src/common/Lifecycle.js';
 import { chooseCheapestExpected } from '../../src/common/policy/Versions.js';
 import { VersionController } from '../../src/common/request/VersionController.js';
 import { Routing } from '../../src/daemons/RoutingWiring.js';
+import { createTestEndpoint, createTestRequest, TEST_TARGET } from '../../src/testing/Entries.js';
 import { BENCH_SERVICE, formatDocument } from '../Documents.js';
 import type { IPoint } from './Types.js';
 
@@ -60,7 +61,7 @@
     rollouts: {},
   });
   for (let index = 0; index < endpoints; index += 1) {
-    board.endpoints.set(`engine-${index}`, createEndpoint(`engine-${index}`));
+    board.endpoints.set(`engine-${index}`, createTestEndpoint(`engine-${index}`, { zone: 'zone-0' }));
   }
 }
 
@@ -77,57 +78,11 @@
   }
 }
 
-function createEndpoint(id: string): IEndpointEntry {
-  return {
-    id,
-    kind: 'engine',
-    service: BENCH_SERVICE,
-    address: 'http://127.0.0.1:1',
-    zone: 'zone-0',
-    health: 'healthy',
-    healthChangedAt: 0,
-    versions: [VERSION],
-    inFlight: 0,
-    inFlightTokens: 0,
-    firstTokenMs: undefined,
-    tokenMs: undefined,
-    consecutiveFailures: 0,
-    report: undefined,
-    checksFencing: false,
-  };
-}
-
 function createRequest(): IRequestEntry {
   const now = systemClock.now();
-  return {
-    id: createUniqueId(),
-    phase: 'admitted',
-    service: BENCH_SERVICE,
-    account: 'account-0',
-    kind: 'default',
-    target: {
-      kind: 'model',
-      model: 'auto',
-      isStreaming: true,
-      promptTokens: 100,
-      maxTokens: 64,
-      prefixHashes: [],
-      body: {},
-    },
-    isIdempotent: true,
-    idempotencyKey: undefined,
-    fingerprint: '',
-    session: undefined,
-    priority: 'normal',
-    receivedAt: now,
-    deadlineAt: now + 60_000,
-    version: undefined,
-    winner: undefined,
-    attemptCount: 0,
-    escalatedFrom: [],
-    ran: 'no',
-    isCallerGone: false,
-    answer: undefined,
-    refusal: undefined,
-  };
+  const target = { ...TEST_TARGET, isStreaming: true, promptTokens: 100, maxTokens: 64 };
+  return createTestRequest(createUniqueId(), {
+    ...{ phase: 'admitted', service: BENCH_SERVICE, account: 'account-0', kind: 'default', target },
+    ...{ receivedAt: now, deadlineAt: now + 60_000, version: undefined },
+  });
 }
--- /dev/null
+++ b/src/common/metrics/MetricsController.test.ts
@@ -0,0 +1,29 @@
+import test from 'ava';
+import { createTestEndpoint, createTestRequest } from '../../testing/Entries.js';
+import { ManualClock } from '../../testing/ManualClock.js';
+import { Blackboard } from '../blackboard/Blackboard.js';
+import { MetricsController } from './MetricsController.js';
+
+// Guards against metrics that miss a refusal, an answer or an endpoint that is avoided, or count it twice.
+test('requests, attempts and endpoints are counted once, with their outcome', async (t) => {
+  const board = new Blackboard();
+  const clock = new ManualClock();
+  const samples: unknown[] = [];
+  const record = (...sample: readonly unknown[]): void => {
+    samples.push(sample);
+  };
+  new MetricsController({ board, clock, sink: { count: record, time: record, gauge: record } });
+  board.endpoints.set('e-1', createTestEndpoint('e-1'));
+  board.endpoints.update('e-1', { health: 'suspect' });
+  board.endpoints.update('e-1', { health: 'healthy' });
+  board.requests.set('r-1', createTestRequest('r-1'));
+  await clock.advance(250);
+  board.requests.update('r-1', { phase: 'billed' });
+  board.requests.update('r-1', { isCallerGone: true });
+  board.requests.set('r-2', createTestRequest('r-2'));
+  board.requests.update('r-2', {
+    phase: 'refused',
+    refusal: { code: 'no_capacity', message: 'Full.', ran: 'no' },
+  });
+  t.snapshot(samples);
+});
--- /dev/null
+++ b/src/common/metrics/MetricsController.ts
@@ -0,0 +1,80 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { EndpointHealth, IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import type { IClock } from '../Types.js';
+import type { IMetricsSink } from './Types.js';
+
+/** Options of the metrics controller. */
+export interface IMetricsOptions {
+  board: Blackboard;
+  clock: IClock;
+  sink: IMetricsSink;
+}
+
+const AVOIDED: ReadonlySet<EndpointHealth | undefined> = new Set<EndpointHealth>([
+  'suspect',
+  'probing',
+  'leaving',
+]);
+
+/** Turns what happens on the panels into metrics. */
+export class MetricsController extends Disposable {
+  private _unhealthy = 0;
+
+  constructor(private readonly _options: IMetricsOptions) {
+    super();
+    const { board, sink } = _options;
+    this._register(
+      board.requests.onChange(({ before, after }) => {
+        if (after && before?.phase !== after.phase) this._recordRequest(after);
+      }),
+    );
+    this._register(
+      board.attempts.onChange(({ before, after }) => {
+        if (after && before?.phase !== after.phase) this._recordAttempt(after);
+      }),
+    );
+    this._register(
+      board.endpoints.onChange(({ before, after }) => {
+        const change = Number(AVOIDED.has(after?.health)) - Number(AVOIDED.has(before?.health));
+        if (change === 0) return;
+        this._unhealthy += change;
+        sink.gauge('endpoints.unhealthy', this._unhealthy);
+      }),
+    );
+    this._register(
+      board.services.onChange(({ after }) => {
+        if (after) sink.gauge('config.revision', after.revision);
+      }),
+    );
+  }
+
+  private _recordRequest(request: IRequestEntry): void {
+    const { clock, sink } = this._options;
+    const { account, refusal, service } = request;
+    if (request.phase === 'refused') {
+      sink.count('requests.refused', {
+        service,
+        account,
+        code: refusal?.code ?? '',
+        ran: refusal?.ran ?? '',
+      });
+    }
+    if (request.phase !== 'billed') return;
+    const tags = { service, account, version: request.version ?? 'none' };
+    sink.count('requests.answered', tags);
+    sink.time('requests.total_ms', clock.now() - request.receivedAt, tags);
+  }
+
+  private _recordAttempt(attempt: IAttemptEntry): void {
+    const { board, clock, sink } = this._options;
+    const { error, phase, role } = attempt;
+    const version = attempt.version ?? 'none';
+    if (phase === 'streaming') {
+      const receivedAt = board.requests.get(attempt.request)?.receivedAt ?? attempt.plannedAt;
+      sink.time('requests.first_token_ms', clock.now() - receivedAt, { version });
+    }
+    const hasEnded = phase === 'finished' || phase === 'failed' || phase === 'cancelled';
+    if (hasEnded) sink.count('attempts.ended', { version, role, outcome: error?.kind ?? phase });
+  }
+}
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -1,5 +1,6 @@
 import { createHttpStore } from '../adapters/HttpStore.js';
 import type { WriteLog } from '../adapters/Logs.js';
+import { createMetricsClient, type IMetricsClient } from '../adapters/Metrics.js';
 import { createUniqueId, hashTexts } from '../adapters/Random.js';
 import { systemClock } from '../adapters/SystemClock.js';
 import { Blackboard } from '../common/blackboard/Blackboard.js';
@@ -7,7 +8,8 @@
 import { isHostReady } from '../common/coordination/Readiness.js';
 import { ServiceOwnerController } from '../common/coordination/ServiceOwnerController.js';
 import type { IBillTotal, IStore } from '../common/coordination/Types.js';
-import { Disposable } from '../common/Lifecycle.js';
+import { Disposable, toDisposable } from '../common/Lifecycle.js';
+import { MetricsController } from '../common/metrics/MetricsController.js';
 import { buildStatusReport } from '../common/status/StatusReport.js';
 import { TimelineRecorder } from '../common/timeline/TimelineRecorder.js';
 import type { ITimelineEvent } from '../common/timeline/Types.js';
@@ -49,7 +51,11 @@
       },
     });
     this._board = board;
-    this._store = createHttpStore({ address: settings.platform.store });
+    const metrics = this._createMetrics();
+    this._store = createHttpStore({
+      address: settings.platform.store,
+      onCall: (operation) => metrics?.sink.count('store.calls', { operation }),
+    });
     const readWallClock = (): string => new Date().toISOString();
     this._timeline = this._register(
       new TimelineRecorder({ host: settings.host.id, board, readWallClock, writeEvent }),
@@ -120,6 +126,20 @@
     },
   };
 
+  private _createMetrics(): IMetricsClient | undefined {
+    const { log, settings } = this._options;
+    const { statsd_host: host, statsd_port: port } = settings.metrics;
+    if (host === undefined) return undefined;
+    const onError = (error: Error): void => {
+      log('warn', 'Metrics could not be sent', { error: error.message });
+    };
+    const client = createMetricsClient({ host, port, entryHost: settings.host.id, onError });
+    const { sink } = client;
+    this._register(new MetricsController({ board: this._board, clock: systemClock, sink }));
+    this._register(toDisposable(client.close));
+    return client;
+  }
+
   private _createDrain(): DrainController {
     const { log, settings } = this._options;
     return new DrainController({
