--- a/src/cli/commands/QuickstartCommand.ts
+++ b/src/cli/commands/QuickstartCommand.ts
@@ -1,36 +1,49 @@
 import { request as sendRequest } from 'undici';
 import type { CommandModule } from 'yargs';
 import { createLog } from '../../adapters/Logs.js';
+import { filterEvents, mergeEvents } from '../../common/timeline/Merge.js';
 import type { ITimelineEvent } from '../../common/timeline/Types.js';
 import { EntryHost } from '../../daemons/EntryHost.js';
 import { parseSettings } from '../../daemons/Settings.js';
 import { DEMO_KEY } from '../quickstart/Documents.js';
 import { startDemoPlatform, type IDemoPlatform } from '../quickstart/Platform.js';
+import { renderTimelineText } from '../timeline/TextRenderer.js';
 
-/** `mulberryweir quickstart`: a host and all stand-ins in one process, a short mix of requests. */
+/** `mulberryweir quickstart`: two hosts and all stand-ins in one process, a short mix of requests. */
 export const quickstartCommand: CommandModule = {
   command: 'quickstart',
   describe:
-    'Start a host and stand-ins, send a short mix of requests, print answers, bills and the time line',
+    'Start two hosts and stand-ins, send a short mix of requests, print answers, bills and the time line',
   handler: async () => {
     const platform = await startDemoPlatform();
     const events: ITimelineEvent[] = [];
-    const host = createDemoHost(platform, events);
-    const port = await host.start();
-    await waitUntilReady(port);
-    await sendDemoRequests(`http://127.0.0.1:${port}`);
-    printSection('Bills');
-    for (const total of host.listTotals()) printLine(JSON.stringify(total));
-    printSection('Time line');
-    for (const event of events)
-      printLine(`${event.lamport} ${event.host} ${event.kind} ${JSON.stringify(event.fields)}`);
-    await host.stop();
+    const hosts = ['host-1', 'host-2'].map((id) => createDemoHost(platform, id, events));
+    const ports: number[] = [];
+    for (const host of hosts) {
+      ports.push(await host.start());
+      platform.addHost(`host-${ports.length}`, `127.0.0.1:${host.peerPort}`);
+    }
+    for (const port of ports) await waitUntilReady(port);
+    const [first = 0, second = 0] = ports;
+    await sendDemoRequests(`http://127.0.0.1:${first}`, `http://127.0.0.1:${second}`);
+    printSection('Bills by host');
+    for (const host of hosts) for (const total of host.listTotals()) printLine(JSON.stringify(total));
+    printSection('Time line of one request');
+    printLine(renderTimelineText(selectShownEvents(events)));
+    for (const host of hosts) await host.stop();
     await platform.close();
   },
 };
 
-function createDemoHost(platform: IDemoPlatform, events: ITimelineEvent[]): EntryHost {
-  const text = `[host]\nid = host-1\nzone = zone-a\nport = 0\npeer_port = 0\npeer_key = quickstart-peer-key\n
+/** The events of the last request that ran; the whole time line is too long to read. */
+function selectShownEvents(events: readonly ITimelineEvent[]): ITimelineEvent[] {
+  const merged = mergeEvents([events]);
+  const claimed = merged.filter(({ kind }) => kind === 'request.claimed').at(-1);
+  return filterEvents(merged, { request: String(claimed?.fields.request) });
+}
+
+function createDemoHost(platform: IDemoPlatform, id: string, events: ITimelineEvent[]): EntryHost {
+  const text = `[host]\nid = ${id}\nzone = zone-a\nport = 0\npeer_port = 0\npeer_key = quickstart-peer-key\n
 [limits]\ndrain_grace_ms = 0
 
 [platform]\nstore = ${platform.store}\nhost_list = ${platform.hostList}\n`;
@@ -38,7 +51,7 @@
   if (settings.isErr) throw new Error(settings.error);
   return new EntryHost({
     settings: settings.value,
-    log: createLog('host-1', 'warn'),
+    log: createLog(id, 'warn'),
     writeEvent: (event) => events.push(event),
   });
 }
@@ -52,7 +65,7 @@
   }
 }
 
-async function sendDemoRequests(address: string): Promise<void> {
+async function sendDemoRequests(address: string, other: string): Promise<void> {
   printSection('Answers');
   const chat = {
     model: 'auto',
@@ -64,13 +77,13 @@
   await sendAndPrint('session', address, '/v1/chat/completions', chat, {
     'x-mulberryweir-session': 'landlord-7',
   });
-  await sendAndPrint('session again', address, '/v1/chat/completions', chat, {
+  await sendAndPrint('session again at the other host', other, '/v1/chat/completions', chat, {
     'x-mulberryweir-session': 'landlord-7',
   });
   const refund = { pub: 'the-anchor', amount: 30 };
   const headers = { 'idempotency-key': 'refund-the-anchor-1' };
   await sendAndPrint('refund', address, '/services/ledger/refunds', refund, headers);
-  await sendAndPrint('refund repeated', address, '/services/ledger/refunds', refund, headers);
+  await sendAndPrint('refund repeated at the other host', other, '/services/ledger/refunds', refund, headers);
   await sendAndPrint('model that is not allowed', address, '/v1/chat/completions', {
     ...chat,
     model: 'huge-9',
--- a/src/cli/quickstart/Platform.ts
+++ b/src/cli/quickstart/Platform.ts
@@ -11,6 +11,8 @@
 export interface IDemoPlatform {
   store: string;
   hostList: string;
+  /** Lists an entry host, so that the others find it. */
+  addHost: (id: string, address: string) => void;
   close: () => Promise<void>;
 }
 
@@ -31,6 +33,13 @@
   return {
     store: store.address,
     hostList: hostList.address,
+    addHost: (id, address) => {
+      hostList.machines.push({
+        ...describeMachine(id, 'engine', address, []),
+        role: 'entry-host',
+        service: '',
+      });
+    },
     close: async () => {
       await Promise.all(all.map((standIn) => standIn.close()));
     },
