Round the totals of bills, so that they do not depend on the order of addition

Which partitions the bills fall into depends on random ids, and floating-point sums depend on the order of addition. The failed test left its host running, which kept the test process alive for another 180 s. Change: totals are rounded to a billionth of a currency unit after each addition; the test closes its host also after a failure. Conclusion: totals are the same on every host and in every run.

--- a/src/common/coordination/LocalJournal.ts
+++ b/src/common/coordination/LocalJournal.ts
@@ -1,4 +1,5 @@
 import { Result } from 'true-myth';
+import { roundCost } from './Costs.js';
 import type { PartitionLog } from './PartitionLog.js';
 import type { IBillTotal, IJournal, JournalError } from './Types.js';
 
@@ -40,7 +41,7 @@
       count: (sum?.count ?? 0) + total.count,
       promptTokens: (sum?.promptTokens ?? 0) + total.promptTokens,
       completionTokens: (sum?.completionTokens ?? 0) + total.completionTokens,
-      cost: (sum?.cost ?? 0) + total.cost,
+      cost: roundCost((sum?.cost ?? 0) + total.cost),
     });
   }
   return [...combined.values()];
--- a/src/common/coordination/PartitionState.ts
+++ b/src/common/coordination/PartitionState.ts
@@ -1,3 +1,4 @@
+import { roundCost } from './Costs.js';
 import type { AppendOutcome, IBill, IBillTotal, IJournalRecord, JournalEntry, Retention } from './Types.js';
 
 /** In-memory state of a journal partition; rebuilt from the checkpoint and the batches after it. */
@@ -157,7 +158,7 @@
     count: (total?.count ?? 0) + 1,
     promptTokens: (total?.promptTokens ?? 0) + bill.promptTokens,
     completionTokens: (total?.completionTokens ?? 0) + bill.completionTokens,
-    cost: (total?.cost ?? 0) + bill.cost,
+    cost: roundCost((total?.cost ?? 0) + bill.cost),
   });
 }
 
--- a/src/daemons/VersionsWiring.test.ts
+++ b/src/daemons/VersionsWiring.test.ts
@@ -83,6 +83,11 @@
 ratings = ${ratings.address}\n`);
   if (settings.isErr) throw new Error(settings.error);
   const host = new EntryHost({ settings: settings.value, log: () => undefined, writeEvent: () => undefined });
+  // Also after a failure: a running host would keep the test process from ending.
+  t.teardown(async () => {
+    await host.stop();
+    await Promise.all([store, hostList, small, large, ratings].map((standIn) => standIn.close()));
+  });
   const address = `http://127.0.0.1:${await host.start()}`;
   await waitUntilReady(address);
   const accepted = await sendChat(address, 'tag a note', false);
@@ -97,6 +102,4 @@
     runs: { small: small.books.runs.length, large: large.books.runs.length },
     totals: host.listTotals(),
   });
-  await host.stop();
-  await Promise.all([store, hostList, small, large, ratings].map((standIn) => standIn.close()));
 });
