--- a/bench/RoutingPolicies.ts
+++ b/bench/RoutingPolicies.ts
@@ -12,6 +12,12 @@
 import type { Millis, RandomSource } from '../src/common/Types.js';
 import { createRoutingPolicies, type IRoutingPolicies } from '../src/daemons/Policies.js';
 import { Routing } from '../src/daemons/RoutingWiring.js';
+import {
+  createTestEndpoint,
+  createTestRequest,
+  createTestService,
+  TEST_TARGET,
+} from '../src/testing/Entries.js';
 import { ManualClock } from '../src/testing/ManualClock.js';
 import { PREFILL_MS, TimedEngine, TOKEN_MS } from './TimedEngine.js';
 
@@ -24,7 +30,11 @@
 const ENGINES = 13;
 const SLOTS = 16;
 const ZONES = 4;
-const VERSION = 'draft-1';
+const VERSION = 'small-1';
+const ACCOUNTS = 10;
+const ACCOUNT_WEIGHTS = Object.fromEntries(
+  Array.from({ length: ACCOUNTS }, (_, index) => [`account-${index}`, 1]),
+);
 const DURATION_MS = 60_000;
 const DRAIN_MS = 60_000;
 const MEAN_TOKENS = 40;
@@ -128,6 +138,8 @@
   private _createHost(index: number): Blackboard {
     const board = new Blackboard();
     const clock = this._clock;
+    // Without a service in force, every request would be sent back for another version.
+    board.services.set('drafts', createTestService(ACCOUNT_WEIGHTS));
     for (let engine = 0; engine < ENGINES; engine += 1)
       board.endpoints.set(`e-${engine}`, createEndpoint(engine));
     const random = createSeededRandom(this._trial.seed * 1000 + index + 1);
@@ -193,7 +205,7 @@
     const tokens = isStraggler ? MEAN_TOKENS * STRAGGLER_FACTOR : short;
     this._tokens.set(id, tokens);
     const board = this._boards[Math.floor(this._random() * hosts)];
-    const account = `account-${Math.floor(this._random() ** 2 * 10)}`;
+    const account = `account-${Math.floor(this._random() ** 2 * ACCOUNTS)}`;
     const isStreaming = this._random() < 0.5;
     const now = this._clock.now();
     const deadlineMs = scenario === 'crest' ? CREST_DEADLINE_MS : DRAIN_MS;
@@ -299,23 +311,7 @@
 }
 
 function createEndpoint(index: number): IEndpointEntry {
-  return {
-    id: `e-${index}`,
-    kind: 'engine',
-    service: 'drafts',
-    address: '',
-    zone: `zone-${index % ZONES}`,
-    health: 'healthy',
-    healthChangedAt: 0,
-    versions: [VERSION],
-    inFlight: 0,
-    inFlightTokens: 0,
-    firstTokenMs: undefined,
-    tokenMs: undefined,
-    consecutiveFailures: 0,
-    report: undefined,
-    checksFencing: false,
-  };
+  return createTestEndpoint(`e-${index}`, { zone: `zone-${index % ZONES}`, versions: [VERSION] });
 }
 
 interface IRequestDraft {
@@ -328,38 +324,10 @@
 }
 
 function createRequest({ account, deadlineMs, id, isStreaming, now, tokens }: IRequestDraft): IRequestEntry {
-  const maxTokens = Math.ceil(tokens * 1.5);
-  return {
-    id,
-    phase: 'queued',
-    service: 'drafts',
-    account,
-    kind: 'draft',
-    target: {
-      kind: 'model',
-      model: VERSION,
-      isStreaming,
-      promptTokens: 10,
-      maxTokens,
-      prefixHashes: [],
-      body: undefined,
-    },
-    isIdempotent: true,
-    idempotencyKey: undefined,
-    fingerprint: id,
-    session: undefined,
-    priority: 'normal',
-    receivedAt: now,
-    deadlineAt: now + deadlineMs,
-    version: VERSION,
-    winner: undefined,
-    attemptCount: 0,
-    escalatedFrom: [],
-    ran: 'no',
-    isCallerGone: false,
-    answer: undefined,
-    refusal: undefined,
-  };
+  const target = { ...TEST_TARGET, model: VERSION, isStreaming, maxTokens: Math.ceil(tokens * 1.5) };
+  return createTestRequest(id, {
+    ...{ account, target, receivedAt: now, deadlineAt: now + deadlineMs, version: VERSION },
+  });
 }
 
 async function measureScenario(
