Build the requests of the cascade bench with the tests' builder

Cause: the bench held a copy of buildTestRequest with the same values. Change: it calls buildTestRequest; ids, kinds and fingerprints are as before.

--- a/bench/CascadeCost.ts
+++ b/bench/CascadeCost.ts
@@ -9,6 +9,7 @@
 import type { ChooseVersion } from '../src/common/request/Types.js';
 import { countRating, formatQualityKey, updateQuality } from '../src/common/rollout/Quality.js';
 import type { RandomSource } from '../src/common/Types.js';
+import { buildTestRequest } from '../src/testing/VersionFixtures.js';
 
 const QUALITY_TARGET = 0.9;
 /** Share of wrong scores of drafts. */
@@ -228,7 +229,8 @@
       VERSIONS.filter((name) => random() < (ABILITY[name]?.[isHard ? 'hard' : 'easy'] ?? 0)),
     );
     const isStreaming = random() < streamingShare;
-    return { request: createRequest(`r-${index}`, kind, isStreaming), goodVersions };
+    const id = `r-${index}`;
+    return { request: buildTestRequest({ id, kind, fingerprint: id }, isStreaming), goodVersions };
   });
 }
 
@@ -241,40 +243,6 @@
   return 'dispute-reply';
 }
 
-function createRequest(id: string, kind: string, isStreaming: boolean): IRequestEntry {
-  return {
-    id,
-    phase: 'claimed',
-    service: 'deposits',
-    account: 'depot-north',
-    kind,
-    target: {
-      kind: 'model',
-      model: 'auto',
-      isStreaming,
-      promptTokens: 100,
-      maxTokens: 100,
-      prefixHashes: [],
-      body: {},
-    },
-    isIdempotent: true,
-    idempotencyKey: undefined,
-    fingerprint: id,
-    session: undefined,
-    priority: 'normal',
-    receivedAt: 0,
-    deadlineAt: 60_000,
-    version: undefined,
-    winner: undefined,
-    attemptCount: 0,
-    escalatedFrom: [],
-    ran: 'no',
-    isCallerGone: false,
-    answer: undefined,
-    refusal: undefined,
-  };
-}
-
 function parseDocument(): IServiceDocument {
   const parsed = configCodec.parseText(DOCUMENT);
   if (parsed.isErr) throw new Error(JSON.stringify(parsed.error));
