--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -19,7 +19,7 @@
 ];
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**', 'coverage/**', 'reports/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'coverage/**', 'reports/**'] },
   {
     files: ['**/*.ts'],
     extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
--- /dev/null
+++ b/src/adapters/MetricsPage.ts
@@ -0,0 +1,94 @@
+import { createServer, type Server } from 'node:http';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { IMetricsSink, MetricName, MetricTags } from '../common/metrics/Types.js';
+
+/** Upper bounds of the latency buckets, in milliseconds. */
+const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1000, 2000, 4000, 8000, 16_000];
+
+/** Labels of each metric, which the library wants named in advance. */
+const LABELS: Readonly<Record<MetricName, readonly string[]>> = {
+  'requests.answered': ['service', 'account', 'version'],
+  'requests.refused': ['service', 'account', 'code', 'ran'],
+  'requests.first_token_ms': ['version'],
+  'requests.total_ms': ['service', 'version'],
+  'attempts.ended': ['version', 'role', 'outcome'],
+  'endpoints.unhealthy': [],
+  'config.revision': [],
+  'store.calls': ['operation', 'outcome'],
+};
+
+/** Metrics of this process as a text page, in the Prometheus format. */
+export class MetricsPage {
+  private readonly _registry = new Registry();
+  private readonly _counters = new Map<MetricName, Counter>();
+  private readonly _histograms = new Map<MetricName, Histogram>();
+  private readonly _gauges = new Map<MetricName, Gauge>();
+  private _server: Server | undefined;
+
+  public readonly sink: IMetricsSink = {
+    count: (name, tags) => {
+      const counter = this._counters.get(name) ?? this._createCounter(name);
+      counter.inc(pickLabels(name, tags));
+    },
+    time: (name, durationMs, tags) => {
+      const histogram = this._histograms.get(name) ?? this._createHistogram(name);
+      histogram.observe(pickLabels(name, tags), durationMs);
+    },
+    gauge: (name, value) => {
+      const gauge = this._gauges.get(name) ?? this._createGauge(name);
+      gauge.set(value);
+    },
+  };
+
+  /** Serves the page at `/metrics`. */
+  public startListening(ip: string, port: number): Promise<void> {
+    const server = createServer((request, response) => {
+      if (request.url !== '/metrics') {
+        response.writeHead(404).end();
+        return;
+      }
+      void this._registry.metrics().then((text) => {
+        response.writeHead(200, { 'content-type': this._registry.contentType }).end(text);
+      });
+    });
+    this._server = server;
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, ip, resolve);
+    });
+  }
+
+  /** Stops serving. */
+  public close(): void {
+    this._server?.close();
+    this._server?.closeAllConnections();
+  }
+
+  private _createCounter(name: MetricName): Counter {
+    const counter = new Counter({ ...this._describe(name), labelNames: [...LABELS[name]] });
+    this._counters.set(name, counter);
+    return counter;
+  }
+
+  private _createHistogram(name: MetricName): Histogram {
+    const options = { ...this._describe(name), labelNames: [...LABELS[name]], buckets: LATENCY_BUCKETS_MS };
+    const histogram = new Histogram(options);
+    this._histograms.set(name, histogram);
+    return histogram;
+  }
+
+  private _createGauge(name: MetricName): Gauge {
+    const gauge = new Gauge(this._describe(name));
+    this._gauges.set(name, gauge);
+    return gauge;
+  }
+
+  private _describe(name: MetricName): { name: string; help: string; registers: Registry[] } {
+    const registers = [this._registry];
+    return { name: `mulberryweir_${name.replaceAll('.', '_')}`, help: `See ${name} in the docs.`, registers };
+  }
+}
+
+function pickLabels(name: MetricName, tags: MetricTags): Record<string, string> {
+  return Object.fromEntries(LABELS[name].map((label) => [label, tags[label] ?? '']));
+}
--- a/src/cli/CommandLine.ts
+++ b/src/cli/CommandLine.ts
@@ -4,6 +4,7 @@
 import { createConfigCommand } from './commands/ConfigCommand.js';
 import { hostCommand } from './commands/HostCommand.js';
 import { loadCommand } from './commands/LoadCommand.js';
+import { routerCommand } from './commands/RouterCommand.js';
 import { quickstartCommand } from './commands/QuickstartCommand.js';
 import { createStatusCommand } from './commands/StatusCommand.js';
 import { createTimelineCommand } from './commands/TimelineCommand.js';
@@ -14,6 +15,7 @@
     .scriptName('mulberryweir')
     .usage('$0 <command> [options]')
     .command(hostCommand)
+    .command(routerCommand)
     .command(loadCommand)
     .command(quickstartCommand)
     .command(createConfigCommand(output))
--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -5,6 +5,8 @@
   IConfigurationEntry,
   IContactEntry,
   IEndpointEntry,
+  IFactEntry,
+  IFeedEntry,
   IHeldBillEntry,
   IHostEntry,
   ILifecycleEntry,
@@ -13,6 +15,8 @@
   IPrefixEntry,
   IQualityEntry,
   IRequestEntry,
+  IRolloutEntry,
+  IRoutingTable,
   IServiceEntry,
   ISessionEntry,
   ISuspectEntry,
@@ -55,6 +59,10 @@
   public readonly updates = this._createPanel<string, IUpdateEntry>();
   public readonly contacts = this._createPanel<'store' | 'peer', IContactEntry>();
   public readonly lifecycle = this._createPanel<'host', ILifecycleEntry>();
+  public readonly facts = this._createPanel<string, IFactEntry>();
+  public readonly feed = this._createPanel<'store', IFeedEntry>();
+  public readonly routing = this._createPanel<'in-force', IRoutingTable>();
+  public readonly rollouts = this._createPanel<string, IRolloutEntry>();
   public readonly configuration = this._createPanel<'offered' | 'in-force', IConfigurationEntry>();
 
   constructor(private readonly _options: IBlackboardOptions = {}) {}
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -2,6 +2,8 @@
 import type { JournalEntry } from '../coordination/Types.js';
 import type { GossipUpdate, UpdateUrgency } from '../coordination/Gossip.js';
 import type { Millis, Priority, Ran } from '../Types.js';
+export type { IFactEntry, IFeedEntry, IRolloutEntry } from '../fleet/Types.js';
+export type { IRoutingTable } from '../routes/Types.js';
 
 /** State of a request on its way from the caller to the delivered and billed answer. */
 export type RequestPhase =
@@ -65,6 +67,8 @@
       path: string;
       contentType: string | undefined;
       body: Uint8Array | undefined;
+      /** The call in the adapter's form, where method, path and body alone do not describe it. */
+      call?: unknown;
     };
 
 /** A request as the panels hold it. */
@@ -105,6 +109,20 @@
   isCallerGone: boolean;
   answer: IAnswer | undefined;
   refusal: IRefusal | undefined;
+  /** Models that may answer, the smallest first; absent where the target names one. */
+  models?: readonly string[];
+  /** Route that the request came in by; absent where requests name their service. */
+  route?: string;
+  /** Most attempts that may be sent. Default: the retry policy's own limit. */
+  maxAttempts?: number;
+  /** Time within which the first output is wanted. */
+  targetLatencyMs?: Millis;
+  /** Longest pause between two outputs of a stream that is on time. */
+  maxPauseMs?: Millis;
+  /** Whether another attempt may continue a broken stream after its last event. */
+  isResumable?: boolean;
+  /** Id of the last event that the caller has; an attempt continues after it. */
+  resumeAfter?: string;
   /** Refusal that the caller gets at once while the attempt goes on, so that its outcome is recorded. */
   earlyRefusal?: IRefusal;
 }
@@ -134,7 +152,14 @@
 /** A complete answer before delivery. */
 export type IAnswer =
   | { kind: 'model'; version: string; usage: IUsage; content: unknown }
-  | { kind: 'plain'; status: number; contentType: string | undefined; body: Uint8Array }
+  | {
+      kind: 'plain';
+      status: number;
+      contentType: string | undefined;
+      body: Uint8Array;
+      /** Head of the response in the adapter's form. */
+      head?: unknown;
+    }
   | { kind: 'stored'; status: number; contentType: string; body: string };
 
 /** State of one call to an endpoint. */
@@ -150,6 +175,7 @@
   | 'overloaded'
   | 'leaving'
   | 'crashed'
+  | 'failed'
   | 'silent'
   | 'malformed'
   | 'timed-out'
@@ -161,6 +187,10 @@
   kind: AttemptErrorKind;
   message: string;
   ran: Ran;
+  /** Id of the last whole event that was handed over before the failure. */
+  lastEventId?: string;
+  /** The endpoint's own failure response, which the caller gets when no other attempt follows. */
+  answer?: IAnswer;
 }
 
 /** One call to an endpoint on behalf of a request. */
@@ -179,6 +209,8 @@
   firstTokenAt: Millis | undefined;
   endedAt: Millis | undefined;
   tokens: number;
+  /** The model's own opinion of its answer, 0 to 1, known when the response begins. */
+  confidence?: number;
   answer: IAnswer | undefined;
   error: IAttemptError | undefined;
 }
@@ -232,6 +264,10 @@
   report: ILoadReport | undefined;
   /** Whether the engine rejects orders with an old fencing token. */
   checksFencing: boolean;
+  /** Software version of the endpoint's process; a rollout replaces it. */
+  release?: string;
+  /** Requests that the endpoint runs at once. */
+  slots?: number;
   /** Start of the endpoint as the host list gives it; grows with each start. Default 0. */
   incarnation?: number;
 }
--- /dev/null
+++ b/src/common/fleet/FactFeedController.ts
@@ -0,0 +1,115 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import { Disposable } from '../Lifecycle.js';
+import type { IClock, Millis, RandomSource } from '../Types.js';
+import type { FactChange, IFactList, IFactStore } from './Types.js';
+
+/** Options of the fact feed. */
+export interface IFactFeedOptions {
+  board: Blackboard;
+  clock: IClock;
+  random: RandomSource;
+  store: Pick<IFactStore, 'listFacts' | 'watchFacts'>;
+  /**
+   * Longest wait of a watch. A connection that has gone silent is noticed after this time, so it stays
+   * below the time within which a configuration has to be in force. Default 1500.
+   */
+  waitMs?: Millis;
+}
+
+const MIN_RETRY_MS = 50;
+const MAX_RETRY_MS = 800;
+
+/**
+ * Keeps the `facts` panel equal to the store: lists it once, then follows its changes. After a failure
+ * it continues from the last revision; where the store has forgotten that, it lists again.
+ */
+export class FactFeedController extends Disposable {
+  private readonly _waitMs: Millis;
+  private _failures = 0;
+
+  constructor(private readonly _options: IFactFeedOptions) {
+    super();
+    this._waitMs = _options.waitMs ?? 1500;
+  }
+
+  /** Follows the store until the controller is disposed. */
+  public async run(): Promise<void> {
+    let revision: number | undefined;
+    while (!this._isDisposed) {
+      revision = revision === undefined ? await this._list() : await this._watch(revision);
+      if (this._failures > 0) await this._waitBeforeRetry();
+    }
+  }
+
+  private async _list(): Promise<number | undefined> {
+    const listed = await this._options.store.listFacts();
+    if (listed.isErr) {
+      this._handleFailure();
+      return undefined;
+    }
+    this._replaceAll(listed.value);
+    this._handleContact(listed.value.revision);
+    return listed.value.revision;
+  }
+
+  private async _watch(revision: number): Promise<number | undefined> {
+    const watched = await this._options.store.watchFacts(revision, this._waitMs);
+    if (watched.isErr) {
+      this._handleFailure();
+      return revision;
+    }
+    if (watched.value.kind === 'compacted') return undefined;
+    this._handleContact(watched.value.revision);
+    for (const change of watched.value.changes) this._apply(change);
+    return watched.value.revision;
+  }
+
+  private _replaceAll({ facts: listed }: IFactList): void {
+    const { facts } = this._options.board;
+    const keys = new Set(listed.map(({ key }) => key));
+    for (const { key } of [...facts.list()]) if (!keys.has(key)) facts.delete(key);
+    for (const entry of listed) {
+      if (facts.get(entry.key)?.revision !== entry.revision) facts.set(entry.key, entry);
+    }
+  }
+
+  private _apply(change: FactChange): void {
+    const { facts } = this._options.board;
+    const known = facts.get(change.key);
+    if (known && known.revision >= change.revision) return;
+    if (change.kind === 'delete') facts.delete(change.key);
+    else facts.set(change.key, { key: change.key, revision: change.revision, fact: change.fact });
+  }
+
+  private _handleContact(revision: number): void {
+    const { board, clock } = this._options;
+    this._failures = 0;
+    const known = board.feed.get('store');
+    if (known?.state === 'connected') board.feed.update('store', { revision });
+    else {
+      const losses = known?.losses ?? 0;
+      board.feed.set('store', { state: 'connected', changedAt: clock.now(), revision, losses });
+    }
+  }
+
+  private _handleFailure(): void {
+    const { board, clock } = this._options;
+    this._failures += 1;
+    const known = board.feed.get('store');
+    if (known?.state === 'lost') return;
+    board.feed.set('store', {
+      state: 'lost',
+      changedAt: clock.now(),
+      revision: known?.revision ?? 0,
+      losses: (known?.losses ?? 0) + 1,
+    });
+  }
+
+  private _waitBeforeRetry(): Promise<void> {
+    const { clock, random } = this._options;
+    const longest = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** this._failures);
+    return new Promise((resolve) => {
+      clock.schedule(longest * (0.5 + 0.5 * random()), resolve);
+    });
+  }
+}
--- a/src/common/policy/Health.ts
+++ b/src/common/policy/Health.ts
@@ -47,6 +47,20 @@
   }
 };
 
+/**
+ * Decides on health by failures in a row alone, for endpoints that run models of unlike pace: there a
+ * long time between tokens tells of the model, not of the endpoint.
+ */
+export const decideHealthByFailures: DecideHealth = (view) => {
+  const { consecutiveFailures, health } = view.endpoint;
+  const isFailing = consecutiveFailures >= MAX_FAILURES;
+  if (health === 'healthy') return isFailing && isEjectionAllowed(view) ? 'suspect' : 'healthy';
+  if (health === 'suspect') return hasProbeDelayPassed(view) ? 'probing' : 'suspect';
+  if (health !== 'probing') return health;
+  if (consecutiveFailures > 0) return 'suspect';
+  return view.hasProbeSucceeded ? 'healthy' : 'probing';
+};
+
 /** Baseline: health never changes by what this host sees. */
 export const decideSameHealth: DecideHealth = ({ endpoint }) => endpoint.health;
 
@@ -73,12 +87,15 @@
 }
 
 function isProbeDue(view: IHealthView): boolean {
-  const { endpoint, failedProbes, now } = view;
-  if (now - endpoint.healthChangedAt < computeProbeDelay(failedProbes)) return false;
+  if (!hasProbeDelayPassed(view)) return false;
   const paceRatio = computePaceRatio(view);
   return paceRatio === undefined || paceRatio < RECOVERED_PACE_RATIO;
 }
 
+function hasProbeDelayPassed({ endpoint, failedProbes, now }: IHealthView): boolean {
+  return now - endpoint.healthChangedAt >= computeProbeDelay(failedProbes);
+}
+
 function isRecovered(view: IHealthView): boolean {
   if (view.hasProbeSucceeded) return true;
   const paceRatio = computePaceRatio(view);
--- a/src/common/policy/Retries.ts
+++ b/src/common/policy/Retries.ts
@@ -7,7 +7,7 @@
 
 /**
  * Retries a failed attempt while the budget lasts. A request that may have run is repeated only when
- * it is idempotent, and never after output has reached the caller. Delays are drawn at random, so that
+ * it is idempotent, and after output has reached the caller only where it can be resumed. Delays are drawn at random, so that
  * requests which failed together do not return together.
  */
 export function createDecideRetry(random: RandomSource): DecideRetry {
@@ -21,9 +21,11 @@
 function isRetryable(view: IRetryView): boolean {
   const { request, error, hasBudget } = view;
   if (error.kind === 'cancelled' || error.kind === 'rejected') return false;
-  if (request.attemptCount >= MAX_ATTEMPTS || !hasBudget) return false;
+  if (request.attemptCount >= (request.maxAttempts ?? MAX_ATTEMPTS) || !hasBudget) return false;
   const hasOutput = request.winner !== undefined && request.target.kind === 'model';
-  if (hasOutput && request.target.kind === 'model' && request.target.isStreaming) return false;
+  const isResumable = request.isResumable ?? false;
+  if (hasOutput && request.target.kind === 'model' && request.target.isStreaming && !isResumable)
+    return false;
   return request.isIdempotent || request.ran === 'no';
 }
 
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -174,6 +174,13 @@
       this._options.board.endpoints.update(this._attempt.endpoint, { report: part.report });
       return;
     }
+    if (part.kind === 'opening') {
+      const { confidence } = part;
+      if (confidence !== undefined) this._options.board.attempts.update(this._attempt.id, { confidence });
+      return;
+    }
+    // A draft that was rejected when it began still has output on its way.
+    if (this._options.board.attempts.get(this._attempt.id)?.phase === 'cancelled') return;
     this._lastTokenAt = this._options.clock.now();
     if (this._firstTokenAt === undefined) this._handleFirstToken(this._lastTokenAt);
     this._tokens += part.tokens;
--- a/src/common/request/EndpointIndex.ts
+++ b/src/common/request/EndpointIndex.ts
@@ -108,16 +108,15 @@
 
 /** Formats the pool that a request is routed in. */
 export function formatPool(request: IRequestEntry): string {
-  return request.target.kind === 'plain'
+  return request.target.kind === 'plain' && request.version === undefined
     ? `plain:${request.target.plainService}`
     : `version:${request.version ?? ''}`;
 }
 
-/** Lists the pools that an endpoint belongs to. */
+/** Lists the pools that an endpoint belongs to; a plain endpoint is in its service's and in its versions'. */
 export function listPoolsOf(endpoint: IEndpointEntry): string[] {
-  return endpoint.kind === 'plain'
-    ? [`plain:${endpoint.service}`]
-    : endpoint.versions.map((version) => `version:${version}`);
+  const pools = endpoint.versions.map((version) => `version:${version}`);
+  return endpoint.kind === 'plain' ? [`plain:${endpoint.service}`, ...pools] : pools;
 }
 
 function hasSamePools(before: IEndpointEntry, after: IEndpointEntry): boolean {
--- a/src/common/request/EscalationController.test.ts
+++ b/src/common/request/EscalationController.test.ts
@@ -45,12 +45,10 @@
   new OutcomeController({
     board,
     clock,
-    journal,
     decideRetry: () => ({ kind: 'retry', delayMs: 0 }),
     takeRetryBudget: () => true,
-    hashKey,
     decideAcceptance,
-    holdEntries: () => Promise.resolve(),
+    claims: { journal, hashKey, holdEntries: () => Promise.resolve() },
   });
   new EscalationController({
     board,
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -10,13 +10,19 @@
 export interface IOutcomeOptions {
   board: Blackboard;
   clock: IClock;
-  journal: IJournal;
   decideRetry: DecideRetry;
   /** Takes one attempt from the retry budget; false when it is used up. */
-  takeRetryBudget: () => boolean;
-  hashKey: (request: IRequestEntry) => string;
+  takeRetryBudget: (request: IRequestEntry) => boolean;
   /** Leaves a draft to the escalation controller. Default: every answer is final. */
   decideAcceptance?: DecideAcceptance;
+  /** Where non-idempotent requests are claimed. Default: nothing is claimed. */
+  claims?: IClaimJournal;
+}
+
+/** The journal of claims, with what it takes to release one. */
+export interface IClaimJournal {
+  journal: IJournal;
+  hashKey: (request: IRequestEntry) => string;
   /** Keeps entries until the journal can take them. */
   holdEntries: (key: string, entries: readonly JournalEntry[]) => Promise<void>;
 }
@@ -55,15 +61,21 @@
     if (!request || !attempt.error || hasEnded(request)) return;
     const ran = combineRan(request.ran, attempt.error.ran);
     const failedEndpoints = [...(request.failedEndpoints ?? []), attempt.endpoint];
-    board.requests.update(request.id, { ran, failedEndpoints });
+    const { lastEventId } = attempt.error;
+    const resumeAfter = lastEventId === undefined ? {} : { resumeAfter: lastEventId };
+    board.requests.update(request.id, { ran, failedEndpoints, ...resumeAfter });
     if (this._hasOtherAttempt(request, attempt)) return;
     const view = { request: { ...request, ran }, attempt, error: attempt.error, now: clock.now() };
     // The budget is charged only when the retry is allowed otherwise.
     const allowed = decideRetry({ ...view, hasBudget: true });
     const decision =
-      allowed.kind === 'retry' && !takeRetryBudget() ? decideRetry({ ...view, hasBudget: false }) : allowed;
+      allowed.kind === 'retry' && !takeRetryBudget(request)
+        ? decideRetry({ ...view, hasBudget: false })
+        : allowed;
     if (decision.kind === 'refuse') {
-      refuseRequest(board, request.id, decision.refusal);
+      const { answer } = attempt.error;
+      if (answer) board.requests.update(request.id, { phase: 'answered', winner: attempt.id, answer });
+      else refuseRequest(board, request.id, decision.refusal);
       return;
     }
     clock.schedule(decision.delayMs, () => {
@@ -83,12 +95,18 @@
   /** Frees the claim of a request that provably did not run, so that its repeat can run. */
   private _releaseClaim(request: IRequestEntry): void {
     if (request.isIdempotent || request.attemptCount === 0 || request.refusal?.ran !== 'no') return;
-    const key = this._options.hashKey(request);
-    void this._release(key, [{ kind: 'release', key, request: request.id }]);
+    const { claims } = this._options;
+    if (!claims) return;
+    const key = claims.hashKey(request);
+    void releaseEntries(claims, key, [{ kind: 'release', key, request: request.id }]);
   }
+}
 
-  private async _release(key: string, entries: readonly JournalEntry[]): Promise<void> {
-    const released = await this._options.journal.append(key, entries);
-    if (released.isErr) await this._options.holdEntries(key, entries);
-  }
+async function releaseEntries(
+  { holdEntries, journal }: IClaimJournal,
+  key: string,
+  entries: readonly JournalEntry[],
+): Promise<void> {
+  const released = await journal.append(key, entries);
+  if (released.isErr) await holdEntries(key, entries);
 }
--- a/src/common/request/RouteController.ts
+++ b/src/common/request/RouteController.ts
@@ -36,6 +36,8 @@
   createId: () => string;
   /** Availability zone of this host. */
   zone: string;
+  /** Tells whether a queued request's version is still in use. Default: by the service's document. */
+  isInUse?: (request: IRequestEntry) => boolean;
   /** Longest queue of this host; a request beyond it is refused. Default 10,000. */
   maxQueue?: number;
 }
@@ -63,6 +65,7 @@
       queueOrder: FAIR_ORDER,
       decideQueued: refuseUnreachable,
       chooseSpill: () => undefined,
+      isInUse: (request) => isVersionInUse(request, options.board.services.get(request.service)),
       ...options,
     };
     const { board } = options;
@@ -100,8 +103,8 @@
 
   /** A version that was withdrawn after it was chosen gets no request; another one is chosen. */
   private _rejectWithdrawn(request: IRequestEntry): boolean {
-    const { board } = this._options;
-    if (isVersionInUse(request, board.services.get(request.service))) return false;
+    const { board, isInUse } = this._options;
+    if (isInUse(request)) return false;
     this._removeRequest(request.id);
     board.requests.update(request.id, { phase: 'claimed', version: undefined });
     return true;
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -17,7 +17,10 @@
 
 /** Part of a running attempt's output. The data of a chunk is opaque to decisions. */
 export type AttemptPart =
-  { kind: 'chunk'; tokens: number; data: unknown } | { kind: 'report'; report: ILoadReport };
+  | { kind: 'chunk'; tokens: number; data: unknown }
+  | { kind: 'report'; report: ILoadReport }
+  /** The response has begun; `confidence` is 0 to 1. */
+  | { kind: 'opening'; confidence: number | undefined };
 
 /** What an adapter needs in order to run an attempt. */
 export interface IAttemptCall {
@@ -34,6 +37,17 @@
   onPart: (part: AttemptPart) => void,
 ) => Promise<Result<IAnswer, IAttemptError>>;
 
+/** What the limit on an attempt's silence depends on. */
+export interface ISilenceView {
+  request: IRequestEntry;
+  attempt: IAttemptEntry;
+  /** Whether the attempt has had output. */
+  hasOutput: boolean;
+}
+
+/** Decides how long an attempt may be silent before it fails; `undefined` for up to the deadline. */
+export type DecideSilence = (view: ISilenceView) => Millis | undefined;
+
 /** Hands a chunk of the winning attempt to the front end. */
 export type DeliverChunk = (request: string, data: unknown) => void;
 
--- /dev/null
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -0,0 +1,100 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IAttemptEntry } from '../blackboard/Types.js';
+import { Disposable } from '../Lifecycle.js';
+import type { IClock } from '../Types.js';
+import type { TimelineFields } from './Types.js';
+
+/** Options of the decision recorder. */
+export interface IDecisionRecorderOptions {
+  board: Blackboard;
+  clock: IClock;
+  record: (kind: string, fields: TimelineFields) => void;
+}
+
+/**
+ * Records the decisions of a router with what decided them: the choice of an endpoint, rejected drafts,
+ * the contact with the store, the configuration in force, and the stages of rollouts.
+ */
+export class DecisionRecorder extends Disposable {
+  constructor(private readonly _options: IDecisionRecorderOptions) {
+    super();
+    this._recordAttempts();
+    this._recordFleet();
+  }
+
+  private _recordAttempts(): void {
+    this._register(
+      this._options.board.attempts.onChange(({ before, after }) => {
+        if (after && !before) this._recordChoice(after);
+        if (after && after.error !== before?.error && after.error) {
+          const { kind, message, ran } = after.error;
+          this._options.record('attempt.error', { ...describe(after), error: kind, ran, message });
+        }
+      }),
+    );
+    this._register(
+      this._options.board.requests.onChange(({ before, after }) => {
+        if (!after || !before || before.escalatedFrom.length === after.escalatedFrom.length) return;
+        const confidence = this._options.board.attempts.get(before.attemptIds?.at(-1) ?? '')?.confidence;
+        this._options.record('answer.rejected', {
+          request: after.id,
+          version: before.version,
+          confidence,
+          next: after.version,
+        });
+      }),
+    );
+  }
+
+  private _recordChoice(attempt: IAttemptEntry): void {
+    const { board, clock, record } = this._options;
+    const request = board.requests.get(attempt.request);
+    const endpoint = board.endpoints.get(attempt.endpoint);
+    const now = clock.now();
+    record('route.chosen', {
+      ...describe(attempt),
+      role: attempt.role,
+      route: request?.route,
+      session: request?.session,
+      leftMs: request && Math.round(request.deadlineAt - now),
+      config: board.routing.get('in-force')?.version,
+      rollout: board.rollouts.get(request?.service ?? '')?.stage,
+      inFlight: endpoint?.inFlight,
+      health: endpoint?.health,
+      reportAgeMs: endpoint?.report && Math.round(now - endpoint.report.receivedAt),
+      resumeAfter: request?.resumeAfter,
+    });
+  }
+
+  private _recordFleet(): void {
+    const { board, record } = this._options;
+    this._register(
+      board.feed.onChange(({ before, after }) => {
+        if (!after || before?.state === after.state) return;
+        record(`store.${after.state}`, { revision: after.revision, losses: after.losses });
+      }),
+    );
+    this._register(
+      board.routing.onChange(({ after }) => {
+        if (after) record('config.in-force', { version: after.version, hosts: after.routesByHost.size });
+      }),
+    );
+    this._register(
+      board.facts.onChange(({ key, after }) => {
+        if (after?.fact.kind === 'unreadable')
+          record('fact.unreadable', { key, revision: after.revision, reason: after.fact.reason });
+      }),
+    );
+    this._register(
+      board.rollouts.onChange(({ before, after }) => {
+        if (!after || before?.stage === after.stage) return;
+        const { order, release, service, stage } = after;
+        record('rollout.stage', { service, release, stage, order });
+      }),
+    );
+  }
+}
+
+function describe({ endpoint, id, request, version }: IAttemptEntry): TimelineFields {
+  return { request, attempt: id, endpoint, version };
+}
--- a/src/daemons/RequestWiring.ts
+++ b/src/daemons/RequestWiring.ts
@@ -137,8 +137,11 @@
     const decideRetry = withBlockedRetry(board, createDecideRetry(Math.random));
     this._register(
       new OutcomeController({
-        ...{ ...this._common, decideRetry, takeRetryBudget, hashKey: hashRequestKey, decideAcceptance },
-        holdEntries: journal.holdBill,
+        ...this._common,
+        decideRetry,
+        takeRetryBudget,
+        decideAcceptance,
+        claims: { journal: journal.journal, hashKey: hashRequestKey, holdEntries: journal.holdBill },
       }),
     );
     const encodeAnswer = encodeStoredAnswer;
--- a/src/testing/RoutingRig.ts
+++ b/src/testing/RoutingRig.ts
@@ -74,10 +74,8 @@
   const { takeRetryBudget } = routing;
   const decideRetry = createDecideRetry(random);
   const holdEntries = (): Promise<void> => Promise.resolve();
-  new OutcomeController({
-    ...{ board, clock, journal, decideRetry, takeRetryBudget, holdEntries },
-    hashKey: ({ id }) => id,
-  });
+  const claims = { journal, hashKey: ({ id }: { id: string }) => id, holdEntries };
+  new OutcomeController({ board, clock, decideRetry, takeRetryBudget, claims });
   new DeadlineController({ board, clock });
   new CleanUpController(board);
   return { board, clock, routing, planned, delivered };
