--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['dist/src/**/*.test.js', 'dist/bench/**/*.test.js'],
+  files: ['dist/platform/**/*.test.js', 'dist/src/**/*.test.js', 'dist/bench/**/*.test.js'],
   concurrency: 4,
   timeout: '180s',
   workerThreads: false,
--- a/src/cli/commands/RouterCommand.ts
+++ b/src/cli/commands/RouterCommand.ts
@@ -8,7 +8,6 @@
 import { DecisionLog, openStandardOutput } from '../../adapters/DecisionLog.js';
 import { MetricsPage } from '../../adapters/MetricsPage.js';
 import { systemClock } from '../../adapters/SystemClock.js';
-import { limitSilenceByTarget } from '../../common/policy/Silence.js';
 import { RouterHost } from '../../daemons/RouterHost.js';
 
 interface IRouterArguments {
@@ -70,12 +69,15 @@
       metrics.sink.count('store.calls', { operation, outcome });
     },
   });
-  const runners = new RunnerClient({ clock: systemClock, decideSilence: limitSilenceByTarget });
+  let runners: RunnerClient | undefined;
   const host = new RouterHost({
     id: own.id,
     zone: own.zone,
     store: createFactStore(client),
-    runAttempt: runners.runAttempt,
+    createRunAttempt: (decideSilence) => {
+      runners = new RunnerClient({ clock: systemClock, decideSilence });
+      return runners.runAttempt;
+    },
     createFront: (context) =>
       new FrontServer({ ...context, clock: systemClock, address: own.front, readyAddress: own.ready }),
     sink: metrics.sink,
@@ -103,7 +105,7 @@
   host.record('process.stopped', {});
   clearInterval(watch);
   metrics.close();
-  runners.close();
+  runners?.close();
   client.close();
   process.exit(0);
 }
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -1,6 +1,7 @@
 import type { IServiceDocument, IRolloutState } from '../config/Types.js';
 import type { JournalEntry } from '../coordination/Types.js';
 import type { GossipUpdate, UpdateUrgency } from '../coordination/Gossip.js';
+import type { RunCheck } from '../request/Types.js';
 import type { Millis, Priority, Ran } from '../Types.js';
 export type { IFactEntry, IFeedEntry, IRolloutEntry } from '../fleet/Types.js';
 export type { IRoutingTable } from '../routes/Types.js';
@@ -211,6 +212,8 @@
   tokens: number;
   /** The model's own opinion of its answer, 0 to 1, known when the response begins. */
   confidence?: number;
+  /** What the endpoint said of the attempt when it was last asked for it. */
+  check?: { result: RunCheck; silentMs: Millis };
   answer: IAnswer | undefined;
   error: IAttemptError | undefined;
 }
@@ -226,6 +229,8 @@
   cacheUse: number;
   versions: readonly string[];
   isLeaving: boolean;
+  /** How long work takes relative to the usual; absent where the endpoint does not tell. */
+  slowness?: number;
   receivedAt: Millis;
 }
 
--- /dev/null
+++ b/src/common/fleet/FleetRolloutController.test.ts
@@ -0,0 +1,154 @@
+import test from 'ava';
+import { Result } from 'true-myth';
+import { ManualClock } from '../../testing/ManualClock.js';
+import { createTestEndpoint, createTestRequest } from '../../testing/Entries.js';
+import { Blackboard } from '../blackboard/Blackboard.js';
+import { decideRolloutByEvidence } from '../policy/RolloutVerdicts.js';
+import { planAttempt } from '../request/AttemptPlan.js';
+import { FleetRolloutController } from './FleetRolloutController.js';
+import type { IFactStore, IRolloutRecord } from './Types.js';
+
+/** A store of facts that several hosts share. */
+class SharedFacts {
+  public readonly records: string[] = [];
+  public isDown = false;
+  private _revision = 10;
+  private _recordRevision = 0;
+  private readonly _boards: Blackboard[] = [];
+
+  constructor(private readonly _clock: ManualClock) {}
+
+  public attach(board: Blackboard): void {
+    this._boards.push(board);
+  }
+
+  public order(durationMs: number): void {
+    this._revision += 1;
+    const fact = { kind: 'rollout-order' as const, order: { service: 'drafts', release: 'v2', durationMs } };
+    for (const board of this._boards)
+      board.facts.set('order', { key: 'order', revision: this._revision, fact });
+  }
+
+  public readonly writeRecord: IFactStore['writeRecord'] = (record, expected) => {
+    if (this.isDown) return Promise.resolve(Result.err({ kind: 'unavailable', message: 'down' }));
+    if (expected !== this._recordRevision)
+      return Promise.resolve(Result.err({ kind: 'conflict', current: undefined }));
+    this._revision += 1;
+    this._recordRevision = this._revision;
+    this.records.push(`${Math.round(this._clock.now() / 1000)} s ${record.stage}`);
+    this._tell(record);
+    return Promise.resolve(Result.ok(this._revision));
+  };
+
+  public readonly writeEvidence: IFactStore['writeEvidence'] = (evidence) => {
+    this._revision += 1;
+    const key = `evidence/${evidence.host}`;
+    const fact = { kind: 'rollout-evidence' as const, evidence: structuredClone(evidence) };
+    for (const board of this._boards) board.facts.set(key, { key, revision: this._revision, fact });
+    return Promise.resolve(Result.ok(this._revision));
+  };
+
+  private _tell(record: IRolloutRecord): void {
+    const entry = {
+      key: 'record',
+      revision: this._revision,
+      fact: { kind: 'rollout-record' as const, record },
+    };
+    for (const board of this._boards) board.facts.set('record', entry);
+  }
+}
+
+interface IHostRig {
+  board: Blackboard;
+  /** Ends one attempt on a release, well or badly. */
+  finishAttempt: (release: string, isGood: boolean) => void;
+}
+
+function createHost(clock: ManualClock, facts: SharedFacts, self: string): IHostRig {
+  const board = new Blackboard();
+  facts.attach(board);
+  new FleetRolloutController({
+    board,
+    clock,
+    random: () => 0.5,
+    self,
+    store: facts,
+    decideRollout: decideRolloutByEvidence,
+  });
+  for (const release of ['v1', 'v2']) {
+    board.endpoints.set(
+      release,
+      createTestEndpoint(release, { release, versions: [`drafts/small@${release}`] }),
+    );
+  }
+  let count = 0;
+  const finishAttempt = (release: string, isGood: boolean): void => {
+    count += 1;
+    const id = `${self}-${count}`;
+    const request = createTestRequest(id, { version: `drafts/small@${release}` });
+    board.requests.set(id, request);
+    const now = clock.now();
+    planAttempt(board, {
+      id,
+      role: 'primary',
+      request,
+      endpoint: release,
+      expectedTokens: 1,
+      length: 'short',
+      now,
+    });
+    const error = { kind: 'failed' as const, ran: 'yes' as const, message: 'bad' };
+    board.attempts.update(id, isGood ? { phase: 'finished', endedAt: now } : { phase: 'failed', error });
+    board.endpoints.update(release, { inFlight: 0 });
+    board.requests.delete(id);
+  };
+  return { board, finishAttempt };
+}
+
+// Guards against a good release that is not finished in time, or that is moved to in the first half.
+test('a good release goes through its stages and is finished before its deadline', async (t) => {
+  const clock = new ManualClock();
+  const facts = new SharedFacts(clock);
+  const hosts = ['host-1', 'host-2'].map((self) => createHost(clock, facts, self));
+  facts.order(24_000);
+  for (let second = 0; second < 24; second += 1) {
+    for (const host of hosts) for (const release of ['v1', 'v2']) host.finishAttempt(release, true);
+    await clock.advance(1000);
+  }
+  t.snapshot(facts.records);
+  t.deepEqual(
+    hosts.map(({ board }) => board.rollouts.get('drafts')?.stage),
+    ['succeeded', 'succeeded'],
+  );
+});
+
+// Guards against a bad release that goes on because no host alone has seen enough of it.
+test('a bad release is rolled back on the evidence of all hosts together', async (t) => {
+  const clock = new ManualClock();
+  const facts = new SharedFacts(clock);
+  const hosts = ['host-1', 'host-2', 'host-3'].map((self) => createHost(clock, facts, self));
+  for (const host of hosts) for (let count = 0; count < 30; count += 1) host.finishAttempt('v1', true);
+  facts.order(24_000);
+  for (let second = 0; second < 4; second += 1) {
+    await clock.advance(1000);
+    for (const host of hosts) host.finishAttempt('v2', second === 0);
+  }
+  await clock.advance(1000);
+  t.snapshot(facts.records);
+});
+
+// Guards against a release that is bad being used again because the store did not take the verdict.
+test('a rollback holds while the store is down and is recorded once it is back', async (t) => {
+  const clock = new ManualClock();
+  const facts = new SharedFacts(clock);
+  const host = createHost(clock, facts, 'host-1');
+  facts.order(24_000);
+  await clock.advance(2000);
+  facts.isDown = true;
+  for (let count = 0; count < 6; count += 1) host.finishAttempt('v2', false);
+  await clock.advance(3000);
+  const stage = host.board.rollouts.get('drafts')?.stage;
+  facts.isDown = false;
+  await clock.advance(2000);
+  t.snapshot({ stage, records: facts.records });
+});
--- a/src/common/fleet/PlanController.ts
+++ b/src/common/fleet/PlanController.ts
@@ -63,6 +63,7 @@
       endpoints: listOfService(board, request.service),
       lastRelease: isRecent ? session.version : undefined,
       point: hashPoint(`${request.service}/${request.session ?? request.id}`),
+      now: clock.now(),
     });
   }
 
--- a/src/common/fleet/Plans.ts
+++ b/src/common/fleet/Plans.ts
@@ -1,6 +1,7 @@
 import type { IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
 import { isAcceptingWork } from '../request/Candidates.js';
 import type { IModelSpec } from '../routes/Types.js';
+import type { Millis } from '../Types.js';
 import type { IRolloutEntry } from './Types.js';
 
 /** What the choice of models looks at. */
@@ -23,6 +24,7 @@
   lastRelease: string | undefined;
   /** Position of the session, 0 up to 1. */
   point: number;
+  now: Millis;
 }
 
 /** Chooses the release of a service that a request runs on; `undefined` when no endpoint is there. */
@@ -39,30 +41,37 @@
 export interface IReleaseOptions {
   /** Share of the sessions that use the new release in the first half of a rollout. */
   canaryShare: number;
+  /** Time over which the other sessions move, so that the new caches fill one after another. Default 4000. */
+  rampMs?: Millis;
 }
 
 /**
  * Creates the choice of a release. Without a rollout it keeps the release that endpoints had first. In
  * the first half of a rollout a session keeps the release that it has; afterwards all use the new one.
  */
-export function createChooseRelease({ canaryShare }: IReleaseOptions): ChooseRelease {
+export function createChooseRelease({ canaryShare, rampMs = 4000 }: IReleaseOptions): ChooseRelease {
   return (view) => {
     const open = view.endpoints.filter(isAcceptingWork);
     const releases = new Set(open.map(({ release }) => release ?? ''));
-    const wanted = chooseWanted(view, releases, canaryShare);
+    const wanted = chooseWanted(view, releases, canaryShare, rampMs);
     return wanted !== undefined && releases.has(wanted) ? wanted : findFallback(view, releases);
   };
 }
 
 function chooseWanted(
-  { lastRelease, point, rollout, endpoints }: IReleaseView,
+  { endpoints, lastRelease, now, point, rollout }: IReleaseView,
   releases: ReadonlySet<string>,
   canaryShare: number,
+  rampMs: Millis,
 ): string | undefined {
   const old = endpoints.find(({ release }) => release !== rollout?.release)?.release;
   if (!rollout) return old;
   switch (rollout.stage) {
-    case 'full':
+    case 'full': {
+      if (lastRelease === rollout.release) return lastRelease;
+      const share = canaryShare + (1 - canaryShare) * Math.min(1, (now - rollout.stageSeenAt) / rampMs);
+      return point < share ? rollout.release : old;
+    }
     case 'succeeded':
       return rollout.release;
     case 'canary':
--- a/src/common/policy/RolloutVerdicts.ts
+++ b/src/common/policy/RolloutVerdicts.ts
@@ -27,7 +27,7 @@
 const FORCED_SUCCESS_AT_SHARE = 0.93;
 
 /** Shortest time at the full share: a release that is bad under load shows it in this time. */
-const MIN_FULL_MS: Millis = 3000;
+const MIN_FULL_MS: Millis = 5000;
 
 /** Probability of as many bad answers from a good release below which it is rolled back. */
 const MAX_FALSE_ALARM = 1e-4;
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -179,6 +179,11 @@
       if (confidence !== undefined) this._options.board.attempts.update(this._attempt.id, { confidence });
       return;
     }
+    if (part.kind === 'check') {
+      const { check: result, silentMs } = part;
+      this._options.board.attempts.update(this._attempt.id, { check: { result, silentMs } });
+      return;
+    }
     // A draft that was rejected when it began still has output on its way.
     if (this._options.board.attempts.get(this._attempt.id)?.phase === 'cancelled') return;
     this._lastTokenAt = this._options.clock.now();
--- a/src/common/request/RetryBudget.ts
+++ b/src/common/request/RetryBudget.ts
@@ -6,6 +6,9 @@
   capacity?: number;
 }
 
+/** Covers the rounding error of added shares. */
+const ROUNDING_TOLERANCE = 1e-9;
+
 /**
  * Token bucket that retries and hedges of this host share. Each new request earns a share of an attempt,
  * so extra attempts stay within `capacity + share * requests` whatever fails.
@@ -26,10 +29,14 @@
     this._tokens = Math.min(this._capacity, this._tokens + this._share);
   }
 
+  /** Tells whether an extra attempt could be taken. */
+  public get hasAttempt(): boolean {
+    return this._tokens >= 1 - ROUNDING_TOLERANCE;
+  }
+
   /** Takes one extra attempt; false when the budget is used up. */
   public readonly takeAttempt = (): boolean => {
-    // The tolerance covers the rounding error of added shares.
-    if (this._tokens < 1 - 1e-9) return false;
+    if (!this.hasAttempt) return false;
     this._tokens -= 1;
     return true;
   };
--- a/src/common/request/ServiceBudgets.ts
+++ b/src/common/request/ServiceBudgets.ts
@@ -23,6 +23,10 @@
   public readonly takeAttempt = (request: IRequestEntry): boolean =>
     this._getBudget(request.service).takeAttempt();
 
+  /** Tells whether an extra attempt of a request could be taken. */
+  public readonly hasAttempt = (request: IRequestEntry): boolean =>
+    this._getBudget(request.service).hasAttempt;
+
   private _getBudget(service: string): RetryBudget {
     const known = this._budgets.get(service);
     if (known) return known;
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -20,7 +20,9 @@
   | { kind: 'chunk'; tokens: number; data: unknown }
   | { kind: 'report'; report: ILoadReport }
   /** The response has begun; `confidence` is 0 to 1. */
-  | { kind: 'opening'; confidence: number | undefined };
+  | { kind: 'opening'; confidence: number | undefined }
+  /** The endpoint was asked for the silent attempt. */
+  | { kind: 'check'; check: RunCheck; silentMs: Millis };
 
 /** What an adapter needs in order to run an attempt. */
 export interface IAttemptCall {
@@ -37,16 +39,32 @@
   onPart: (part: AttemptPart) => void,
 ) => Promise<Result<IAnswer, IAttemptError>>;
 
-/** What the limit on an attempt's silence depends on. */
+/**
+ * What an endpoint says of a silent attempt on another connection: it cannot be reached, does not know the
+ * run, runs it or has it waiting, or has made more output than has arrived.
+ */
+export type RunCheck = 'unreachable' | 'unknown' | 'running' | 'ahead';
+
+/** Asks an endpoint for a run of which `outputs` events have arrived. */
+export type CheckRun = (call: IAttemptCall, outputs: number) => Promise<RunCheck>;
+
+/** What the decision on a silent attempt looks at. */
 export interface ISilenceView {
   request: IRequestEntry;
   attempt: IAttemptEntry;
   /** Whether the attempt has had output. */
   hasOutput: boolean;
+  silentMs: Millis;
+  /** Result of the last check since the last output. */
+  check: RunCheck | undefined;
 }
 
-/** Decides how long an attempt may be silent before it fails; `undefined` for up to the deadline. */
-export type DecideSilence = (view: ISilenceView) => Millis | undefined;
+/** Decision on a silent attempt: look again later, ask its endpoint later, or give it up. */
+export type SilenceDecision =
+  { kind: 'wait'; afterMs: Millis } | { kind: 'check'; afterMs: Millis } | { kind: 'fail' };
+
+/** Decides on an attempt that is silent. */
+export type DecideSilence = (view: ISilenceView) => SilenceDecision;
 
 /** Hands a chunk of the winning attempt to the front end. */
 export type DeliverChunk = (request: string, data: unknown) => void;
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -26,6 +26,10 @@
     this._register(
       this._options.board.attempts.onChange(({ before, after }) => {
         if (after && !before) this._recordChoice(after);
+        if (after?.check && after.check !== before?.check) {
+          const { result, silentMs } = after.check;
+          this._options.record('attempt.checked', { ...describe(after), result, silentMs });
+        }
         if (after && after.error !== before?.error && after.error) {
           const { kind, message, ran } = after.error;
           this._options.record('attempt.error', { ...describe(after), error: kind, ran, message });
--- /dev/null
+++ b/src/daemons/RouterHost.test.ts
@@ -0,0 +1,202 @@
+import test from 'ava';
+import { RouterRig, TEST_CONFIGURATION } from '../testing/RouterRig.js';
+import { sendEvents, sendWhole, startStream } from '../testing/RunnerStandIn.js';
+
+// Guards against a request that reaches a runner changed, without its account, or with the caller's key.
+test('a call is forwarded unchanged, with the headers that the router sets', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const headers = { tenant: 'forged', 'expect-instance': 'forged', 'x-own': 'kept', 'kv-from': 'forged' };
+  const view = await rig.send('/look/a?b=c', headers, { body: 'a body' });
+  t.snapshot({ status: view.status, body: view.body.replace(/p-\d/, 'p-N'), isWhole: view.isWhole });
+  const call = rig.runners.flatMap(({ calls }) => calls)[0];
+  const { method, path, body } = call!;
+  const names = ['tenant', 'x-own', 'kv-from', 'authorization', 'attempt-id', 'request-priority'];
+  t.snapshot({ method, path, body, headers: names.map((name) => [name, call!.headers[name]]) });
+  t.regex(String(call!.headers['expect-instance']), /^p-[12]$/);
+  t.true(Number(call!.headers['deadline-ms']) <= 4000);
+  await rig.close();
+});
+
+// Guards against calls that are denied wrongly, and against a promise where a configuration is not known.
+test('calls without a route, key or configuration are refused with the right status', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const statuses = [
+    (await rig.send('/none/1')).status,
+    (await rig.send('/look/1', { authorization: 'Token wrong' })).status,
+    (await rig.send('/look/1', { host: 'b.example' })).status,
+  ];
+  await rig.close();
+  const empty = await RouterRig.start(undefined);
+  empty.store.remove('op/config');
+  t.deepEqual(statuses, [404, 401, 404]);
+  await empty.close();
+});
+
+// Guards against a non-idempotent call that runs twice, or that is promised not to have run when it may have.
+test('a call that must not be repeated is sent elsewhere only when a runner says that it has not run', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const plain = rig.runners.filter(({ id }) => id.startsWith('p'));
+  for (const runner of plain) {
+    runner.answer = (_call, response) => {
+      response.writeHead(503, { 'not-executed': '1' }).end();
+    };
+  }
+  const refused = await rig.send('/post/1', {}, { body: 'refund' });
+  for (const runner of plain) runner.answer = (_call, response) => void response.destroy();
+  const before = plain.flatMap(({ calls }) => calls).length;
+  const unknown = await rig.send('/post/2', {}, { body: 'refund' });
+  const after = plain.flatMap(({ calls }) => calls).length;
+  t.is(refused.status, 503);
+  t.truthy(refused.headers['retry-after']);
+  t.is(unknown.status, 502);
+  t.is(after - before, 1);
+  await rig.close();
+});
+
+// Guards against a failure of one runner that reaches the caller although another runner would answer.
+test('a call that may be repeated is answered by another runner after a failure', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  let failures = 0;
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      failures += 1;
+      sendWhole(call, response, failures === 1 ? 500 : 200, 'text');
+    };
+  }
+  const view = await rig.send('/look/1');
+  t.deepEqual([view.status, failures], [200, 2]);
+  await rig.close();
+});
+
+// Guards against a route whose time-out is held past while a runner is slow.
+test('a call ends at the time-out of its route', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  for (const runner of rig.runners) runner.answer = () => undefined;
+  const startedAt = performance.now();
+  const view = await rig.send('/short/1');
+  t.is(view.status, 504);
+  t.true(performance.now() - startedAt < 700);
+  await rig.close();
+});
+
+// Guards against pieces that are lost or doubled when a stream goes on at another runner.
+test('a stream that breaks off within an event goes on at another runner after the last whole event', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  let isFirst = true;
+  const resumedAfter: (string | undefined)[] = [];
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      startStream(call, response);
+      if (isFirst) {
+        isFirst = false;
+        sendEvents(response, 1, 3);
+        response.write('id: 4\ndata: pie');
+        setTimeout(() => response.destroy(), 50);
+        return;
+      }
+      resumedAfter.push(call.headers['last-event-id']?.toString());
+      sendEvents(response, 4, 6);
+      response.end();
+    };
+  }
+  const view = await rig.send('/stream/1', { model: '*' });
+  t.snapshot({ status: view.status, body: view.body, isWhole: view.isWhole, resumedAfter });
+  await rig.close();
+});
+
+// Guards against a doubtful answer that reaches the caller, and against a mix of two models' pieces.
+test('an answer that its model doubts is dropped for the largest model', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const models: (string | undefined)[] = [];
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      const model = call.headers.model?.toString();
+      models.push(model);
+      startStream(call, response, model === 'small' ? 20 : 90);
+      sendEvents(response, 1, 2);
+      response.write(`id: 3\ndata: ${model ?? ''}\n\n`);
+      response.end();
+    };
+  }
+  const view = await rig.send('/stream/1', { model: '*' });
+  t.snapshot({ body: view.body, models });
+  await rig.close();
+});
+
+// Guards against a caller that reads a complete answer although its runner broke off and none can go on.
+test('a stream that no runner finishes does not look complete', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      startStream(call, response);
+      sendEvents(response, 1, 1);
+      setTimeout(() => response.destroy(), 20);
+    };
+  }
+  const view = await rig.send('/stream/1', { model: '*' });
+  t.false(view.isWhole);
+  await rig.close();
+});
+
+// Guards against work for a runner that has said that it leaves, and a configuration that goes back.
+test('a leaving runner and an old configuration take effect and are ignored, respectively', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const [leaving] = rig.runners.filter(({ id }) => id === 'p-1');
+  rig.publish(leaving!, 'ledger', { state: 'draining' });
+  rig.store.put('op/config', { ...TEST_CONFIGURATION, version: 3, routes: [] });
+  await rig.waitUntil(() => rig.events.filter(({ kind }) => kind === 'config.in-force').length === 2);
+  rig.store.put('op/config', { ...TEST_CONFIGURATION, version: 2 });
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  t.is((await rig.send('/look/1')).status, 404);
+  rig.store.put('op/config', { ...TEST_CONFIGURATION, version: 4 });
+  await rig.waitUntil(async () => (await rig.send('/look/1')).status === 200);
+  for (let count = 0; count < 10; count += 1) await rig.send('/look/1');
+  t.is(leaving!.calls.length, 0);
+  await rig.close();
+});
+
+// Guards against requests that are lost while the store is away, and a watch that does not come back.
+test('calls are served while the store is away, and changes are seen after it', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  rig.store.fault = 'refuse';
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  rig.store.put('op/config', { ...TEST_CONFIGURATION, version: 5 });
+  t.is((await rig.send('/look/1')).status, 200);
+  t.is(await rig.readReady(), 200);
+  rig.store.compact();
+  rig.store.fault = 'none';
+  await rig.waitUntil(() => rig.events.some(({ fields }) => fields.version === 5));
+  const states = rig.events.filter(({ kind }) => kind.startsWith('store.')).map(({ kind }) => kind);
+  t.deepEqual([...new Set(states)], ['store.connected', 'store.lost']);
+  await rig.close();
+});
+
+// Guards against a stop that cuts off a request or refuses one that arrives while callers still come.
+test('a stop finishes what runs and keeps serving until the balancer has noticed', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  for (const runner of rig.runners) {
+    runner.answer = async (call, response) => {
+      await new Promise((resolve) => setTimeout(resolve, 300));
+      sendWhole(call, response, 200, 'late');
+    };
+  }
+  const running = rig.send('/post/1');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const stopped = rig.host.stop();
+  const during = rig.send('/look/1');
+  t.is(await rig.readReady(), 503);
+  t.deepEqual([(await running).status, (await during).status], [200, 200]);
+  await stopped;
+  await rig.close();
+});
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -19,6 +19,7 @@
 import { FAIR_ORDER, refuseUnreachable } from '../common/policy/Queueing.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
 import { decideRolloutByEvidence } from '../common/policy/RolloutVerdicts.js';
+import { createDecideSilence } from '../common/policy/Silence.js';
 import { limitBySlots } from '../common/policy/SlotLimits.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
 import { AttemptController } from '../common/request/AttemptController.js';
@@ -31,7 +32,7 @@
 import { OutcomeController } from '../common/request/OutcomeController.js';
 import { RouteController } from '../common/request/RouteController.js';
 import { ServiceBudgets } from '../common/request/ServiceBudgets.js';
-import type { DecideAdmission, RunAttempt } from '../common/request/Types.js';
+import type { DecideAdmission, DecideSilence, RunAttempt } from '../common/request/Types.js';
 import { WorkEstimateController } from '../common/request/WorkEstimateController.js';
 import {
   chooseTarget,
@@ -66,7 +67,7 @@
   id: string;
   zone: string;
   store: IFactStore;
-  runAttempt: RunAttempt;
+  createRunAttempt: (decideSilence: DecideSilence) => RunAttempt;
   createFront: (context: IFrontContext) => IFront;
   sink: IMetricsSink;
   writeEvent: (event: ITimelineEvent) => void;
@@ -190,7 +191,7 @@
   }
 
   private _registerRequests(): void {
-    const { id, retryShare, runAttempt, zone } = this._options;
+    const { createRunAttempt, id, retryShare, zone } = this._options;
     const board = this._board;
     const common = { board, clock: systemClock };
     const share = BUDGET_SAFETY * retryShare;
@@ -222,7 +223,7 @@
     this._register(
       new AttemptController({
         ...common,
-        runAttempt,
+        runAttempt: createRunAttempt(createDecideSilence({ hasBudget: budgets.hasAttempt })),
         deliverChunk: (request, data) => {
           this._front.deliverChunk(request, data);
         },
--- /dev/null
+++ b/src/testing/RouterRig.ts
@@ -0,0 +1,201 @@
+import { request as sendRequest, type IncomingHttpHeaders } from 'node:http';
+import { createFactStore } from '../../platform/FactStore.js';
+import { FrontServer } from '../../platform/FrontServer.js';
+import { RunnerClient } from '../../platform/RunnerClient.js';
+import { StoreClient } from '../../platform/StoreClient.js';
+import { systemClock } from '../adapters/SystemClock.js';
+import type { ITimelineEvent } from '../common/timeline/Types.js';
+import { RouterHost } from '../daemons/RouterHost.js';
+import { startRevisionStoreServer, type IRevisionStoreStandIn } from '../standins/RevisionStoreServer.js';
+import { startRunnerStandIn, type IRunnerStandIn } from './RunnerStandIn.js';
+
+/** Services of the test configuration. */
+const MODEL_SERVICE = 'drafts';
+const PLAIN_SERVICE = 'ledger';
+
+/** Routes of the test configuration: a resumable stream, a call that may be repeated, one that may not. */
+export const TEST_CONFIGURATION = {
+  version: 1,
+  routes: [
+    createRoute('stream', 'streaming', {
+      service: MODEL_SERVICE,
+      sizes: ['small', 'large'],
+      streamResume: true,
+      gapAimMs: 1200,
+      maxAttempts: 3,
+    }),
+    createRoute('look', 'safe', { service: PLAIN_SERVICE, maxAttempts: 2 }),
+    createRoute('post', 'unsafe', { service: PLAIN_SERVICE }),
+    createRoute('short', 'unsafe', { service: PLAIN_SERVICE, timeoutMs: 300 }),
+  ],
+  services: [
+    { name: MODEL_SERVICE, engine: { models: [] } },
+    { name: PLAIN_SERVICE, healthPath: '/health' },
+  ],
+  tenants: [{ name: 'north', apiKeys: ['key-north'] }],
+};
+
+/** A response as a caller sees it. `isWhole` is false where the connection broke off. */
+export interface ICallerView {
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: string;
+  isWhole: boolean;
+}
+
+/** One router host with the platform's adapter, a store and scripted runners, in one process. */
+export class RouterRig {
+  public readonly events: ITimelineEvent[] = [];
+  public readonly runners: IRunnerStandIn[] = [];
+  public store!: IRevisionStoreStandIn;
+  public host!: RouterHost;
+  private _front = '';
+  private _ready = '';
+  private _client!: StoreClient;
+  private _runnerClient!: RunnerClient;
+  private _lastCall = 0;
+
+  /** Starts a host with runners `m-1`, `m-2` for models and `p-1`, `p-2` for plain calls. */
+  public static async start(configuration: unknown = TEST_CONFIGURATION): Promise<RouterRig> {
+    const rig = new RouterRig();
+    rig.store = await startRevisionStoreServer();
+    if (configuration !== undefined) rig.store.put('op/config', configuration);
+    for (const id of ['m-1', 'm-2']) await rig._addRunner(id, MODEL_SERVICE, ['small', 'large']);
+    for (const id of ['p-1', 'p-2']) await rig._addRunner(id, PLAIN_SERVICE, []);
+    await rig._startHost();
+    return rig;
+  }
+
+  /** Announces a runner in the store. */
+  public publish(runner: IRunnerStandIn, service: string, patch: Record<string, unknown> = {}): void {
+    const models = service === MODEL_SERVICE ? ['small', 'large'] : [];
+    this.store.put(`servers/${runner.id}`, {
+      service,
+      address: runner.address,
+      zone: 'a',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      models: models.map((name) => ({ name, version: 1 })),
+      born: 1,
+      ...patch,
+    });
+  }
+
+  /** Sends a call; resolves when its response has ended in any way. */
+  public send(
+    path: string,
+    headers: Record<string, string> = {},
+    options: { method?: string; body?: string } = {},
+  ): Promise<ICallerView> {
+    const [host, port] = this._front.split(':');
+    this._lastCall += 1;
+    const call = {
+      host: 'a.example',
+      'attempt-id': `call-${this._lastCall}`,
+      'deadline-ms': '4000',
+      authorization: 'Token key-north',
+      ...headers,
+    };
+    return new Promise((resolve) => {
+      const method = options.method ?? 'POST';
+      const sent = sendRequest({ host, port, path, method, headers: call, agent: false }, (response) => {
+        let body = '';
+        response.on('data', (chunk: Buffer) => (body += chunk.toString()));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          const { complete, headers: received, statusCode = 0 } = response;
+          resolve({ status: statusCode, headers: received, body, isWhole: complete });
+        });
+      });
+      sent.on('error', () => {
+        resolve({ status: 0, headers: {}, body: '', isWhole: false });
+      });
+      sent.end(options.body);
+    });
+  }
+
+  /** Asks whether the host is ready, as the platform's balancer does. */
+  public async readReady(): Promise<number> {
+    return (await fetch(`http://${this._ready}/-/ready`)).status;
+  }
+
+  /** Waits until a condition holds. */
+  public async waitUntil(isMet: () => boolean | Promise<boolean>): Promise<void> {
+    for (let tries = 0; tries < 400; tries += 1) {
+      if (await isMet()) return;
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    throw new Error('A condition did not hold in time.');
+  }
+
+  public async close(): Promise<void> {
+    this.host.dispose();
+    this._runnerClient.close();
+    this._client.close();
+    for (const runner of this.runners) await runner.close();
+    await this.store.close();
+  }
+
+  private async _addRunner(id: string, service: string, models: readonly string[]): Promise<void> {
+    const runner = await startRunnerStandIn(id);
+    this.runners.push(runner);
+    this.publish(runner, service, { models: models.map((name) => ({ name, version: 1 })) });
+  }
+
+  private async _startHost(): Promise<void> {
+    this._client = new StoreClient({ address: this.store.address.replace('http://', '') });
+    const ports = await Promise.all([findFreePort(), findFreePort()]);
+    this._front = `127.0.0.1:${ports[0]}`;
+    this._ready = `127.0.0.1:${ports[1]}`;
+    const addresses = { address: this._front, readyAddress: this._ready };
+    this.host = new RouterHost({
+      id: 'host-1',
+      zone: 'a',
+      store: createFactStore(this._client),
+      createRunAttempt: (decideSilence) => {
+        this._runnerClient = new RunnerClient({ clock: systemClock, decideSilence });
+        return this._runnerClient.runAttempt;
+      },
+      createFront: (context) => new FrontServer({ ...context, ...addresses, clock: systemClock }),
+      sink: { count: () => undefined, time: () => undefined, gauge: () => undefined },
+      writeEvent: (event) => this.events.push(event),
+      onError: (error) => {
+        throw error;
+      },
+      retryShare: 0.9,
+      sessionMs: 5000,
+      exposureShare: 0.15,
+      stopMs: 2000,
+    });
+    await this.host.start();
+  }
+}
+
+function createRoute(name: string, kind: string, patch: Record<string, unknown>): Record<string, unknown> {
+  return {
+    name,
+    host: 'a.example',
+    prefix: `/${name}/`,
+    kind,
+    timeoutMs: 4000,
+    targetLatencyMs: 500,
+    priority: 1,
+    maxAttempts: 1,
+    ...patch,
+  };
+}
+
+async function findFreePort(): Promise<number> {
+  const { createServer } = await import('node:net');
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address();
+      const port = typeof address === 'object' && address ? address.port : 0;
+      server.close(() => {
+        resolve(port);
+      });
+    });
+  });
+}
