--- a/src/common/fleet/FactFeedController.ts
+++ b/src/common/fleet/FactFeedController.ts
@@ -11,7 +11,7 @@
   store: Pick<IFactStore, 'listFacts' | 'watchFacts'>;
   /**
    * Longest wait of a watch. A connection that has gone silent is noticed after this time, so it stays
-   * below the time within which a configuration has to be in force. Default 1500.
+   * below the time within which a configuration has to be in force. Default 2200.
    */
   waitMs?: Millis;
 }
@@ -29,7 +29,7 @@
 
   constructor(private readonly _options: IFactFeedOptions) {
     super();
-    this._waitMs = _options.waitMs ?? 1500;
+    this._waitMs = _options.waitMs ?? 2200;
   }
 
   /** Follows the store until the controller is disposed. */
--- a/src/common/policy/Affinity.ts
+++ b/src/common/policy/Affinity.ts
@@ -20,6 +20,9 @@
 /** Bound on a reported slowness, so that one report does not exclude an endpoint for long. */
 const MAX_SLOWNESS = 10;
 
+/** Wait for a first output that doubles the burden. */
+const LONG_WAIT_MS: Millis = 600;
+
 /** Burden of an endpoint in another zone relative to an equal local one: bytes between zones cost. */
 const REMOTE_FACTOR = 1.1;
 
@@ -53,13 +56,18 @@
   };
 }
 
-/** Estimates the work that a request would find at an endpoint, times how slowly it is done. */
-export function estimateBurden({ inFlight, report }: Readonly<IEndpointEntry>, now: Millis): number {
-  if (!report) return 1 + inFlight;
+/**
+ * Estimates the work that a request would find at an endpoint, times how slowly it is done. An attempt that
+ * has waited long for its first output tells of slowness before any report does.
+ */
+export function estimateBurden(endpoint: Readonly<IEndpointEntry>, now: Millis): number {
+  const { firstTokenWaitMs = 0, inFlight, report } = endpoint;
+  const waiting = 1 + firstTokenWaitMs / LONG_WAIT_MS;
+  if (!report) return (1 + inFlight) * waiting;
   const fading = Math.exp(-Math.max(0, now - report.receivedAt) / REPORT_FADING_MS);
   const others = Math.max(0, report.running + report.waiting - inFlight);
   const slowness = 1 + fading * (Math.min(MAX_SLOWNESS, Math.max(1, report.slowness ?? 1)) - 1);
-  return (1 + inFlight + fading * others) * slowness;
+  return (1 + inFlight + fading * others) * Math.max(slowness, waiting);
 }
 
 /** The longest prefix that other requests have too: the last part is the request's or session's own. */
