--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -52,6 +52,13 @@
   newCounts: IAnswerCounts;
 }
 
+/** A request that was in flight at the crash of an endpoint. */
+export interface ICrashReport {
+  fingerprint: string;
+  /** Id of the endpoint and its start, so that hosts count one crash once. */
+  crash: string;
+}
+
 /** A fact that the store holds. `unreadable` values change nothing. */
 export type FleetFact =
   | { kind: 'routing-table'; table: IRoutingTable }
@@ -59,6 +66,7 @@
   | { kind: 'rollout-order'; order: IRolloutOrder }
   | { kind: 'rollout-record'; record: IRolloutRecord }
   | { kind: 'rollout-evidence'; evidence: IRolloutEvidence }
+  | { kind: 'crash-reports'; reports: readonly ICrashReport[] }
   | { kind: 'unreadable'; reason: string };
 
 /** A fact with its place in the store. */
@@ -89,6 +97,8 @@
   watchFacts: (after: number, waitMs: Millis) => Promise<Result<FactChanges, StoreError>>;
   /** Writes a rollout record if its key still has the expected revision; 0 when it must be absent. */
   writeRecord: (record: IRolloutRecord, expectedRevision: number) => Promise<Result<number, StoreError>>;
+  /** Replaces the crash reports of a host. */
+  writeCrashes: (host: string, reports: readonly ICrashReport[]) => Promise<Result<number, StoreError>>;
   writeEvidence: (evidence: IRolloutEvidence) => Promise<Result<number, StoreError>>;
 }
 
--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -28,9 +28,13 @@
     (await rig.send('/look/1', { host: 'b.example' })).status,
   ];
   await rig.close();
-  const empty = await RouterRig.start(undefined);
-  empty.store.remove('op/config');
   t.deepEqual(statuses, [404, 401, 404]);
+  const empty = await RouterRig.start(null);
+  const early = await empty.send('/look/1');
+  t.is(early.status, 503);
+  t.truthy(early.headers['retry-after']);
+  t.is(await empty.readReady(), 503);
+  t.true(empty.events.some(({ kind, fields }) => kind === 'call.refused' && fields.code === 'not_ready'));
   await empty.close();
 });
 
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -3,6 +3,7 @@
 import { Blackboard } from '../common/blackboard/Blackboard.js';
 import type { IRefusal } from '../common/blackboard/Types.js';
 import { DrainController } from '../common/coordination/DrainController.js';
+import { CrashSuspectController } from '../common/fleet/CrashSuspectController.js';
 import { EndpointRegistryController } from '../common/fleet/EndpointRegistryController.js';
 import { FactFeedController } from '../common/fleet/FactFeedController.js';
 import { FleetRolloutController } from '../common/fleet/FleetRolloutController.js';
@@ -32,7 +33,7 @@
 import { OutcomeController } from '../common/request/OutcomeController.js';
 import { RouteController } from '../common/request/RouteController.js';
 import { ServiceBudgets } from '../common/request/ServiceBudgets.js';
-import type { DecideAdmission, DecideSilence, RunAttempt } from '../common/request/Types.js';
+import type { CheckRun, DecideAdmission, DecideSilence, RunAttempt } from '../common/request/Types.js';
 import { WorkEstimateController } from '../common/request/WorkEstimateController.js';
 import {
   chooseTarget,
@@ -58,16 +59,23 @@
   board: Blackboard;
   matchCall: (address: ICallAddress) => ReturnType<typeof matchCall>;
   chooseService: (matched: IMatchedCall, session: string) => string;
+  onRefused: (id: string, refusal: IRefusal) => void;
   isReady: () => boolean;
   isClosing: () => boolean;
 }
 
+/** Reaches endpoints. */
+export interface IRunners {
+  runAttempt: RunAttempt;
+  checkRun: CheckRun;
+}
+
 /** Options of a router host. Adapters are passed in; the host knows no wire. */
 export interface IRouterHostOptions {
   id: string;
   zone: string;
   store: IFactStore;
-  createRunAttempt: (decideSilence: DecideSilence) => RunAttempt;
+  createRunners: (decideSilence: DecideSilence) => IRunners;
   createFront: (context: IFrontContext) => IFront;
   sink: IMetricsSink;
   writeEvent: (event: ITimelineEvent) => void;
@@ -120,6 +128,10 @@
         board,
         matchCall: (address) => matchCall(board.routing.get('in-force'), address),
         chooseService,
+        onRefused: (id, { code, ran }) => {
+          const config = board.routing.get('in-force')?.version;
+          this._timeline.record('call.refused', { request: id, code, ran, config });
+        },
         isReady: this._isReady,
         isClosing: () => board.lifecycle.get('host')?.phase !== 'serving',
       }),
@@ -191,7 +203,7 @@
   }
 
   private _registerRequests(): void {
-    const { createRunAttempt, id, retryShare, zone } = this._options;
+    const { createRunners, id, retryShare, store, zone } = this._options;
     const board = this._board;
     const common = { board, clock: systemClock };
     const share = BUDGET_SAFETY * retryShare;
@@ -200,10 +212,17 @@
     const index = this._register(
       new EndpointIndex({ board, host: id, zone, hashTexts, subsetSize: Infinity }),
     );
+    const { checkRun, runAttempt } = createRunners(createDecideSilence({ hasBudget: budgets.hasAttempt }));
+    const suspects = this._register(new CrashSuspectController({ ...common, self: id, store, checkRun }));
     const isDraining = (): boolean => hasStoppedAccepting(board);
     const takeRateShare = (): boolean => true;
     this._register(
-      new AdmissionController({ ...common, decideAdmission: admitMatched, takeRateShare, isDraining }),
+      new AdmissionController({
+        ...common,
+        decideAdmission: suspects.guardAdmission(admitMatched),
+        takeRateShare,
+        isDraining,
+      }),
     );
     this._register(new WorkEstimateController(board));
     this._register(new InFlightLimitController({ ...common, adaptLimit: limitBySlots }));
@@ -223,7 +242,7 @@
     this._register(
       new AttemptController({
         ...common,
-        runAttempt: createRunAttempt(createDecideSilence({ hasBudget: budgets.hasAttempt })),
+        runAttempt,
         deliverChunk: (request, data) => {
           this._front.deliverChunk(request, data);
         },
@@ -232,7 +251,7 @@
     this._register(
       new OpeningController({ ...common, decideOpening: createDecideOpening(), takeRetryBudget }),
     );
-    const decideRetry = createDecideRetry(Math.random);
+    const decideRetry = suspects.guardRetry(createDecideRetry(Math.random));
     this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget }));
     this._register(new DeadlineController(common));
     this._register(new CleanUpController(board));
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -137,9 +137,9 @@
     id: own.id,
     zone: own.zone,
     store: createFactStore(client),
-    createRunAttempt: (decideSilence) => {
+    createRunners: (decideSilence) => {
       runners = new RunnerClient({ clock: systemClock, decideSilence });
-      return runners.runAttempt;
+      return runners;
     },
     createFront: (context) =>
       new FrontServer({ ...context, clock: systemClock, address: own.front, readyAddress: own.ready }),
--- a/src/testing/RouterRig.ts
+++ b/src/testing/RouterRig.ts
@@ -55,11 +55,11 @@
   private _runnerClient!: RunnerClient;
   private _lastCall = 0;
 
-  /** Starts a host with runners `m-1`, `m-2` for models and `p-1`, `p-2` for plain calls. */
-  public static async start(configuration: unknown = TEST_CONFIGURATION): Promise<RouterRig> {
+  /** Starts a host, without a configuration where it is `null`, with runners `m-1`, `m-2` for models and `p-1`, `p-2` for plain calls. */
+  public static async start(configuration: object | null = TEST_CONFIGURATION): Promise<RouterRig> {
     const rig = new RouterRig();
     rig.store = await startRevisionStoreServer();
-    if (configuration !== undefined) rig.store.put('op/config', configuration);
+    if (configuration !== null) rig.store.put('op/config', configuration);
     for (const id of ['m-1', 'm-2']) await rig._addRunner(id, MODEL_SERVICE, ['small', 'large']);
     for (const id of ['p-1', 'p-2']) await rig._addRunner(id, PLAIN_SERVICE, []);
     await rig._startHost();
@@ -153,9 +153,9 @@
       id: 'host-1',
       zone: 'a',
       store: createFactStore(this._client),
-      createRunAttempt: (decideSilence) => {
+      createRunners: (decideSilence) => {
         this._runnerClient = new RunnerClient({ clock: systemClock, decideSilence });
-        return this._runnerClient.runAttempt;
+        return this._runnerClient;
       },
       createFront: (context) => new FrontServer({ ...context, ...addresses, clock: systemClock }),
       sink: { count: () => undefined, time: () => undefined, gauge: () => undefined },
