--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -152,7 +152,14 @@
 
 /** A complete answer before delivery. */
 export type IAnswer =
-  | { kind: 'model'; version: string; usage: IUsage; content: unknown }
+  | {
+      kind: 'model';
+      version: string;
+      usage: IUsage;
+      content: unknown;
+      /** Id of the last event of a stream whose events have ids. */
+      lastEventId?: string;
+    }
   | {
       kind: 'plain';
       status: number;
--- a/src/common/fleet/CrashSuspectController.test.ts
+++ b/src/common/fleet/CrashSuspectController.test.ts
@@ -12,7 +12,7 @@
   boards: Blackboard[];
   clock: ManualClock;
   /** Breaks the connection of a request at an endpoint. */
-  breakRequest: (host: number, fingerprint: string, endpoint: string) => Promise<void>;
+  failRequest: (host: number, fingerprint: string, endpoint: string) => Promise<void>;
 }
 
 /** Two hosts over one store; `check` is what endpoints say after a broken connection. */
@@ -32,7 +32,7 @@
     new CrashSuspectController({ board, clock, self: `host-${index}`, store: { writeCrashes }, checkRun });
   }
   let count = 0;
-  const breakRequest: IFleet['breakRequest'] = async (host, fingerprint, endpoint) => {
+  const failRequest: IFleet['failRequest'] = async (host, fingerprint, endpoint) => {
     const board = boards[host]!;
     count += 1;
     const id = `r-${count}`;
@@ -51,7 +51,7 @@
     board.attempts.update(id, { phase: 'failed', error });
     await clock.advance(10);
   };
-  return { boards, clock, breakRequest };
+  return { boards, clock, failRequest };
 }
 
 function listStates({ boards }: IFleet, fingerprint: string): (string | undefined)[] {
@@ -61,32 +61,32 @@
 // Guards against a request that crashes one endpoint after another because each host sees it once.
 test('a request that was in flight at three crashes is blocked on all hosts', async (t) => {
   const fleet = createFleet('unreachable');
-  await fleet.breakRequest(0, 'poison', 'e-1');
-  await fleet.breakRequest(1, 'poison', 'e-2');
+  await fleet.failRequest(0, 'poison', 'e-1');
+  await fleet.failRequest(1, 'poison', 'e-2');
   const afterSecond = listStates(fleet, 'poison');
-  await fleet.breakRequest(0, 'poison', 'e-3');
-  await fleet.breakRequest(0, 'other', 'e-3');
+  await fleet.failRequest(0, 'poison', 'e-3');
+  await fleet.failRequest(0, 'other', 'e-3');
   t.snapshot({ afterSecond, afterThird: listStates(fleet, 'poison'), other: listStates(fleet, 'other') });
 });
 
 // Guards against a block for one crash that two hosts saw, or for connections that broke by themselves.
 test('one crash counts once, and a broken connection to a live endpoint does not count', async (t) => {
   const fleet = createFleet('unreachable');
-  await fleet.breakRequest(0, 'request', 'e-1');
-  await fleet.breakRequest(1, 'request', 'e-1');
+  await fleet.failRequest(0, 'request', 'e-1');
+  await fleet.failRequest(1, 'request', 'e-1');
   t.deepEqual(listStates(fleet, 'request'), ['suspected', 'suspected']);
   const alive = createFleet('unknown');
-  for (const endpoint of ['e-1', 'e-2', 'e-3']) await alive.breakRequest(0, 'request', endpoint);
+  for (const endpoint of ['e-1', 'e-2', 'e-3']) await alive.failRequest(0, 'request', endpoint);
   t.deepEqual(listStates(alive, 'request'), [undefined, undefined]);
 });
 
 // Guards against a block that outlives its evidence.
 test('a block ends when its crashes are long past', async (t) => {
   const fleet = createFleet('unreachable');
-  await fleet.breakRequest(0, 'poison', 'e-1');
-  await fleet.breakRequest(0, 'poison', 'e-2');
-  await fleet.breakRequest(0, 'poison', 'e-3');
+  await fleet.failRequest(0, 'poison', 'e-1');
+  await fleet.failRequest(0, 'poison', 'e-2');
+  await fleet.failRequest(0, 'poison', 'e-3');
   await fleet.clock.advance(121_000);
-  await fleet.breakRequest(0, 'other', 'e-3');
+  await fleet.failRequest(0, 'other', 'e-3');
   t.is(fleet.boards[0]!.suspects.get('poison'), undefined);
 });
--- a/src/common/fleet/CrashSuspectController.ts
+++ b/src/common/fleet/CrashSuspectController.ts
@@ -64,12 +64,12 @@
   }
 
   /** Refuses requests that crash endpoints before another decision is asked. */
-  public guardAdmission(decide: DecideAdmission): DecideAdmission {
+  public protectAdmission(decide: DecideAdmission): DecideAdmission {
     return withBlockedRefusal(this._options.board, decide);
   }
 
   /** Refuses to repeat requests that crash endpoints. */
-  public guardRetry(decide: DecideRetry): DecideRetry {
+  public protectRetry(decide: DecideRetry): DecideRetry {
     return withBlockedRetry(this._options.board, decide);
   }
 
@@ -84,10 +84,10 @@
       this._ended.push({ fingerprint: request.fingerprint, endpoint: endpoint.id, at: now });
       while (this._ended[0] && now - this._ended[0].at > SAME_CRASH_MS) this._ended.shift();
     }
-    void this._confirm(endpoint, { attempt, request, endpoint, signal: new AbortController().signal });
+    void this._verifyCrash(endpoint, { attempt, request, endpoint, signal: new AbortController().signal });
   }
 
-  private async _confirm(endpoint: IEndpointEntry, call: IAttemptCall): Promise<void> {
+  private async _verifyCrash(endpoint: IEndpointEntry, call: IAttemptCall): Promise<void> {
     const { checkRun, clock } = this._options;
     const crash = formatCrash(endpoint);
     const fingerprints = new Set(
--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -76,6 +76,46 @@
   await rig.close();
 });
 
+// Guards against an answer without a length that a reset cut short and that passes for a whole one.
+test('an answer that ends with a reset is not taken for a whole one', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  let isFirst = true;
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      if (!isFirst) {
+        sendWhole(call, response, 200, 'whole');
+        return;
+      }
+      isFirst = false;
+      const id = call.headers['attempt-id']?.toString() ?? '';
+      const { socket } = response;
+      socket?.write(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nresponse-stamp: s\r\n\r\npart`);
+      setTimeout(() => socket?.resetAndDestroy(), 50);
+    };
+  }
+  t.is((await rig.send('/look/1')).body, 'whole');
+  isFirst = true;
+  t.is((await rig.send('/post/1')).status, 502);
+  await rig.close();
+});
+
+// Guards against an answer without a length that gets one here: where its runner broke off it would look whole.
+test('an answer that ends with its connection is handed on in the same way', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      const id = call.headers['attempt-id']?.toString() ?? '';
+      response.socket?.end(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nresponse-stamp: s\r\n\r\nunframed`);
+    };
+  }
+  const view = await rig.send('/post/1');
+  const { 'content-length': length, 'transfer-encoding': encoding, connection } = view.headers;
+  t.deepEqual([view.body, length, encoding, connection], ['unframed', undefined, undefined, 'close']);
+  await rig.close();
+});
+
 // Guards against a route whose time-out is held past while a runner is slow.
 test('a call ends at the time-out of its route', async (t) => {
   const rig = await RouterRig.start();
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -219,7 +219,7 @@
     this._register(
       new AdmissionController({
         ...common,
-        decideAdmission: suspects.guardAdmission(admitMatched),
+        decideAdmission: suspects.protectAdmission(admitMatched),
         takeRateShare,
         isDraining,
       }),
@@ -251,7 +251,7 @@
     this._register(
       new OpeningController({ ...common, decideOpening: createDecideOpening(), takeRetryBudget }),
     );
-    const decideRetry = suspects.guardRetry(createDecideRetry(Math.random));
+    const decideRetry = suspects.protectRetry(createDecideRetry(Math.random));
     this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget }));
     this._register(new DeadlineController(common));
     this._register(new CleanUpController(board));
