Refuse a queued request by its wait alone

A request was refused when its expected length exceeded the time left; the estimate came from slow answers after a restart, and as nothing was tried no answer corrected it. Change: on the platform a request is refused only when its wait reaches the deadline; runners say themselves when they are full. Ruled out: missing runners (all were healthy) and a full queue (nothing waited).

--- a/src/common/policy/Queueing.ts
+++ b/src/common/policy/Queueing.ts
@@ -68,6 +68,15 @@
   return { kind: 'refuse', retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, Math.max(1000, Math.ceil(waitMs))) };
 };
 
+/**
+ * Refuses a request only when its wait alone reaches the deadline. Where endpoints tell when they are
+ * full, an estimate of the length refuses work that they would have done, and no answer corrects it.
+ */
+export const refuseLateStart: DecideQueued = ({ item, now, waitMs }) =>
+  now + waitMs < item.request.deadlineAt
+    ? { kind: 'wait' }
+    : { kind: 'refuse', retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, Math.max(1000, Math.ceil(waitMs))) };
+
 /** Baseline: every request waits until its deadline passes. */
 export const waitAlways: DecideQueued = () => ({ kind: 'wait' });
 
--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -174,6 +174,29 @@
   await rig.close();
 });
 
+// Guards against a refusal by an estimate alone while runners are free, which no later answer would correct.
+test('a call is tried although earlier ones took longer than it may', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  let pauseMs = 200;
+  for (const runner of rig.runners) {
+    runner.answer = async (call, response) => {
+      startStream(call, response);
+      for (let id = 1; id <= 4; id += 1) {
+        sendEvents(response, id, id);
+        await new Promise((resolve) => setTimeout(resolve, pauseMs));
+      }
+      response.end();
+    };
+  }
+  const headers = { model: '*', 'token-usage': '100,4' };
+  t.is((await rig.send('/stream/1', headers)).status, 200);
+  pauseMs = 1;
+  const view = await rig.send('/stream/2', { ...headers, 'deadline-ms': '400' });
+  t.deepEqual([view.status, view.isWhole], [200, true]);
+  await rig.close();
+});
+
 // Guards against a caller that reads a complete answer although its runner broke off and none can go on.
 test('a stream that no runner finishes does not look complete', async (t) => {
   const rig = await RouterRig.start();
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -17,7 +17,7 @@
 import { createChooseByAffinity } from '../common/policy/Affinity.js';
 import { decideHealthByFailures } from '../common/policy/Health.js';
 import { createDecideOpening } from '../common/policy/Openings.js';
-import { FAIR_ORDER, refuseUnreachable } from '../common/policy/Queueing.js';
+import { FAIR_ORDER, refuseLateStart } from '../common/policy/Queueing.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
 import { decideRolloutByEvidence } from '../common/policy/RolloutVerdicts.js';
 import { createDecideSilence } from '../common/policy/Silence.js';
@@ -235,7 +235,7 @@
         createId: createUniqueId,
         chooseEndpoint: createChooseByAffinity({ random: Math.random, hashPoint }),
         queueOrder: FAIR_ORDER,
-        decideQueued: refuseUnreachable,
+        decideQueued: refuseLateStart,
         isInUse: () => true,
       }),
     );
