--- a/src/cli/commands/HostCommand.ts
+++ b/src/cli/commands/HostCommand.ts
@@ -3,6 +3,7 @@
 import { createLog } from '../../adapters/Logs.js';
 import { EntryHost } from '../../daemons/EntryHost.js';
 import { parseSettings, type HostSettings } from '../../daemons/Settings.js';
+import { waitForStop } from '../../daemons/Signals.js';
 
 interface IHostArguments {
   settings: string;
@@ -47,20 +48,9 @@
   const port = await host.start();
   log('info', 'The host is listening', { port });
   process.stdout.write(`${JSON.stringify({ event: 'listening', port })}\n`);
-  await waitForSignal();
+  await waitForStop();
   log('info', 'The host is draining');
   await host.stop();
   log('info', 'The host has stopped');
   process.exit(0);
 }
-
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once('SIGTERM', () => {
-      resolve();
-    });
-    process.once('SIGINT', () => {
-      resolve();
-    });
-  });
-}
--- a/src/daemons/FrontEnd.ts
+++ b/src/daemons/FrontEnd.ts
@@ -10,6 +10,7 @@
 import { OpenExchanges, type IOpenExchange } from './OpenExchanges.js';
 import { parseRequest } from './RequestParser.js';
 import { ResponseWriter } from './ResponseWriter.js';
+import { drainServer } from './ServerDrain.js';
 
 /** Options of the HTTP front end. */
 export interface IFrontEndOptions {
@@ -28,8 +29,6 @@
   bodyTimeoutMs: Millis;
 }
 
-/** Time between two looks for connections that became idle during a drain. */
-const IDLE_CHECK_MS = 100;
 /** Node looks for late requests every 30 s by default, three times the usual limit. */
 const LATE_REQUEST_CHECK_MS = 500;
 
@@ -105,21 +104,8 @@
   }
 
   /** Stops accepting connections and resolves when every open response has ended. */
-  public async drain(): Promise<void> {
-    let hasClosed = false;
-    await new Promise<void>((resolve) => {
-      this._server.close(() => {
-        hasClosed = true;
-        resolve();
-      });
-      const closeIdle = (): void => {
-        if (hasClosed) return;
-        // A connection whose response began before the drain stays open after it.
-        this._server.closeIdleConnections();
-        this._options.clock.schedule(IDLE_CHECK_MS, closeIdle);
-      };
-      closeIdle();
-    });
+  public drain(): Promise<void> {
+    return drainServer(this._server, this._options.clock);
   }
 
   /** Writes a chunk to the caller of a streamed request. */
--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import { RouterRig, TEST_CONFIGURATION } from '../testing/RouterRig.js';
-import { sendEvents, sendWhole, startStream } from '../testing/RunnerStandIn.js';
+import { RouterRig, TEST_CONFIGURATION } from '../standins/platform/RouterRig.js';
+import { sendEvents, sendWhole, startStream } from '../standins/platform/ScriptedRunner.js';
 
 // Guards against a request that reaches a runner changed, without its account, or with the caller's key.
 test('a call is forwarded unchanged, with the headers that the router sets', async (t) => {
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -8,6 +8,7 @@
 import type { LogFields } from '../adapters/DecisionLog.js';
 import type { IMetricsSink } from '../common/metrics/Types.js';
 import { RouterHost } from './RouterHost.js';
+import { waitForStop } from './Signals.js';
 
 /** Interval at which the settings file is looked at: it may change without a signal. */
 const SETTINGS_CHECK_MS = 5000;
@@ -43,7 +44,7 @@
   const watch = watchSettings(file, (outcome) => {
     host.record('settings.reloaded', { outcome });
   });
-  await waitForSignal();
+  await waitForStop();
   host.record('process.stopping', {});
   setTimeout(() => process.exit(0), settings.limits.stop_ms - KILL_MARGIN_MS);
   await host.stop();
@@ -198,14 +199,3 @@
   process.on('SIGHUP', check);
   return setInterval(check, SETTINGS_CHECK_MS);
 }
-
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once('SIGTERM', () => {
-      resolve();
-    });
-    process.once('SIGINT', () => {
-      resolve();
-    });
-  });
-}
--- a/src/standins/RevisionStoreServer.ts
+++ b/src/standins/platform/RevisionStoreServer.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { z } from 'zod';
-import { parseJson, readBody, sendJson, startServer } from './HttpTools.js';
-import type { IStandIn } from './Types.js';
+import { parseJson, readBody, sendJson, startServer } from '../HttpTools.js';
+import type { IStandIn } from '../Types.js';
 
 /** What the store does with calls: serve them, refuse them, stay silent, or lose the replies of writes. */
 export type RevisionStoreFault = 'none' | 'refuse' | 'silent' | 'lose-replies';
--- a/src/testing/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -1,13 +1,13 @@
 import { request as sendRequest, type IncomingHttpHeaders } from 'node:http';
-import { createFactStore } from '../../platform/FactStore.js';
-import { FrontServer } from '../../platform/FrontServer.js';
-import { RunnerClient } from '../../platform/RunnerClient.js';
-import { StoreClient } from '../../platform/StoreClient.js';
-import { systemClock } from '../adapters/SystemClock.js';
-import type { ITimelineEvent } from '../common/timeline/Types.js';
-import { RouterHost } from '../daemons/RouterHost.js';
-import { startRevisionStoreServer, type IRevisionStoreStandIn } from '../standins/RevisionStoreServer.js';
-import { startRunnerStandIn, type IRunnerStandIn } from './RunnerStandIn.js';
+import { createFactStore } from '../../../platform/FactStore.js';
+import { FrontServer } from '../../../platform/FrontServer.js';
+import { RunnerClient } from '../../../platform/RunnerClient.js';
+import { StoreClient } from '../../../platform/StoreClient.js';
+import { systemClock } from '../../adapters/SystemClock.js';
+import type { ITimelineEvent } from '../../common/timeline/Types.js';
+import { RouterHost } from '../../daemons/RouterHost.js';
+import { startRevisionStoreServer, type IRevisionStoreStandIn } from './RevisionStoreServer.js';
+import { startRunnerStandIn, type IRunnerStandIn } from './ScriptedRunner.js';
 
 /** Services of the test configuration. */
 const MODEL_SERVICE = 'drafts';
--- a/src/testing/RunnerStandIn.ts
+++ b/src/standins/platform/ScriptedRunner.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { readBody, startServer } from '../standins/HttpTools.js';
+import { readBody, startServer } from '../HttpTools.js';
 
 /** One request that a scripted runner got. */
 export interface IRunnerCall {
