--- a/bench/ControlTraffic.ts
+++ b/bench/ControlTraffic.ts
@@ -43,7 +43,9 @@
   const common = { host: 'host-100', key: 'a-shared-key-of-hosts', lamport };
   const handleCheck = (): Promise<unknown> => Promise.resolve({ isReached: true });
   const server = await startPeerServer({
-    ...{ ...common, ip: '127.0.0.1', port: 0 },
+    ...common,
+    ip: '127.0.0.1',
+    port: 0,
     handlers: { 'host.check': handleCheck },
   });
   let bytes = 0;
@@ -170,7 +172,10 @@
   const first = group.hosts.get('host-0');
   first?.board.updates.set(`endpoint:${ENDPOINT}`, {
     update: { kind: 'endpoint', id: ENDPOINT, condition: 'leaving', incarnation: 1 },
-    ...{ origin: 'own', urgency: 'now', sends: 0, changedAt: group.clock.now() },
+    origin: 'own',
+    urgency: 'now',
+    sends: 0,
+    changedAt: group.clock.now(),
   });
   return waitForAll(group, (id) => group.hosts.get(id)?.board.updates.has(`endpoint:${ENDPOINT}`) === true);
 }
--- a/bench/JournalReader.ts
+++ b/bench/JournalReader.ts
@@ -43,7 +43,10 @@
   const account = `account-${request.account}`;
   const path = getCallPath(target, request);
   return hashRequestKey({
-    ...{ id: '', service: BENCH_SERVICE, account, idempotencyKey: request.idempotencyKey },
+    id: '',
+    service: BENCH_SERVICE,
+    account,
+    idempotencyKey: request.idempotencyKey,
     isIdempotent: request.kind !== 'plain',
     fingerprint: hashFingerprint(account, 'POST', path, encodeCallBody(target, request)),
   });
--- a/bench/RoutingPolicies.ts
+++ b/bench/RoutingPolicies.ts
@@ -1,9 +1,7 @@
-import { Result } from 'true-myth';
 import yargs from 'yargs';
 import { createSeededRandom, hashTexts } from '../src/adapters/Random.js';
 import { Blackboard } from '../src/common/blackboard/Blackboard.js';
 import type { IEndpointEntry, IRequestEntry } from '../src/common/blackboard/Types.js';
-import type { IJournal } from '../src/common/coordination/Types.js';
 import { createDecideRetry } from '../src/common/policy/Retries.js';
 import { AttemptController } from '../src/common/request/AttemptController.js';
 import { CleanUpController } from '../src/common/request/CleanUpController.js';
@@ -90,11 +88,6 @@
   attempts: number;
 }
 
-const NO_JOURNAL: IJournal = {
-  append: () => Promise.resolve(Result.ok([])),
-  lookup: () => Promise.resolve(Result.ok(undefined)),
-};
-
 function buildPolicies(policy: PolicyName, random: RandomSource): IRoutingPolicies {
   return createRoutingPolicies(random, policy === 'adaptive' ? 'default' : policy);
 }
@@ -159,11 +152,7 @@
     });
     const { takeRetryBudget } = routing;
     const decideRetry = createDecideRetry(random);
-    const hashKey = (request: IRequestEntry): string => request.id;
-    const holdEntries = (): Promise<void> => Promise.resolve();
-    new OutcomeController({
-      ...{ board, clock, journal: NO_JOURNAL, decideRetry, takeRetryBudget, hashKey, holdEntries },
-    });
+    new OutcomeController({ board, clock, decideRetry, takeRetryBudget });
     new DeadlineController({ board, clock });
     new CleanUpController(board);
     board.requests.onChange(({ before, after }) => {
@@ -326,7 +315,11 @@
 function createRequest({ account, deadlineMs, id, isStreaming, now, tokens }: IRequestDraft): IRequestEntry {
   const target = { ...TEST_TARGET, model: VERSION, isStreaming, maxTokens: Math.ceil(tokens * 1.5) };
   return createTestRequest(id, {
-    ...{ account, target, receivedAt: now, deadlineAt: now + deadlineMs, version: VERSION },
+    account,
+    target,
+    receivedAt: now,
+    deadlineAt: now + deadlineMs,
+    version: VERSION,
   });
 }
 
--- a/bench/capacity/Controllers.ts
+++ b/bench/capacity/Controllers.ts
@@ -82,7 +82,13 @@
   const now = systemClock.now();
   const target = { ...TEST_TARGET, isStreaming: true, promptTokens: 100, maxTokens: 64 };
   return createTestRequest(createUniqueId(), {
-    ...{ phase: 'admitted', service: BENCH_SERVICE, account: 'account-0', kind: 'default', target },
-    ...{ receivedAt: now, deadlineAt: now + 60_000, version: undefined },
+    phase: 'admitted',
+    service: BENCH_SERVICE,
+    account: 'account-0',
+    kind: 'default',
+    target,
+    receivedAt: now,
+    deadlineAt: now + 60_000,
+    version: undefined,
   });
 }
--- a/src/adapters/GossipMessages.test.ts
+++ b/src/adapters/GossipMessages.test.ts
@@ -4,8 +4,12 @@
 import { createGossipHandlers, decodeGossipMessage, encodeGossipMessage } from './GossipMessages.js';
 
 const FROM: IHostUpdate = {
-  ...{ kind: 'host', id: 'host-100', address: '10.20.30.40:7000', zone: 'kuttanad-1' },
-  ...{ state: 'alive', incarnation: 1_796_370_000 },
+  kind: 'host',
+  id: 'host-100',
+  address: '10.20.30.40:7000',
+  zone: 'kuttanad-1',
+  state: 'alive',
+  incarnation: 1_796_370_000,
 };
 const UPDATES: GossipUpdate[] = [
   { ...FROM, id: 'host-7', state: 'suspect' },
--- a/src/adapters/GossipMessages.ts
+++ b/src/adapters/GossipMessages.ts
@@ -21,7 +21,11 @@
   ])
   .transform(([, id, address, zone, state, incarnation]): IHostUpdate => ({
     kind: 'host',
-    ...{ id, address, zone, state, incarnation },
+    id,
+    address,
+    zone,
+    state,
+    incarnation,
   }));
 
 const ENDPOINT_SCHEMA = z
--- a/src/adapters/Metrics.ts
+++ b/src/adapters/Metrics.ts
@@ -21,9 +21,14 @@
 export function createMetricsClient(options: IMetricsClientOptions): IMetricsClient {
   const { entryHost, host, onError, port } = options;
   const client = new StatsD({
-    ...{ host, port, prefix: 'mulberryweir.', globalTags: { entry_host: entryHost }, errorHandler: onError },
+    host,
+    port,
+    prefix: 'mulberryweir.',
+    globalTags: { entry_host: entryHost },
+    errorHandler: onError,
     // Samples of one interval share a packet.
-    ...{ maxBufferSize: 1400, bufferFlushInterval: 500 },
+    maxBufferSize: 1400,
+    bufferFlushInterval: 500,
   });
   return {
     sink: {
--- a/src/cli/commands/BillsCommand.test.ts
+++ b/src/cli/commands/BillsCommand.test.ts
@@ -14,15 +14,25 @@
   const logs = [0, 1].map(
     (partition) =>
       new PartitionLog({
-        ...{ partition, host: 'host-1', board: new Blackboard(), store, clock: systemClock },
-        ...{ createId: createUniqueId, readWallClock: () => 0 },
+        partition,
+        host: 'host-1',
+        board: new Blackboard(),
+        store,
+        clock: systemClock,
+        createId: createUniqueId,
+        readWallClock: () => 0,
       }),
   );
   for (const [index, log] of logs.entries()) {
     await log.open();
     const bill = {
-      ...{ request: `r-${index}`, service: 'deposits', account: 'depot,north', version: 'small-1' },
-      ...{ promptTokens: 10, completionTokens: 5, cost: 0.25 },
+      request: `r-${index}`,
+      service: 'deposits',
+      account: 'depot,north',
+      version: 'small-1',
+      promptTokens: 10,
+      completionTokens: 5,
+      cost: 0.25,
     };
     await log.append([{ kind: 'bill', key: `r-${index}`, bill, atMs: 0, retention: 'short' }]);
   }
--- a/src/cli/commands/BillsExportCommand.ts
+++ b/src/cli/commands/BillsExportCommand.ts
@@ -45,7 +45,9 @@
   const rows = bills.map((bill) => formatRow(bill));
   const text = [HEADER, ...rows].join('\n');
   return {
-    ...{ reason: 'success', text, data: { bills, positions } },
+    reason: 'success',
+    text,
+    data: { bills, positions },
     errors: [`Next positions: ${positions.join(',')}`],
   };
 }
--- a/src/cli/commands/StatusCommand.ts
+++ b/src/cli/commands/StatusCommand.ts
@@ -15,8 +15,14 @@
 
 const ROWS = z.array(z.record(z.string(), z.union([z.string(), z.number()])));
 const REPORT_SCHEMA = z.object({
-  ...{ host: z.string(), revision: z.number(), storeContactAgeMs: z.number() },
-  ...{ versions: ROWS, endpoints: ROWS, partitions: ROWS, hosts: ROWS, accounts: ROWS },
+  host: z.string(),
+  revision: z.number(),
+  storeContactAgeMs: z.number(),
+  versions: ROWS,
+  endpoints: ROWS,
+  partitions: ROWS,
+  hosts: ROWS,
+  accounts: ROWS,
 });
 
 /** `mulberryweir status`: shows the state of one host, read over the signed peer protocol. */
@@ -42,7 +48,9 @@
   const parsed = parseSettings(text.value);
   if (parsed.isErr) return describeFailure('wrong-arguments', [`${settings}: ${parsed.error}`]);
   const client = createPeerClient({
-    ...{ host: 'status-command', key: parsed.value.host.peer_key, findAddress: () => host },
+    host: 'status-command',
+    key: parsed.value.host.peer_key,
+    findAddress: () => host,
     lamport: { read: () => 0, observe: () => undefined },
   });
   const reply = await client.send(host, 'host.status', {});
--- a/src/cli/commands/TimelineCommand.ts
+++ b/src/cli/commands/TimelineCommand.ts
@@ -30,7 +30,9 @@
         // The global --version would otherwise take the option's name.
         .version(false)
         .positional('files', {
-          ...{ type: 'string', array: true, demandOption: true },
+          type: 'string',
+          array: true,
+          demandOption: true,
           describe: 'Files that [timeline] file names in the settings of the hosts',
         })
         .option('request', {
--- a/src/common/config/ConfigFeed.ts
+++ b/src/common/config/ConfigFeed.ts
@@ -86,7 +86,9 @@
     for (const document of documents.values()) {
       const { name } = document;
       board.services.set(name, {
-        ...{ name, document, revision: offer.revision },
+        name,
+        document,
+        revision: offer.revision,
         rollouts: index.rollouts[name] ?? {},
       });
     }
--- a/src/common/config/ConfigStoreReader.ts
+++ b/src/common/config/ConfigStoreReader.ts
@@ -119,7 +119,9 @@
     await Promise.all(reads);
     if (this._isDisposed || Object.keys(records).length < keys.length) return 'failed';
     board.configuration.set('offered', {
-      ...{ revision: found.version, index: found.value, records },
+      revision: found.version,
+      index: found.value,
+      records,
       from: 'store',
     });
     return this._getRevision() >= found.version ? 'done' : 'unusable';
--- a/src/common/coordination/DrainController.test.ts
+++ b/src/common/coordination/DrainController.test.ts
@@ -21,7 +21,8 @@
     record(`told ${String(after?.state)} ${String(after?.incarnation)}`);
   });
   const drain = new DrainController({
-    ...{ board, clock },
+    board,
+    clock,
     closeFrontEnd: () =>
       new Promise((resolve) => {
         record('front end closes');
--- a/src/common/coordination/EndpointStateController.test.ts
+++ b/src/common/coordination/EndpointStateController.test.ts
@@ -8,15 +8,36 @@
 import { publishUpdate } from './UpdateQueue.js';
 
 const ENDPOINT: IEndpointEntry = {
-  ...{ id: 'engine-1', kind: 'engine', service: 'deposits', address: 'http://10.0.0.1:80', zone: 'zone-a' },
-  ...{ health: 'healthy', healthChangedAt: 0, versions: ['small-1'], inFlight: 0, inFlightTokens: 0 },
-  ...{ firstTokenMs: undefined, tokenMs: undefined, consecutiveFailures: 0, report: undefined },
-  ...{ checksFencing: false, incarnation: 1 },
+  id: 'engine-1',
+  kind: 'engine',
+  service: 'deposits',
+  address: 'http://10.0.0.1:80',
+  zone: 'zone-a',
+  health: 'healthy',
+  healthChangedAt: 0,
+  versions: ['small-1'],
+  inFlight: 0,
+  inFlightTokens: 0,
+  firstTokenMs: undefined,
+  tokenMs: undefined,
+  consecutiveFailures: 0,
+  report: undefined,
+  checksFencing: false,
+  incarnation: 1,
 };
 const REPORT = { running: 0, waiting: 0, cacheUse: 0, versions: ['small-1'], isLeaving: true, receivedAt: 0 };
 const REFUSED: IAttemptEntry = {
-  ...{ id: 'a-1', phase: 'failed', role: 'primary', request: 'r-1', endpoint: 'engine-1', plannedAt: 0 },
-  ...{ version: 'small-1', firstTokenAt: undefined, endedAt: 1, tokens: 0, answer: undefined },
+  id: 'a-1',
+  phase: 'failed',
+  role: 'primary',
+  request: 'r-1',
+  endpoint: 'engine-1',
+  plannedAt: 0,
+  version: 'small-1',
+  firstTokenAt: undefined,
+  endedAt: 1,
+  tokens: 0,
+  answer: undefined,
   error: { kind: 'leaving', message: 'The endpoint is leaving.', ran: 'no' },
 };
 const LEAVING: GossipUpdate = { kind: 'endpoint', id: 'engine-1', condition: 'leaving', incarnation: 1 };
@@ -27,7 +48,8 @@
   const published: unknown[] = [];
   board.endpoints.set(endpoint.id, endpoint);
   new EndpointStateController({
-    ...{ board, clock },
+    board,
+    clock,
     publish: (update, urgency) => published.push({ update, urgency }),
   });
   return { board, published, clock };
--- a/src/common/coordination/HostStates.ts
+++ b/src/common/coordination/HostStates.ts
@@ -40,7 +40,12 @@
   const { address, id, incarnation, state, zone } = update;
   const revision = known?.revision;
   board.hosts.set(id, {
-    ...{ id, address, zone, state, incarnation, changedAt: now },
+    id,
+    address,
+    zone,
+    state,
+    incarnation,
+    changedAt: now,
     ...(revision === undefined ? {} : { revision }),
   });
   const isListed = known?.incarnation === 0 && known.state === 'alive' && known.address === address;
--- a/src/common/coordination/ServiceOwnerController.ts
+++ b/src/common/coordination/ServiceOwnerController.ts
@@ -77,7 +77,11 @@
     if (this._owners.has(service)) return;
     const { clock, createId, host, store } = this._options;
     const owner = new FencedOwner({
-      ...{ name: formatLeaseName(service), holder: host, store, clock, createId },
+      name: formatLeaseName(service),
+      holder: host,
+      store,
+      clock,
+      createId,
       rankSelf: () => this._rankSelf(service),
       // Rollouts and orders look at the lease before each step, so there is nothing to start or stop.
       start: () => Promise.resolve(true),
--- a/src/common/request/ClaimController.ts
+++ b/src/common/request/ClaimController.ts
@@ -65,7 +65,11 @@
     const retention = request.idempotencyKey === undefined ? 'short' : 'long';
     const result = await journal.append(key, [
       {
-        ...{ kind: 'claim', key, request: request.id, atMs: readWallClock(), retention },
+        kind: 'claim',
+        key,
+        request: request.id,
+        atMs: readWallClock(),
+        retention,
         fingerprint: request.fingerprint,
       },
     ]);
--- a/src/common/request/CrashController.test.ts
+++ b/src/common/request/CrashController.test.ts
@@ -44,7 +44,11 @@
         board.hosts.set(id, { id, address: '', zone: 'a', state: 'alive', incarnation: 1, changedAt: 0 });
       }
       const controller = new CrashController({
-        ...{ board, clock: this.clock, self, hash: hashTexts, runAttempt: this._runAttempt },
+        board,
+        clock: this.clock,
+        self,
+        hash: hashTexts,
+        runAttempt: this._runAttempt,
         send: createSendSuspectMessage(peers.createSend(self)),
       });
       peers.handlers.set(
@@ -63,9 +67,18 @@
     const id = `attempt-${this._lastAttempt}`;
     const request = createTestRequest(id, { fingerprint: name, deadlineAt: this.clock.now() + 600_000 });
     const attempt = {
-      ...{ id, phase: 'sent' as const, role: 'primary' as const, request: id, endpoint, version: 'small-1' },
-      ...{ plannedAt: 0, firstTokenAt: undefined, endedAt: undefined, tokens: 0 },
-      ...{ answer: undefined, error: undefined },
+      id,
+      phase: 'sent' as const,
+      role: 'primary' as const,
+      request: id,
+      endpoint,
+      version: 'small-1',
+      plannedAt: 0,
+      firstTokenAt: undefined,
+      endedAt: undefined,
+      tokens: 0,
+      answer: undefined,
+      error: undefined,
     };
     board.requests.set(id, request);
     board.attempts.set(id, attempt);
--- a/src/common/request/CrashController.ts
+++ b/src/common/request/CrashController.ts
@@ -150,7 +150,8 @@
     }
     const suspects = [...trials.keys()].filter((fingerprint) => needsTrial(board, fingerprint));
     return [...trials].map(([fingerprint, isOnTrial]) => ({
-      ...{ fingerprint, endpoint },
+      fingerprint,
+      endpoint,
       isOnTrial: isOnTrial && suspects.length === 1,
     }));
   }
@@ -263,8 +264,12 @@
 }
 
 const BLOCKED: Awaited<ReturnType<RunAttempt>> = Result.err({
-  ...{ kind: 'refused', ran: 'no', message: 'The request crashes endpoints.' },
+  kind: 'refused',
+  ran: 'no',
+  message: 'The request crashes endpoints.',
 });
 const WAITED: Awaited<ReturnType<RunAttempt>> = Result.err({
-  ...{ kind: 'cancelled', ran: 'no', message: 'The request ended while it waited for its trial.' },
+  kind: 'cancelled',
+  ran: 'no',
+  message: 'The request ended while it waited for its trial.',
 });
--- a/src/common/request/DeadlineController.test.ts
+++ b/src/common/request/DeadlineController.test.ts
@@ -21,7 +21,10 @@
   await clock.advance(100);
   controller.dispose();
   const describe = [...board.requests.list()].map(({ id, phase, refusal, earlyRefusal }) => ({
-    ...{ id, phase, refused: refusal?.ran, toldEarly: earlyRefusal?.ran },
+    id,
+    phase,
+    refused: refusal?.ran,
+    toldEarly: earlyRefusal?.ran,
   }));
   t.snapshot(describe);
 });
--- a/src/common/request/RouteController.test.ts
+++ b/src/common/request/RouteController.test.ts
@@ -8,7 +8,12 @@
 import { RouteController } from './RouteController.js';
 
 const REQUEST: IRequestEntry = {
-  ...{ id: 'r-1', phase: 'queued', service: 'deposits', account: 'depot', kind: 'chat', isIdempotent: true },
+  id: 'r-1',
+  phase: 'queued',
+  service: 'deposits',
+  account: 'depot',
+  kind: 'chat',
+  isIdempotent: true,
   target: {
     kind: 'model',
     model: 'auto',
@@ -18,14 +23,36 @@
     isStreaming: false,
     prefixHashes: [],
   },
-  ...{ idempotencyKey: undefined, fingerprint: 'f', session: undefined, priority: 'normal' },
-  ...{ receivedAt: 0, deadlineAt: 60_000, version: 'small-1', winner: undefined, attemptCount: 0 },
-  ...{ escalatedFrom: [], ran: 'no', isCallerGone: false, answer: undefined, refusal: undefined },
+  idempotencyKey: undefined,
+  fingerprint: 'f',
+  session: undefined,
+  priority: 'normal',
+  receivedAt: 0,
+  deadlineAt: 60_000,
+  version: 'small-1',
+  winner: undefined,
+  attemptCount: 0,
+  escalatedFrom: [],
+  ran: 'no',
+  isCallerGone: false,
+  answer: undefined,
+  refusal: undefined,
 };
 const ENDPOINT: IEndpointEntry = {
-  ...{ id: 'engine-1', kind: 'engine', service: 'deposits', address: 'http://10.0.0.1:80', zone: 'zone-a' },
-  ...{ health: 'healthy', healthChangedAt: 0, versions: ['small-1'], inFlight: 0, inFlightTokens: 0 },
-  ...{ firstTokenMs: undefined, tokenMs: undefined, consecutiveFailures: 0, report: undefined },
+  id: 'engine-1',
+  kind: 'engine',
+  service: 'deposits',
+  address: 'http://10.0.0.1:80',
+  zone: 'zone-a',
+  health: 'healthy',
+  healthChangedAt: 0,
+  versions: ['small-1'],
+  inFlight: 0,
+  inFlightTokens: 0,
+  firstTokenMs: undefined,
+  tokenMs: undefined,
+  consecutiveFailures: 0,
+  report: undefined,
   checksFencing: false,
 };
 
@@ -41,7 +68,9 @@
   const board = new Blackboard();
   let isOpen = false;
   new RouteController({
-    ...{ board, clock: new ManualClock(), zone: 'zone-a' },
+    board,
+    clock: new ManualClock(),
+    zone: 'zone-a',
     index: new EndpointIndex({
       board,
       host: 'host-1',
--- a/src/common/status/StatusReport.ts
+++ b/src/common/status/StatusReport.ts
@@ -29,25 +29,42 @@
       Object.values(document.versions).map((version) => {
         const state = rollouts[version.name];
         return {
-          ...{ service: name, version: version.name, stage: version.stage },
-          ...{ verdict: state?.verdict ?? '', share: state?.share ?? '', reason: state?.reason ?? '' },
+          service: name,
+          version: version.name,
+          stage: version.stage,
+          verdict: state?.verdict ?? '',
+          share: state?.share ?? '',
+          reason: state?.reason ?? '',
         };
       }),
     ),
     endpoints: [...board.endpoints.list()].map((endpoint) => ({
-      ...{ endpoint: endpoint.id, zone: endpoint.zone, health: endpoint.health },
+      endpoint: endpoint.id,
+      zone: endpoint.zone,
+      health: endpoint.health,
       sinceMs: Math.round(now - endpoint.healthChangedAt),
-      ...{ failures: endpoint.consecutiveFailures, inFlight: endpoint.inFlight },
+      failures: endpoint.consecutiveFailures,
+      inFlight: endpoint.inFlight,
       versions: endpoint.versions.join(' '),
     })),
     partitions: [...board.partitions.list()].map(({ epoch, owner, partition, phase }) => ({
-      ...{ partition, phase, owner: owner ?? '', epoch },
+      partition,
+      phase,
+      owner: owner ?? '',
+      epoch,
     })),
     hosts: [...board.hosts.list()].map(({ address, id, revision, state, zone }) => ({
-      ...{ host: id, zone, address, state, revision: revision ?? '' },
+      host: id,
+      zone,
+      address,
+      state,
+      revision: revision ?? '',
     })),
     accounts: [...board.accounts.list()].map(({ account, inFlight, leasedRate, service }) => ({
-      ...{ service, account, inFlight, leasedRate },
+      service,
+      account,
+      inFlight,
+      leasedRate,
     })),
   };
 }
--- a/src/daemons/EntryHost.test.ts
+++ b/src/daemons/EntryHost.test.ts
@@ -59,7 +59,9 @@
     method: 'POST',
     headers: { authorization: `Bearer ${DEMO_KEY}`, 'content-type': 'application/json' },
     body: JSON.stringify({
-      ...{ model: 'small-1', max_tokens: tokens, stream: true },
+      model: 'small-1',
+      max_tokens: tokens,
+      stream: true,
       messages: [{ role: 'user', content: 'Read the manifest of depot north.' }],
     }),
   });
@@ -87,14 +89,22 @@
   const hostList = await startHostListServer();
   const engine = await startEngineServer({ versions: ['small-1'], batchSize: 64 });
   hostList.machines.push({
-    ...{ id: 'engine-1', role: 'engine', address: engine.address, zone: 'zone-a' },
-    ...{ service: 'deposits', versions: ['small-1'], state: 'live' },
+    id: 'engine-1',
+    role: 'engine',
+    address: engine.address,
+    zone: 'zone-a',
+    service: 'deposits',
+    versions: ['small-1'],
+    state: 'live',
   });
   const edit = { text: DEMO_DOCUMENT, author: 'test', editedAt: '2026-12-04T00:00:00Z', baseNumber: 0 };
   await applyEdit(buildEditorOptions(createHttpStore({ address: store.address })), edit);
   const folder = mkdtempSync(join(tmpdir(), 'mulberryweir-'));
   return {
-    ...{ store, hostList, engine, folder },
+    store,
+    hostList,
+    engine,
+    folder,
     close: async () => {
       rmSync(folder, { recursive: true });
       await Promise.all([store.close(), hostList.close(), engine.close()]);
@@ -167,8 +177,13 @@
     ['host-2', secondPort],
   ] as const) {
     platform.hostList.machines.push({
-      ...{ id, role: 'entry-host', address: `127.0.0.1:${port}`, zone: 'zone-a' },
-      ...{ service: '', versions: [], state: 'live' },
+      id,
+      role: 'entry-host',
+      address: `127.0.0.1:${port}`,
+      zone: 'zone-a',
+      service: '',
+      versions: [],
+      state: 'live',
     });
   }
   const deadStore = `http://127.0.0.1:${deadPort}`;
--- a/src/daemons/EntryHost.ts
+++ b/src/daemons/EntryHost.ts
@@ -67,8 +67,11 @@
     this._tracker = this._createTracker();
     this._serviceOwners = this._register(
       new ServiceOwnerController({
-        ...{ ...common, clock: systemClock, createId: createUniqueId },
-        ...{ host: settings.host.id, hash: hashTexts },
+        ...common,
+        clock: systemClock,
+        createId: createUniqueId,
+        host: settings.host.id,
+        hash: hashTexts,
       }),
     );
     const { findLease } = this._serviceOwners;
@@ -77,7 +80,10 @@
     );
     this._requests = this._register(
       new RequestWiring({
-        ...{ board, settings, journal: this._journal, versions: this._versions },
+        board,
+        settings,
+        journal: this._journal,
+        versions: this._versions,
         sendToPeer: this._membership.send,
         deliverChunk: (request, data) => {
           this._frontEnd.deliverChunk(request, data);
@@ -143,7 +149,9 @@
   private _createDrain(): DrainController {
     const { log, settings } = this._options;
     return new DrainController({
-      ...{ board: this._board, clock: systemClock, graceMs: settings.limits.drain_grace_ms },
+      board: this._board,
+      clock: systemClock,
+      graceMs: settings.limits.drain_grace_ms,
       closeFrontEnd: () => this._frontEnd.drain(),
       finishSteps: [() => this._journal.drain(), () => this._serviceOwners.drain()],
       onStepError: (error) => {
--- a/src/daemons/FrontEnd.ts
+++ b/src/daemons/FrontEnd.ts
@@ -81,7 +81,9 @@
     this._server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
       const message = 'The expectation is not supported.';
       this._createWriter(this._options.createId(), response).endWithRefusal({
-        ...{ code: 'invalid_request', message, ran: 'no' },
+        code: 'invalid_request',
+        message,
+        ran: 'no',
       });
       request.resume();
     });
--- a/src/daemons/MembershipWiring.ts
+++ b/src/daemons/MembershipWiring.ts
@@ -44,7 +44,9 @@
     super();
     const { board, lamport, log, settings } = _options;
     this._client = createPeerClient({
-      ...{ host: settings.host.id, key: settings.host.peer_key, lamport },
+      host: settings.host.id,
+      key: settings.host.peer_key,
+      lamport,
       findAddress: (host) => board.hosts.get(host)?.address,
     });
     const onProblem = (message: string): void => {
@@ -72,7 +74,11 @@
     // The handlers exist before the controllers, which need the bound port for the host's own address.
     const parts: { gossip?: GossipController; config?: ConfigExchange } = {};
     this._server = await startPeerServer({
-      ...{ host: id, key, lamport, ip, port },
+      host: id,
+      key,
+      lamport,
+      ip,
+      port,
       handlers: { ...createHandlers(parts), ...handlers },
     });
     this._createMembership(`${ip}:${this._server.port}`);
@@ -82,8 +88,13 @@
     this._gossip.start();
     const reader = this._register(
       new ConfigStoreReader({
-        ...{ board, store: this._options.store, clock: systemClock, codec: configCodec },
-        ...{ random: Math.random, self: id, zone: settings.host.zone },
+        board,
+        store: this._options.store,
+        clock: systemClock,
+        codec: configCodec,
+        random: Math.random,
+        self: id,
+        zone: settings.host.zone,
         rankWatcher: (host) => hashTexts('config-watch', host),
       }),
     );
@@ -115,7 +126,11 @@
     const { board, settings } = this._options;
     return this._register(
       new ConfigExchange({
-        ...{ board, clock: systemClock, random: Math.random, self: settings.host.id, listDocumentKeys },
+        board,
+        clock: systemClock,
+        random: Math.random,
+        self: settings.host.id,
+        listDocumentKeys,
         ...createConfigCalls(this._client.send),
       }),
     );
@@ -125,7 +140,11 @@
     const { board, settings } = this._options;
     return this._register(
       new GossipController({
-        ...{ board, clock: systemClock, random: Math.random, self: settings.host.id, measureUpdate },
+        board,
+        clock: systemClock,
+        random: Math.random,
+        self: settings.host.id,
+        measureUpdate,
         ...createGossipCalls(this._client.send),
       }),
     );
--- a/src/daemons/Policies.ts
+++ b/src/daemons/Policies.ts
@@ -66,7 +66,9 @@
   const chooseSpill = chooseSpillByTarget;
   if (policy === 'default') {
     return {
-      ...{ chooseEndpoint, chooseSpill, decideHealth },
+      chooseEndpoint,
+      chooseSpill,
+      decideHealth,
       queueOrder: FAIR_ORDER,
       decideQueued: refuseUnreachable,
       adaptLimit: computeLimitByQueueing,
@@ -74,7 +76,8 @@
     };
   }
   return {
-    ...{ chooseEndpoint, chooseSpill },
+    chooseEndpoint,
+    chooseSpill,
     queueOrder: ARRIVAL_ORDER,
     decideQueued: waitAlways,
     decideHealth: decideSameHealth,
--- a/src/daemons/RequestKeys.test.ts
+++ b/src/daemons/RequestKeys.test.ts
@@ -2,7 +2,11 @@
 import { hashFingerprint, hashRequestKey, type RequestIdentity } from './RequestKeys.js';
 
 const REQUEST: RequestIdentity = {
-  ...{ id: 'r-1', service: 'deposits', account: 'depot', isIdempotent: true, idempotencyKey: 'k-1' },
+  id: 'r-1',
+  service: 'deposits',
+  account: 'depot',
+  isIdempotent: true,
+  idempotencyKey: 'k-1',
   fingerprint: hashFingerprint('depot', 'POST', '/v1/chat/completions', 'one body'),
 };
 
--- a/src/daemons/RequestWiring.ts
+++ b/src/daemons/RequestWiring.ts
@@ -76,8 +76,11 @@
   private _createCrashController(): CrashController {
     const { sendToPeer, settings } = this._options;
     return new CrashController({
-      ...{ ...this._common, self: settings.host.id, hash: hashTexts },
-      ...{ send: createSendSuspectMessage(sendToPeer), runAttempt: this._runAttempt },
+      ...this._common,
+      self: settings.host.id,
+      hash: hashTexts,
+      send: createSendSuspectMessage(sendToPeer),
+      runAttempt: this._runAttempt,
     });
   }
 
@@ -85,8 +88,13 @@
     const { sendToPeer, settings } = this._options;
     const { host, policy } = settings;
     return new Routing({
-      ...{ ...this._common, random: Math.random, createId: createUniqueId, hashTexts, sendToPeer },
-      ...{ host: host.id, zone: host.zone },
+      ...this._common,
+      random: Math.random,
+      createId: createUniqueId,
+      hashTexts,
+      sendToPeer,
+      host: host.id,
+      zone: host.zone,
       policies: createRoutingPolicies(Math.random, policy.endpoints),
     });
   }
@@ -97,7 +105,9 @@
     const { takeRateShare } = this._routing;
     this._register(
       new AdmissionController({
-        ...{ ...this._common, takeRateShare, isDraining },
+        ...this._common,
+        takeRateShare,
+        isDraining,
         decideAdmission: withBlockedRefusal(board, decideAdmission),
       }),
     );
--- a/src/testing/EdgeRig.ts
+++ b/src/testing/EdgeRig.ts
@@ -95,7 +95,9 @@
     headers: Readonly<Record<string, string>> = {},
   ): string {
     const all = {
-      ...{ host: 'h', authorization: `Bearer ${DEMO_KEY}`, connection: 'close' },
+      host: 'h',
+      authorization: `Bearer ${DEMO_KEY}`,
+      connection: 'close',
       'content-length': String(Buffer.byteLength(body)),
       ...headers,
     };
--- a/src/testing/HostGroup.ts
+++ b/src/testing/HostGroup.ts
@@ -149,7 +149,10 @@
       exchange: new ConfigExchange({ ...common, ...createConfigCalls(send), listDocumentKeys }),
       gossip: new GossipController({ ...common, ...createGossipCalls(send), measureUpdate }),
       reader: new ConfigStoreReader({
-        ...{ ...common, zone, store: this._createStore(id), codec: configCodec },
+        ...common,
+        zone,
+        store: this._createStore(id),
+        codec: configCodec,
         rankWatcher: (host) => hashTexts('config-watch', host),
       }),
     };
@@ -157,7 +160,10 @@
     this.peers.handlers.set(id, { ...createGossipHandlers(gossip), ...createConfigHandlers(exchange) });
     const disposables: IDisposable[] = Object.values(parts);
     const host: IGroupHost = {
-      ...{ id, board, gossip, startedAt: clock.now() },
+      id,
+      board,
+      gossip,
+      startedAt: clock.now(),
       dispose: () => {
         disposeAll(disposables);
       },
