--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -219,6 +219,8 @@
   tokens: number;
   /** The model's own opinion of its answer, 0 to 1, known when the response begins. */
   confidence?: number;
+  /** Whether its answer was dropped when it began, for a larger model's. */
+  isRejected?: boolean;
   /** What the endpoint said of the attempt when it was last asked for it. */
   check?: { result: RunCheck; silentMs: Millis };
   answer: IAnswer | undefined;
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -185,7 +185,7 @@
       return;
     }
     // A draft that was rejected when it began still has output on its way.
-    if (this._options.board.attempts.get(this._attempt.id)?.phase === 'cancelled') return;
+    if (this._options.board.attempts.get(this._attempt.id)?.isRejected) return;
     this._lastTokenAt = this._options.clock.now();
     if (this._firstTokenAt === undefined) this._handleFirstToken(this._lastTokenAt);
     this._tokens += part.tokens;
--- a/src/common/request/OpeningController.ts
+++ b/src/common/request/OpeningController.ts
@@ -48,7 +48,7 @@
     const leftMs = request.deadlineAt - clock.now();
     if (decideOpening({ request, confidence, next, leftMs }) === 'deliver') return;
     if (!takeRetryBudget(request)) return;
-    board.attempts.update(attempt.id, { phase: 'cancelled' });
+    board.attempts.update(attempt.id, { phase: 'cancelled', isRejected: true });
     const usage = { promptTokens: 0, completionTokens: 0 };
     const draft = { version: attempt.version ?? '', usage };
     board.requests.update(request.id, {
--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -1,3 +1,4 @@
+import { Agent } from 'node:http';
 import test from 'ava';
 import { RouterRig, TEST_CONFIGURATION } from '../standins/platform/RouterRig.js';
 import { sendEvents, sendWhole, startStream } from '../standins/platform/ScriptedRunner.js';
@@ -267,3 +268,30 @@
   await stopped;
   await rig.close();
 });
+
+// Guards against a long request that is taken shortly before the kill, on a connection that was busy until then.
+test('a connection that was busy during a stop takes no further call', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  for (const runner of rig.runners) {
+    runner.answer = async (call, response) => {
+      startStream(call, response);
+      sendEvents(response, 1, 1);
+      await new Promise((resolve) => setTimeout(resolve, 1400));
+      sendEvents(response, 2, 2);
+      response.end();
+    };
+  }
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const before = rig.send('/stream/1', { model: '*' }, { agent });
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const stopped = rig.host.stop();
+  const first = await before;
+  const second = await rig.send('/stream/2', { model: '*' }, { agent });
+  t.deepEqual([first.status, first.isWhole], [200, true]);
+  t.true(second.status === 0 || second.status === 503, String(second.status));
+  t.is(rig.runners.flatMap(({ calls }) => calls).length, 1);
+  await stopped;
+  agent.destroy();
+  await rig.close();
+});
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -277,7 +277,8 @@
   return parseInt(hashTexts(text).slice(0, POINT_DIGITS), 16) / POINT_RANGE;
 }
 
+/** Once the balancer has noticed the stop, a call can only come on a connection that was busy until then. */
 function hasStoppedAccepting(board: Blackboard): boolean {
   const phase = board.lifecycle.get('host')?.phase;
-  return phase === 'finishing' || phase === 'stopped';
+  return phase !== 'serving' && phase !== 'leaving';
 }
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -1,4 +1,4 @@
-import { request as sendRequest, type IncomingHttpHeaders } from 'node:http';
+import { request as sendRequest, type Agent, type IncomingHttpHeaders } from 'node:http';
 import { createFactStore } from '../../../platform/FactStore.js';
 import { FrontServer } from '../../../platform/FrontServer.js';
 import { RunnerClient } from '../../../platform/RunnerClient.js';
@@ -86,7 +86,7 @@
   public send(
     path: string,
     headers: Record<string, string> = {},
-    options: { method?: string; body?: string } = {},
+    options: { method?: string; body?: string; agent?: Agent } = {},
   ): Promise<ICallerView> {
     const [host, port] = this._front.split(':');
     this._lastCall += 1;
@@ -99,15 +99,18 @@
     };
     return new Promise((resolve) => {
       const method = options.method ?? 'POST';
-      const sent = sendRequest({ host, port, path, method, headers: call, agent: false }, (response) => {
-        let body = '';
-        response.on('data', (chunk: Buffer) => (body += chunk.toString()));
-        response.on('error', () => undefined);
-        response.on('close', () => {
-          const { complete, headers: received, statusCode = 0 } = response;
-          resolve({ status: statusCode, headers: received, body, isWhole: complete });
-        });
-      });
+      const sent = sendRequest(
+        { host, port, path, method, headers: call, agent: options.agent ?? false },
+        (response) => {
+          let body = '';
+          response.on('data', (chunk: Buffer) => (body += chunk.toString()));
+          response.on('error', () => undefined);
+          response.on('close', () => {
+            const { complete, headers: received, statusCode = 0 } = response;
+            resolve({ status: statusCode, headers: received, body, isWhole: complete });
+          });
+        },
+      );
       sent.on('error', () => {
         resolve({ status: 0, headers: {}, body: '', isWhole: false });
       });
