Refuse calls that the store stand-in does not know; bind the rig to free ports

The store stand-in parsed every call that was no list or watch as a write, and a stranger's call (a host of another test process polling a port that was freed and taken again) threw out of its handler. The rig also looked for free ports and bound them later. Change: unknown calls get 404 and malformed writes 400; the front server tells its bound ports, and the rig binds port 0. Which process sent the calls was not recorded.

--- a/src/standins/platform/RevisionStoreServer.ts
+++ b/src/standins/platform/RevisionStoreServer.ts
@@ -134,15 +134,20 @@
   if (operation === 'range') sendRange(store, prefix, after, response);
   else if (operation === 'watch') {
     await sendEvents(store, prefix, Number(after), Number(searchParams.get('waitMs')), response);
-  } else {
-    const write = WRITE.parse(parseJson(await readBody(request)));
+  } else if (operation === 'txn') {
+    const parsed = WRITE.safeParse(parseJson(await readBody(request)));
+    if (!parsed.success) {
+      sendJson(response, 400, { error: 'The write is not valid.' });
+      return;
+    }
+    const write = parsed.data;
     const isMet = write.expectedRev.every(
       ({ key, revision }) => (store.items.get(key)?.revision ?? 0) === revision,
     );
     const revision = isMet ? store.apply(write.setKeys, write.remove) : 0;
     if (hasLostReplies()) response.destroy();
     else sendJson(response, isMet ? 200 : 412, isMet ? { revision } : { items: [] });
-  }
+  } else sendJson(response, 404, { error: 'The call is not known.' });
 }
 
 function sendRange(store: RevisionStore, prefix: string, after: string, response: ServerResponse): void {
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -148,10 +148,8 @@
 
   private async _startHost(): Promise<void> {
     this._client = new StoreClient({ address: this.store.address.replace('http://', '') });
-    const ports = await Promise.all([findFreePort(), findFreePort()]);
-    this._front = `127.0.0.1:${ports[0]}`;
-    this._ready = `127.0.0.1:${ports[1]}`;
-    const addresses = { address: this._front, readyAddress: this._ready };
+    const addresses = { address: '127.0.0.1:0', readyAddress: '127.0.0.1:0' };
+    let front: FrontServer | undefined;
     this.host = new RouterHost({
       id: 'host-1',
       zone: 'a',
@@ -160,7 +158,10 @@
         this._runnerClient = new RunnerClient({ clock: systemClock, decideSilence });
         return this._runnerClient;
       },
-      createFront: (context) => new FrontServer({ ...context, ...addresses, clock: systemClock }),
+      createFront: (context) => {
+        front = new FrontServer({ ...context, ...addresses, clock: systemClock });
+        return front;
+      },
       sink: { count: () => undefined, time: () => undefined, gauge: () => undefined },
       writeEvent: (event) => this.events.push(event),
       onError: (error) => {
@@ -172,6 +173,8 @@
       stopMs: 2000,
     });
     await this.host.start();
+    this._front = `127.0.0.1:${front?.ports.front ?? 0}`;
+    this._ready = `127.0.0.1:${front?.ports.ready ?? 0}`;
   }
 }
 
@@ -188,17 +191,3 @@
     ...patch,
   };
 }
-
-async function findFreePort(): Promise<number> {
-  const { createServer } = await import('node:net');
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address();
-      const port = typeof address === 'object' && address ? address.port : 0;
-      server.close(() => {
-        resolve(port);
-      });
-    });
-  });
-}
