Keep the model of a stream that goes on after a failure

Cause: the second runner of a resumed stream stated its own confidence, and the opening controller escalated to the largest model although the caller already had pieces of the smaller one. Change: a request remembers that an attempt failed after output; such a request is not escalated. Ruled out: keeping every request with a Last-Event-Id on its first model; a caller that resumes by itself has had no answer from this host, and its model is still open. The new test gave models small, small, large before and small, small after.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -3,7 +3,7 @@
 import type { GossipUpdate, UpdateUrgency } from '../coordination/Gossip.js';
 import type { RunCheck } from '../request/Types.js';
 import type { Millis, Priority, Ran } from '../Types.js';
-export type { IFactEntry, IFeedEntry, IRolloutEntry } from '../fleet/Types.js';
+export type { IFactEntry, IFeedEntry, IHostLimits, IRolloutEntry } from '../fleet/Types.js';
 export type { IRoutingTable } from '../routes/Types.js';
 
 /** State of a request on its way from the caller to the delivered and billed answer. */
@@ -124,6 +124,8 @@
   isResumable?: boolean;
   /** Id of the last event that the caller has; an attempt continues after it. */
   resumeAfter?: string;
+  /** Whether an attempt failed after the caller had had a part of its answer. */
+  isContinued?: boolean;
   /** Refusal that the caller gets at once while the attempt goes on, so that its outcome is recorded. */
   earlyRefusal?: IRefusal;
 }
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -128,3 +128,15 @@
   /** When this host saw the stage first. */
   stageSeenAt: Millis;
 }
+
+/** Limits of a host that may change while it runs. */
+export interface IHostLimits {
+  /** Extra attempts allowed per request, over all hosts. */
+  retryShare: number;
+  /** Time after its last request in which a session keeps its release. */
+  sessionMs: Millis;
+  /** Largest share of a service's requests that a bad release may get. */
+  exposureShare: number;
+  /** Time that a stopped process has before it is killed. */
+  stopMs: Millis;
+}
--- a/src/common/request/OpeningController.ts
+++ b/src/common/request/OpeningController.ts
@@ -43,6 +43,8 @@
     const { confidence } = attempt;
     const next = request && findNext(request, attempt.version);
     if (!request || next === undefined || confidence === undefined) return;
+    // The caller has had a part of the answer: another model would not continue it.
+    if (request.isContinued) return;
     if (request.phase !== 'running' || request.winner !== undefined) return;
     if (request.attemptCount >= (request.maxAttempts ?? Infinity)) return;
     const leftMs = request.deadlineAt - clock.now();
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -62,8 +62,9 @@
     const ran = combineRan(request.ran, attempt.error.ran);
     const failedEndpoints = [...(request.failedEndpoints ?? []), attempt.endpoint];
     const { lastEventId } = attempt.error;
-    const resumeAfter = lastEventId === undefined ? {} : { resumeAfter: lastEventId };
-    board.requests.update(request.id, { ran, failedEndpoints, ...resumeAfter });
+    const hasDelivered = lastEventId !== undefined && lastEventId !== request.resumeAfter;
+    const progress = hasDelivered ? { resumeAfter: lastEventId, isContinued: true } : {};
+    board.requests.update(request.id, { ran, failedEndpoints, ...progress });
     if (this._hasOtherAttempt(request, attempt)) return;
     const view = { request: { ...request, ran }, attempt, error: attempt.error, now: clock.now() };
     // The budget is charged only when the retry is allowed otherwise.
--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -175,6 +175,26 @@
   await rig.close();
 });
 
+// Guards against a caller that gets pieces of two models where the second runner doubts what the first began.
+test('a stream that goes on after a failure keeps its model', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const models: (string | undefined)[] = [];
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      models.push(call.headers.model?.toString());
+      const isFirst = models.length === 1;
+      startStream(call, response, isFirst ? 90 : 20);
+      sendEvents(response, isFirst ? 1 : 3, isFirst ? 2 : 4);
+      if (isFirst) setTimeout(() => response.destroy(), 20);
+      else response.end();
+    };
+  }
+  const view = await rig.send('/stream/1', { model: '*' });
+  t.snapshot({ isWhole: view.isWhole, body: view.body, models });
+  await rig.close();
+});
+
 // Guards against a refusal by an estimate alone while runners are free, which no later answer would correct.
 test('a call is tried although earlier ones took longer than it may', async (t) => {
   const rig = await RouterRig.start();
