Apply changed limits at once; accept signals from the start of the process

Cause: the handlers for SIGHUP and SIGTERM were installed after the log and the metrics page were loaded, while the host already listened: a SIGHUP in that time ended the process, a SIGTERM cut its requests off. Changed limits were checked and took effect at the next start only. Change: both handlers are installed before the host starts. The limits are a panel of the blackboard that the retry budgets, the choice of a release and the drain read. Ruled out: a handler in the entry script alone, which would lose the change that the signal tells of. The new test ended with SIGHUP on the former code and passes now.

--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -9,6 +9,7 @@
   IFeedEntry,
   IHeldBillEntry,
   IHostEntry,
+  IHostLimits,
   ILifecycleEntry,
   IListedHost,
   IPartitionEntry,
@@ -62,6 +63,7 @@
   public readonly facts = this._createPanel<string, IFactEntry>();
   public readonly feed = this._createPanel<'store', IFeedEntry>();
   public readonly routing = this._createPanel<'in-force', IRoutingTable>();
+  public readonly limits = this._createPanel<'in-force', IHostLimits>();
   public readonly rollouts = this._createPanel<string, IRolloutEntry>();
   public readonly configuration = this._createPanel<'offered' | 'in-force', IConfigurationEntry>();
 
--- a/src/common/coordination/DrainController.ts
+++ b/src/common/coordination/DrainController.ts
@@ -29,14 +29,14 @@
     this._setPhase('serving');
   }
 
-  /** Drains the host; later calls wait for the same drain. */
-  public drain(): Promise<void> {
-    this._drained ??= this._runPhases();
+  /** Drains the host; later calls wait for the same drain. Default grace: that of the options. */
+  public drain(graceMs = this._options.graceMs): Promise<void> {
+    this._drained ??= this._runPhases(graceMs);
     return this._drained;
   }
 
-  private async _runPhases(): Promise<void> {
-    const { clock, closeFrontEnd, finishSteps, graceMs } = this._options;
+  private async _runPhases(graceMs: Millis): Promise<void> {
+    const { clock, closeFrontEnd, finishSteps } = this._options;
     this._setPhase('leaving');
     await new Promise<void>((resolve) => {
       clock.schedule(graceMs, resolve);
--- a/src/common/fleet/PlanController.ts
+++ b/src/common/fleet/PlanController.ts
@@ -14,8 +14,6 @@
   chooseRelease: ChooseRelease;
   /** Position of a session or request, 0 up to 1, that all hosts compute alike. */
   hashPoint: (text: string) => number;
-  /** Time after its last request in which a session keeps its release. */
-  sessionMs: Millis;
 }
 
 const NO_ENDPOINT_RETRY_AFTER_MS: Millis = 300;
@@ -55,9 +53,9 @@
   }
 
   private _chooseRelease(request: IRequestEntry): string | undefined {
-    const { board, chooseRelease, clock, hashPoint, sessionMs } = this._options;
+    const { board, chooseRelease, clock, hashPoint } = this._options;
     const session = request.session === undefined ? undefined : board.sessions.get(formatSession(request));
-    const isRecent = session !== undefined && clock.now() - session.pinnedAt < sessionMs;
+    const isRecent = session !== undefined && clock.now() - session.pinnedAt < readSessionMs(board);
     return chooseRelease({
       rollout: board.rollouts.get(request.service),
       endpoints: listOfService(board, request.service),
@@ -96,7 +94,8 @@
   }
 
   private _expireSessions(): void {
-    const { board, clock, sessionMs } = this._options;
+    const { board, clock } = this._options;
+    const sessionMs = readSessionMs(board);
     for (const { key, pinnedAt } of board.sessions.list()) {
       if (clock.now() - pinnedAt < sessionMs) return;
       board.sessions.delete(key);
@@ -104,6 +103,11 @@
   }
 }
 
+/** Time after its last request in which a session keeps its release. */
+function readSessionMs(board: Blackboard): Millis {
+  return board.limits.get('in-force')?.sessionMs ?? 0;
+}
+
 function formatSession({ service, session }: IRequestEntry): string {
   return `${service}/${session ?? ''}`;
 }
--- a/src/common/fleet/Plans.test.ts
+++ b/src/common/fleet/Plans.test.ts
@@ -23,7 +23,7 @@
 
 // Guards against a session that changes its release in the first half, and work for a release rolled back.
 test('the release follows the stage of the rollout and the session', (t) => {
-  const choose = createChooseRelease({ canaryShare: 0.1, rampMs: 4000 });
+  const choose = createChooseRelease({ readCanaryShare: () => 0.1, rampMs: 4000 });
   const withStage = (stage: IRolloutEntry['stage']): IRolloutEntry => ({ ...ROLLOUT, stage });
   t.snapshot({
     noRollout: choose(describeView({ rollout: undefined })),
--- a/src/common/fleet/Plans.ts
+++ b/src/common/fleet/Plans.ts
@@ -39,8 +39,8 @@
 
 /** Options of the choice of a release. */
 export interface IReleaseOptions {
-  /** Share of the sessions that use the new release in the first half of a rollout. */
-  canaryShare: number;
+  /** Reads the share of the sessions that use the new release in the first half of a rollout. */
+  readCanaryShare: () => number;
   /** Time over which the other sessions move, so that the new caches fill one after another. Default 4000. */
   rampMs?: Millis;
 }
@@ -49,11 +49,11 @@
  * Creates the choice of a release. Without a rollout it keeps the release that endpoints had first. In
  * the first half of a rollout a session keeps the release that it has; afterwards all use the new one.
  */
-export function createChooseRelease({ canaryShare, rampMs = 4000 }: IReleaseOptions): ChooseRelease {
+export function createChooseRelease({ rampMs = 4000, readCanaryShare }: IReleaseOptions): ChooseRelease {
   return (view) => {
     const open = view.endpoints.filter(isAcceptingWork);
     const releases = new Set(open.map(({ release }) => release ?? ''));
-    const wanted = chooseWanted(view, releases, canaryShare, rampMs);
+    const wanted = chooseWanted(view, releases, readCanaryShare(), rampMs);
     return wanted !== undefined && releases.has(wanted) ? wanted : findFallback(view, releases);
   };
 }
--- a/src/common/request/RetryBudget.ts
+++ b/src/common/request/RetryBudget.ts
@@ -24,9 +24,9 @@
     this._tokens = capacity;
   }
 
-  /** Earns the share of one request. */
-  public addRequest(): void {
-    this._tokens = Math.min(this._capacity, this._tokens + this._share);
+  /** Earns the share of one request. Default: the share of the options. */
+  public addRequest(share = this._share): void {
+    this._tokens = Math.min(this._capacity, this._tokens + share);
   }
 
   /** Tells whether an extra attempt could be taken. */
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -10,7 +10,7 @@
 import { PlanController } from '../common/fleet/PlanController.js';
 import { chooseSmallestThenLargest, createChooseRelease } from '../common/fleet/Plans.js';
 import { RoutingTableController } from '../common/fleet/RoutingTableController.js';
-import type { IFactStore } from '../common/fleet/Types.js';
+import type { IFactStore, IHostLimits } from '../common/fleet/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { MetricsController } from '../common/metrics/MetricsController.js';
 import type { IMetricsSink } from '../common/metrics/Types.js';
@@ -80,13 +80,7 @@
   sink: IMetricsSink;
   writeEvent: (event: ITimelineEvent) => void;
   onError: (error: unknown) => void;
-  /** Extra attempts allowed per request, over all hosts. */
-  retryShare: number;
-  sessionMs: Millis;
-  /** Largest share of a service's requests that a bad release may get. */
-  exposureShare: number;
-  /** Time that a stopped process has before it is killed. */
-  stopMs: Millis;
+  limits: IHostLimits;
 }
 
 /** Share of the allowed extra attempts that is used: hosts count in windows of their own. */
@@ -117,6 +111,7 @@
     super();
     const board = new Blackboard({ onControllerError: _options.onError });
     this._board = board;
+    this.applyLimits(_options.limits);
     this._timeline = this._createTimeline();
     this._feed = this._register(
       new FactFeedController({ board, clock: systemClock, random: Math.random, store: _options.store }),
@@ -139,7 +134,6 @@
     this._drain = new DrainController({
       board,
       clock: systemClock,
-      graceMs: Math.min(BALANCER_LAG_MS, _options.stopMs / 2),
       closeFrontEnd: () => this._front.drain(),
       finishSteps: [],
       onStepError: _options.onError,
@@ -154,15 +148,24 @@
 
   /** Finishes every request and stops. */
   public async stop(): Promise<void> {
-    await this._drain.drain();
+    await this._drain.drain(Math.min(BALANCER_LAG_MS, this._limits.stopMs / 2));
     this.dispose();
   }
 
+  /** Puts limits in force; they hold for requests that come later. */
+  public applyLimits(limits: IHostLimits): void {
+    this._board.limits.set('in-force', limits);
+  }
+
   /** Records an event that no panel shows, such as a start or a reload. */
   public record(kind: string, fields: ITimelineEvent['fields']): void {
     this._timeline.record(kind, fields);
   }
 
+  private get _limits(): IHostLimits {
+    return this._board.limits.get('in-force') ?? this._options.limits;
+  }
+
   private readonly _isReady = (): boolean =>
     this._board.routing.has('in-force') && this._board.lifecycle.get('host')?.phase === 'serving';
 
@@ -178,7 +181,7 @@
   }
 
   private _registerFleet(): void {
-    const { exposureShare, id, sessionMs, store } = this._options;
+    const { id, store } = this._options;
     const common = { board: this._board, clock: systemClock };
     this._register(new RoutingTableController(this._board));
     this._register(new EndpointRegistryController(common));
@@ -195,19 +198,20 @@
       new PlanController({
         ...common,
         chooseModels: chooseSmallestThenLargest,
-        chooseRelease: createChooseRelease({ canaryShare: CANARY_SAFETY * exposureShare }),
+        chooseRelease: createChooseRelease({
+          readCanaryShare: () => CANARY_SAFETY * this._limits.exposureShare,
+        }),
         hashPoint,
-        sessionMs,
       }),
     );
   }
 
   private _registerRequests(): void {
-    const { createRunners, id, retryShare, store, zone } = this._options;
+    const { createRunners, id, store, zone } = this._options;
     const board = this._board;
     const common = { board, clock: systemClock };
-    const share = BUDGET_SAFETY * retryShare;
-    const budgets = this._register(new ServiceBudgets(board, { share, capacity: BUDGET_CAPACITY }));
+    const readShare = (): number => BUDGET_SAFETY * this._limits.retryShare;
+    const budgets = this._register(new ServiceBudgets(board, { readShare, capacity: BUDGET_CAPACITY }));
     const takeRetryBudget = budgets.takeAttempt;
     const index = this._register(
       new EndpointIndex({ board, host: id, zone, hashTexts, subsetSize: Infinity }),
--- /dev/null
+++ b/src/daemons/RouterProcess.test.ts
@@ -0,0 +1,85 @@
+import { spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import test from 'ava';
+import { startRevisionStoreServer } from '../standins/platform/RevisionStoreServer.js';
+import { TEST_CONFIGURATION } from '../standins/platform/RouterRig.js';
+
+const SCRIPT = fileURLToPath(new URL('RouterMain.js', import.meta.url));
+
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+function formatSettings(ports: readonly number[], store: string, retryShare: number): string {
+  const [front, ready, metrics] = ports.map(String);
+  return [
+    '[host]',
+    'id = host-1',
+    'zone = a',
+    'ip = 127.0.0.1',
+    `front = 127.0.0.1:${front}`,
+    `ready = 127.0.0.1:${ready}`,
+    `metrics_port = ${metrics}`,
+    '[store]',
+    `address = ${store.replace('http://', '')}`,
+    '[limits]',
+    `retry_share = ${retryShare}`,
+    'stop_ms = 2000',
+    'session_ms = 5000',
+    'exposure_share = 0.15',
+  ].join('\n');
+}
+
+async function waitUntil(isMet: () => boolean | Promise<boolean>): Promise<void> {
+  for (let tries = 0; tries < 1000; tries += 1) {
+    if (await isMet()) return;
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  throw new Error('A condition did not hold in time.');
+}
+
+// Guards against a process that is ended by a signal for changed settings, sent as soon as it listens, and
+// against settings that are told as changed and have no effect.
+test('changed settings take effect in a process that has just begun to listen', async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'mulberryweir-'));
+  const settings = join(folder, 'router.ini');
+  const store = await startRevisionStoreServer();
+  store.put('op/config', TEST_CONFIGURATION);
+  const ports = [await findPort(), await findPort(), await findPort()];
+  writeFileSync(settings, formatSettings(ports, store.address, 0.9));
+  const child = spawn(process.execPath, [SCRIPT, settings], { stdio: ['ignore', 'pipe', 'inherit'] });
+  let output = '';
+  child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+  await waitUntil(async () => {
+    const reply = await fetch(`http://127.0.0.1:${ports[1] ?? 0}/-/ready`).catch(() => undefined);
+    return reply !== undefined;
+  });
+  writeFileSync(settings, formatSettings(ports, store.address, 0.5));
+  child.kill('SIGHUP');
+  await waitUntil(() => child.signalCode !== null || output.includes('settings.reloaded'));
+  writeFileSync(settings, formatSettings([1, 2, 3], store.address, 0.4));
+  child.kill('SIGHUP');
+  const listReloads = (): unknown[] =>
+    output
+      .split('\n')
+      .filter((line) => line.includes('settings.reloaded'))
+      .map((line) => (JSON.parse(line) as { fields: unknown }).fields);
+  await waitUntil(() => child.signalCode !== null || listReloads().length === 2);
+  writeFileSync(settings, 'no settings');
+  child.kill('SIGHUP');
+  await waitUntil(() => child.signalCode !== null || listReloads().length === 3);
+  t.is(child.signalCode, null);
+  t.snapshot(listReloads());
+  child.kill('SIGTERM');
+  await waitUntil(() => child.exitCode !== null);
+  await store.close();
+  rmSync(folder, { recursive: true });
+});
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -1,4 +1,5 @@
 import { readFileSync, statSync } from 'node:fs';
+import { Result } from 'true-myth';
 import { createFactStore } from '../../platform/FactStore.js';
 import { FrontServer } from '../../platform/FrontServer.js';
 import { RunnerClient } from '../../platform/RunnerClient.js';
@@ -6,6 +7,7 @@
 import { StoreClient } from '../../platform/StoreClient.js';
 import { systemClock } from '../adapters/SystemClock.js';
 import type { LogFields } from '../adapters/DecisionLog.js';
+import type { IHostLimits } from '../common/fleet/Types.js';
 import type { IMetricsSink } from '../common/metrics/Types.js';
 import { RouterHost } from './RouterHost.js';
 import { waitForStop } from './Signals.js';
@@ -35,18 +37,26 @@
 export async function runRouterProcess(file: string): Promise<void> {
   const settings = readSettings(file);
   if (!settings) return;
+  // A signal that arrives before there is a handler ends the process.
+  const stopAsked = waitForStop();
   const observers = new LateObservers();
   const { host, stop } = createHost(settings, observers);
+  let { limits } = settings;
+  const watch = watchSettings(file, (reloaded) => {
+    if (reloaded.isOk) {
+      limits = reloaded.value.limits;
+      host.applyLimits(toHostLimits(limits));
+    }
+    const outcome = reloaded.isOk ? 'limits in force, the rest at the next start' : reloaded.error;
+    host.record('settings.reloaded', { outcome });
+  });
   const started = host.start();
   observers.attach(await loadObservers(settings));
   await started;
   host.record('process.started', { pid: process.pid });
-  const watch = watchSettings(file, (outcome) => {
-    host.record('settings.reloaded', { outcome });
-  });
-  await waitForStop();
+  await stopAsked;
   host.record('process.stopping', {});
-  setTimeout(() => process.exit(0), settings.limits.stop_ms - KILL_MARGIN_MS);
+  setTimeout(() => process.exit(0), limits.stop_ms - KILL_MARGIN_MS);
   await host.stop();
   host.record('process.stopped', {});
   clearInterval(watch);
@@ -151,10 +161,7 @@
     onError: (error) => {
       writeLog('controller.failed', { error: error instanceof Error ? error.stack : String(error) });
     },
-    retryShare: limits.retry_share,
-    sessionMs: limits.session_ms,
-    exposureShare: limits.exposure_share,
-    stopMs: limits.stop_ms,
+    limits: toHostLimits(limits),
   });
   const stop = (): void => {
     close();
@@ -164,6 +171,15 @@
   return { host, stop };
 }
 
+function toHostLimits(limits: RouterSettings['limits']): IHostLimits {
+  return {
+    retryShare: limits.retry_share,
+    sessionMs: limits.session_ms,
+    exposureShare: limits.exposure_share,
+    stopMs: limits.stop_ms,
+  };
+}
+
 function readSettings(file: string): RouterSettings | undefined {
   try {
     const parsed = parseRouterSettings(readFileSync(file, 'utf8'));
@@ -176,11 +192,11 @@
   return undefined;
 }
 
-/**
- * Tells of changed settings. They are checked and logged; they take effect at the next start, as each of
- * them names an address or a limit that the running host was built with.
- */
-function watchSettings(file: string, onReload: (outcome: string) => void): NodeJS.Timeout {
+/** Tells of changed settings, or why they cannot be used. */
+function watchSettings(
+  file: string,
+  onReload: (reloaded: Result<RouterSettings, string>) => void,
+): NodeJS.Timeout {
   let text = readFileSync(file, 'utf8');
   let modifiedAt = statSync(file).mtimeMs;
   const check = (): void => {
@@ -191,9 +207,9 @@
       const next = readFileSync(file, 'utf8');
       if (next === text) return;
       text = next;
-      onReload(parseRouterSettings(next).match({ Ok: () => 'valid, used from the next start', Err: String }));
+      onReload(parseRouterSettings(next));
     } catch (error) {
-      onReload(error instanceof Error ? error.message : String(error));
+      onReload(Result.err(error instanceof Error ? error.message : String(error)));
     }
   };
   process.on('SIGHUP', check);
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -1,4 +1,4 @@
-import { request as sendRequest, type Agent, type IncomingHttpHeaders } from 'node:http';
+import type { Agent } from 'node:http';
 import { createFactStore } from '../../../platform/FactStore.js';
 import { FrontServer } from '../../../platform/FrontServer.js';
 import { RunnerClient } from '../../../platform/RunnerClient.js';
@@ -6,7 +6,9 @@
 import { systemClock } from '../../adapters/SystemClock.js';
 import type { ITimelineEvent } from '../../common/timeline/Types.js';
 import { RouterHost } from '../../daemons/RouterHost.js';
+import { sendCall, type ICallerView } from './CallSender.js';
 import { startRevisionStoreServer, type IRevisionStoreStandIn } from './RevisionStoreServer.js';
+import { createTestRoute } from './Routes.js';
 import { startRunnerStandIn, type IRunnerStandIn } from './ScriptedRunner.js';
 
 /** Services of the test configuration. */
@@ -17,16 +19,16 @@
 export const TEST_CONFIGURATION = {
   version: 1,
   routes: [
-    createRoute('stream', 'streaming', {
+    createTestRoute('stream', 'streaming', {
       service: MODEL_SERVICE,
       sizes: ['small', 'large'],
       streamResume: true,
       gapAimMs: 1200,
       maxAttempts: 3,
     }),
-    createRoute('look', 'safe', { service: PLAIN_SERVICE, maxAttempts: 2 }),
-    createRoute('post', 'unsafe', { service: PLAIN_SERVICE }),
-    createRoute('short', 'unsafe', { service: PLAIN_SERVICE, timeoutMs: 300 }),
+    createTestRoute('look', 'safe', { service: PLAIN_SERVICE, maxAttempts: 2 }),
+    createTestRoute('post', 'unsafe', { service: PLAIN_SERVICE }),
+    createTestRoute('short', 'unsafe', { service: PLAIN_SERVICE, timeoutMs: 300 }),
   ],
   services: [
     { name: MODEL_SERVICE, engine: { models: [] } },
@@ -35,14 +37,6 @@
   tenants: [{ name: 'north', apiKeys: ['key-north'] }],
 };
 
-/** A response as a caller sees it. `isWhole` is false where the connection broke off. */
-export interface ICallerView {
-  status: number;
-  headers: IncomingHttpHeaders;
-  body: string;
-  isWhole: boolean;
-}
-
 /** One router host with the platform's adapter, a store and scripted runners, in one process. */
 export class RouterRig {
   public readonly events: ITimelineEvent[] = [];
@@ -88,7 +82,6 @@
     headers: Record<string, string> = {},
     options: { method?: string; body?: string; agent?: Agent } = {},
   ): Promise<ICallerView> {
-    const [host, port] = this._front.split(':');
     this._lastCall += 1;
     const call = {
       host: 'a.example',
@@ -97,25 +90,8 @@
       authorization: 'Token key-north',
       ...headers,
     };
-    return new Promise((resolve) => {
-      const method = options.method ?? 'POST';
-      const sent = sendRequest(
-        { host, port, path, method, headers: call, agent: options.agent ?? false },
-        (response) => {
-          let body = '';
-          response.on('data', (chunk: Buffer) => (body += chunk.toString()));
-          response.on('error', () => undefined);
-          response.on('close', () => {
-            const { complete, headers: received, statusCode = 0 } = response;
-            resolve({ status: statusCode, headers: received, body, isWhole: complete });
-          });
-        },
-      );
-      sent.on('error', () => {
-        resolve({ status: 0, headers: {}, body: '', isWhole: false });
-      });
-      sent.end(options.body);
-    });
+    const { method = 'POST', body, agent } = options;
+    return sendCall({ address: this._front, path, headers: call, method, body, agent }).view;
   }
 
   /** Asks whether the host is ready, as the platform's balancer does. */
@@ -167,27 +143,10 @@
       onError: (error) => {
         throw error;
       },
-      retryShare: 0.9,
-      sessionMs: 5000,
-      exposureShare: 0.15,
-      stopMs: 2000,
+      limits: { retryShare: 0.9, sessionMs: 5000, exposureShare: 0.15, stopMs: 2000 },
     });
     await this.host.start();
     this._front = `127.0.0.1:${front?.ports.front ?? 0}`;
     this._ready = `127.0.0.1:${front?.ports.ready ?? 0}`;
   }
 }
-
-function createRoute(name: string, kind: string, patch: Record<string, unknown>): Record<string, unknown> {
-  return {
-    name,
-    host: 'a.example',
-    prefix: `/${name}/`,
-    kind,
-    timeoutMs: 4000,
-    targetLatencyMs: 500,
-    priority: 1,
-    maxAttempts: 1,
-    ...patch,
-  };
-}
