--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -1,8 +1,9 @@
 import type { IServiceDocument, IRolloutState } from '../config/Types.js';
 import type { JournalEntry } from '../coordination/Types.js';
-import type { GossipUpdate, UpdateUrgency } from '../coordination/Gossip.js';
+import type { GossipUpdate, HostState, UpdateUrgency } from '../coordination/Updates.js';
 import type { RunCheck } from '../request/Types.js';
 import type { Millis, Priority, Ran } from '../Types.js';
+export type { HostState } from '../coordination/Updates.js';
 export type { IFactEntry, IFeedEntry, IHostLimits, IRolloutEntry } from '../fleet/Types.js';
 export type { IRoutingTable } from '../routes/Types.js';
 
@@ -298,9 +299,6 @@
   rollouts: Readonly<Record<string, IRolloutState>>;
 }
 
-/** State of an entry host in the membership view. */
-export type HostState = 'alive' | 'suspect' | 'leaving' | 'gone';
-
 /** An entry host as this host knows it. */
 export interface IHostEntry {
   id: string;
--- a/src/common/coordination/Gossip.ts
+++ b/src/common/coordination/Gossip.ts
@@ -1,35 +1,15 @@
 import type { Result } from 'true-myth';
-import type { HostState, IHostEntry } from '../blackboard/Types.js';
+import type { IHostEntry } from '../blackboard/Types.js';
 import type { PeerError } from './Peers.js';
+import type { EndpointCondition, GossipUpdate, HostState, IHostUpdate, UpdateUrgency } from './Updates.js';
 
-/** What a host is said to be, by itself or by a peer. */
-export interface IHostUpdate {
-  kind: 'host';
-  id: string;
-  /** Address of the peer port, `ip:port`. */
-  address: string;
-  zone: string;
-  state: HostState;
-  incarnation: number;
-}
-
-/** Condition of an endpoint that other hosts should know of. */
-export type EndpointCondition = 'suspect' | 'leaving';
-
-/** An endpoint that is leaving or in trouble. */
-export interface IEndpointUpdate {
-  kind: 'endpoint';
-  id: string;
-  condition: EndpointCondition;
-  /** Start of the endpoint as the host list gives it. */
-  incarnation: number;
-}
-
-/** One update that hosts pass on to one another. */
-export type GossipUpdate = IHostUpdate | IEndpointUpdate;
-
-/** `now` is pushed to several peers at once, `next-exchange` travels with the regular exchanges. */
-export type UpdateUrgency = 'now' | 'next-exchange';
+export type {
+  EndpointCondition,
+  GossipUpdate,
+  IEndpointUpdate,
+  IHostUpdate,
+  UpdateUrgency,
+} from './Updates.js';
 
 /** Both directions of an exchange between two hosts. */
 export interface IGossipMessage {
