Deploy the router as a bundle

Cause: each start loaded some hundred modules. Change: esbuild bundles the router's program; the tests of the process run the bundle. Ruled out: fewer imports alone; undici and zod come whole.

--- a/src/daemons/RouterProcess.test.ts
+++ b/src/daemons/RouterProcess.test.ts
@@ -8,7 +8,7 @@
 import { startRevisionStoreServer } from '../standins/platform/RevisionStoreServer.js';
 import { TEST_CONFIGURATION } from '../standins/platform/RouterRig.js';
 
-const SCRIPT = fileURLToPath(new URL('RouterMain.js', import.meta.url));
+const SCRIPT = fileURLToPath(new URL('../../router/RouterMain.js', import.meta.url));
 
 async function findPort(): Promise<number> {
   const server = createServer();
@@ -35,6 +35,8 @@
     'stop_ms = 2000',
     'session_ms = 5000',
     'exposure_share = 0.15',
+    'contact_ms = 3000',
+    'apply_ms = 2000',
   ].join('\n');
 }
 
