Bound the calls to the store, timers and log lines of a host

Cause: every change of a runner ended the watch of every host; every host wrote every stage of a rollout; each event of a stream set a timer; figures were sampled each 100 ms and rollouts looked at each 250 ms with none under way; streams were asked for at their runner after 800 ms, before most first outputs. Change: the next watch begins a third of the time for a change later; a watch waits for the contact time less 0.8 s; a host reads a rollout's record before it writes; the silence watch re-arms its one timer; samples each 400 ms; the first question after half of the wanted time; log lines that the next line of the same request repeats are not written. Ruled out: stale reads instead of a watch (a tenth of the price, but seconds old); a subset of the endpoints per host, which would read shared prompts again at more of them.

--- a/src/common/fleet/FactFeedController.ts
+++ b/src/common/fleet/FactFeedController.ts
@@ -9,13 +9,24 @@
   clock: IClock;
   random: RandomSource;
   store: Pick<IFactStore, 'listFacts' | 'watchFacts'>;
-  /**
-   * Longest wait of a watch. A connection that has gone silent is noticed after this time, so it stays
-   * below the time within which a configuration has to be in force. Default 2200.
-   */
-  waitMs?: Millis;
 }
 
+/**
+ * Part of the contact time that a watch does not wait. A connection that has gone silent is noticed, and the
+ * store asked again, before the host counts as in contact.
+ */
+const CONTACT_MARGIN_MS: Millis = 800;
+
+/** Used where no limits are in force: those of the smallest deployments. */
+const DEFAULT_CONTACT_MS: Millis = 3000;
+const DEFAULT_APPLY_MS: Millis = 2000;
+
+/**
+ * Share of the time for a change to take effect that may pass between two watches. Endpoints that come and
+ * go one after another would wake every host for each of them.
+ */
+const PAUSE_SHARE = 1 / 3;
+
 const MIN_RETRY_MS = 50;
 const MAX_RETRY_MS = 800;
 
@@ -24,12 +35,12 @@
  * it continues from the last revision; where the store has forgotten that, it lists again.
  */
 export class FactFeedController extends Disposable {
-  private readonly _waitMs: Millis;
   private _failures = 0;
+  /** Whether the last call brought changes. */
+  private _hasChanges = false;
 
   constructor(private readonly _options: IFactFeedOptions) {
     super();
-    this._waitMs = _options.waitMs ?? 2200;
   }
 
   /** Follows the store until the controller is disposed. */
@@ -38,6 +49,7 @@
     while (!this._isDisposed) {
       revision = revision === undefined ? await this._list() : await this._watch(revision);
       if (this._failures > 0) await this._waitBeforeRetry();
+      else await this._waitForMoreChanges();
     }
   }
 
@@ -53,13 +65,16 @@
   }
 
   private async _watch(revision: number): Promise<number | undefined> {
-    const watched = await this._options.store.watchFacts(revision, this._waitMs);
+    const { board, store } = this._options;
+    const contactMs = board.limits.get('in-force')?.contactMs ?? DEFAULT_CONTACT_MS;
+    const watched = await store.watchFacts(revision, contactMs - CONTACT_MARGIN_MS);
     if (watched.isErr) {
       this._handleFailure();
       return revision;
     }
     if (watched.value.kind === 'compacted') return undefined;
     this._handleContact(watched.value.revision);
+    this._hasChanges = watched.value.changes.length > 0;
     for (const change of watched.value.changes) this._apply(change);
     return watched.value.revision;
   }
@@ -106,10 +121,19 @@
   }
 
   private _waitBeforeRetry(): Promise<void> {
-    const { clock, random } = this._options;
     const longest = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** this._failures);
+    return this._wait(longest * (0.5 + 0.5 * this._options.random()));
+  }
+
+  /** Changes that come meanwhile are read by one call. */
+  private _waitForMoreChanges(): Promise<void> {
+    const applyMs = this._options.board.limits.get('in-force')?.applyMs ?? DEFAULT_APPLY_MS;
+    return this._wait(this._hasChanges ? applyMs * PAUSE_SHARE : 0);
+  }
+
+  private _wait(ms: Millis): Promise<void> {
     return new Promise((resolve) => {
-      clock.schedule(longest * (0.5 + 0.5 * random()), resolve);
+      this._options.clock.schedule(ms, resolve);
     });
   }
 }
--- a/src/common/fleet/FleetRolloutController.test.ts
+++ b/src/common/fleet/FleetRolloutController.test.ts
@@ -1,17 +1,24 @@
 import test from 'ava';
 import { Result } from 'true-myth';
+import { createSeededRandom } from '../../adapters/Random.js';
 import { ManualClock } from '../../testing/ManualClock.js';
 import { createTestEndpoint, createTestRequest } from '../../testing/Entries.js';
 import { Blackboard } from '../blackboard/Blackboard.js';
 import { decideRolloutByEvidence } from '../policy/RolloutVerdicts.js';
+import type { RandomSource } from '../Types.js';
 import { planAttempt } from '../request/AttemptPlan.js';
 import { FleetRolloutController } from './FleetRolloutController.js';
-import type { IFactStore, IRolloutRecord } from './Types.js';
+import type { IFactEntry, IFactStore, IRolloutRecord } from './Types.js';
 
 /** A store of facts that several hosts share. */
 class SharedFacts {
   public readonly records: string[] = [];
   public isDown = false;
+  /** Writes of records, refused ones included. */
+  public writes = 0;
+  /** Time after which hosts see a record. */
+  public lagMs = 0;
+  private _record: IFactEntry | undefined;
   private _revision = 10;
   private _recordRevision = 0;
   private readonly _boards: Blackboard[] = [];
@@ -29,7 +36,13 @@
       board.facts.set('order', { key: 'order', revision: this._revision, fact });
   }
 
+  public readonly readRecord: IFactStore['readRecord'] = () =>
+    Promise.resolve(
+      this.isDown ? Result.err({ kind: 'unavailable', message: 'down' }) : Result.ok(this._record),
+    );
+
   public readonly writeRecord: IFactStore['writeRecord'] = (record, expected) => {
+    this.writes += 1;
     if (this.isDown) return Promise.resolve(Result.err({ kind: 'unavailable', message: 'down' }));
     if (expected !== this._recordRevision)
       return Promise.resolve(Result.err({ kind: 'conflict', current: undefined }));
@@ -54,7 +67,10 @@
       revision: this._revision,
       fact: { kind: 'rollout-record' as const, record },
     };
-    for (const board of this._boards) board.facts.set('record', entry);
+    this._record = entry;
+    this._clock.schedule(this.lagMs, () => {
+      for (const board of this._boards) board.facts.set('record', entry);
+    });
   }
 }
 
@@ -64,13 +80,18 @@
   finishAttempt: (release: string, isGood: boolean) => void;
 }
 
-function createHost(clock: ManualClock, facts: SharedFacts, self: string): IHostRig {
+function createHost(
+  clock: ManualClock,
+  facts: SharedFacts,
+  self: string,
+  random: RandomSource = () => 0.5,
+): IHostRig {
   const board = new Blackboard();
   facts.attach(board);
   new FleetRolloutController({
     board,
     clock,
-    random: () => 0.5,
+    random,
     self,
     store: facts,
     decideRollout: decideRolloutByEvidence,
@@ -152,3 +173,22 @@
   await clock.advance(2000);
   t.snapshot({ stage, records: facts.records });
 });
+
+// Guards against a write of every host at every stage: hosts see each other's writes only after a while.
+test('of many hosts few write each stage', async (t) => {
+  const clock = new ManualClock();
+  const facts = new SharedFacts(clock);
+  facts.lagMs = 1000;
+  const random = createSeededRandom(7);
+  const hosts = Array.from({ length: 60 }, (_, index) => createHost(clock, facts, `host-${index}`, random));
+  facts.order(24_000);
+  for (let second = 0; second < 24; second += 1) {
+    for (const host of hosts) for (const release of ['v1', 'v2']) host.finishAttempt(release, true);
+    await clock.advance(1000);
+  }
+  t.deepEqual(
+    facts.records.map((record) => record.split(' ').at(-1)),
+    ['canary', 'full', 'succeeded'],
+  );
+  t.true(facts.writes <= 6, `${facts.writes} writes`);
+});
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -24,7 +24,7 @@
   random: RandomSource;
   /** Id of this host. */
   self: string;
-  store: Pick<IFactStore, 'writeRecord' | 'writeEvidence'>;
+  store: Pick<IFactStore, 'readRecord' | 'writeRecord' | 'writeEvidence'>;
   decideRollout: DecideRollout;
 }
 
@@ -69,7 +69,6 @@
         if (after && before?.phase !== after.phase) this._observe(after);
       }),
     );
-    this._schedule();
   }
 
   public override dispose(): void {
@@ -77,10 +76,13 @@
     this._timer?.dispose();
   }
 
+  /** Looks at rollouts while one is under way, or a verdict of this host is not recorded. */
   private _schedule(): void {
-    this._timer = this._options.clock.schedule(CHECK_INTERVAL_MS, () => {
-      for (const rollout of this._options.board.rollouts.list()) this._check(rollout);
-      this._schedule();
+    this._timer ??= this._options.clock.schedule(CHECK_INTERVAL_MS, () => {
+      this._timer = undefined;
+      const open = [...this._options.board.rollouts.list()].filter(isOpen);
+      for (const rollout of open) this._check(rollout);
+      if (open.length > 0) this._schedule();
     });
   }
 
@@ -106,6 +108,7 @@
       seenAt: now,
       stageSeenAt: now,
     });
+    this._schedule();
     // The record may have been read before its order.
     for (const { fact, revision } of board.facts.list()) {
       if (fact.kind === 'rollout-record' && fact.record.service === service)
@@ -163,13 +166,25 @@
     if (rollout?.order === order && isBefore(rollout.recordedStage, stage)) {
       // A rollback holds on this host at once. The next check repeats a write that the store did not take.
       if (stage === 'rolled-back') board.rollouts.update(service, { stage });
-      const record = { service, release: rollout.release, stage, order };
-      const written = await store.writeRecord(record, rollout.recordRevision);
-      if (written.isOk) this._handleRecord(record, written.value);
+      await this._refreshRecord(service);
+      const current = board.rollouts.get(service);
+      if (current?.order === order && isBefore(current.recordedStage, stage)) {
+        const record = { service, release: rollout.release, stage, order };
+        const written = await store.writeRecord(record, current.recordRevision);
+        if (written.isOk) this._handleRecord(record, written.value);
+      }
     }
     this._writing.delete(service);
   }
 
+  /** Reads what another host may have written since the last watch: reads are cheap, and writes wake all. */
+  private async _refreshRecord(service: string): Promise<void> {
+    const found = await this._options.store.readRecord(service);
+    if (found.isOk && found.value?.fact.kind === 'rollout-record') {
+      this._handleRecord(found.value.fact.record, found.value.revision);
+    }
+  }
+
   private _observe(attempt: IAttemptEntry): void {
     const { board } = this._options;
     if (attempt.phase !== 'finished' && attempt.phase !== 'failed') return;
@@ -224,6 +239,10 @@
   }
 }
 
+function isOpen({ recordedStage }: IRolloutEntry): boolean {
+  return recordedStage !== 'succeeded' && recordedStage !== 'rolled-back';
+}
+
 const STAGE_ORDER: readonly RolloutStage[] = ['canary', 'full', 'succeeded', 'rolled-back'];
 
 function isBefore(stage: RolloutStage | undefined, next: RolloutStage): boolean {
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -95,6 +95,8 @@
   listFacts: () => Promise<Result<IFactList, StoreError>>;
   /** Resolves at the first change after a revision, or with no change after `waitMs`. */
   watchFacts: (after: number, waitMs: Millis) => Promise<Result<FactChanges, StoreError>>;
+  /** Reads the rollout record of a service; `undefined` where there is none. */
+  readRecord: (service: string) => Promise<Result<IFactEntry | undefined, StoreError>>;
   /** Writes a rollout record if its key still has the expected revision; 0 when it must be absent. */
   writeRecord: (record: IRolloutRecord, expectedRevision: number) => Promise<Result<number, StoreError>>;
   /** Replaces the crash reports of a host. */
@@ -139,4 +141,8 @@
   exposureShare: number;
   /** Time that a stopped process has before it is killed. */
   stopMs: Millis;
+  /** Time of undisturbed contact with the store after which bounds on time hold for a host. */
+  contactMs: Millis;
+  /** Time within which a change in the store takes effect. */
+  applyMs: Millis;
 }
--- a/src/common/policy/Silence.ts
+++ b/src/common/policy/Silence.ts
@@ -5,9 +5,15 @@
 /** Factor on the wanted time after which an idempotent whole answer is asked for elsewhere. */
 const WHOLE_ANSWER_FACTOR = 1.5;
 
-/** Silence after which the endpoint of a stream is asked. */
+/** Silence after which the endpoint of a stream that has output is asked. */
 const CHECK_AFTER_MS: Millis = 800;
 
+/**
+ * Share of the wanted time after which an endpoint without output is asked: late enough that most prompts have
+ * been read, and early enough that another attempt can be on time.
+ */
+const FIRST_CHECK_SHARE = 0.5;
+
 /** Time between two questions after the endpoint has said that it runs the stream. */
 const RECHECK_AFTER_MS: Millis = 1600;
 
@@ -55,5 +61,7 @@
   const limitMs = hasOutput ? PAUSE_LIMIT_MS : FIRST_OUTPUT_FACTOR * targetLatencyMs;
   if (silentMs >= limitMs || check === 'unreachable' || check === 'ahead') return { kind: 'fail' };
   if (check === 'unknown' && silentMs >= UNKNOWN_LIMIT_MS) return { kind: 'fail' };
-  return { kind: 'check', afterMs: check === 'running' ? RECHECK_AFTER_MS : CHECK_AFTER_MS };
+  if (check === 'running') return { kind: 'check', afterMs: RECHECK_AFTER_MS };
+  const firstMs = Math.max(CHECK_AFTER_MS, FIRST_CHECK_SHARE * targetLatencyMs - silentMs);
+  return { kind: 'check', afterMs: hasOutput ? CHECK_AFTER_MS : firstMs };
 }
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -23,6 +23,8 @@
   clock: IClock;
   runAttempt: RunAttempt;
   deliverChunk: DeliverChunk;
+  /** Interval at which endpoints in use are measured. Default: that of the endpoint meter. */
+  sampleMs?: Millis;
 }
 
 type AttemptOutcome = 'ok' | AttemptErrorKind;
@@ -48,8 +50,9 @@
 
   constructor(private readonly _options: IAttemptOptions) {
     super();
-    const { board, clock } = _options;
-    this._meter = this._register(new EndpointMeter({ board, clock }));
+    const { board, clock, sampleMs } = _options;
+    const sampling = sampleMs === undefined ? {} : { sampleMs };
+    this._meter = this._register(new EndpointMeter({ board, clock, ...sampling }));
     this._register(
       board.attempts.onChange(({ before, after }) => {
         if (after?.phase === 'planned' && !before) void this._run(after);
--- a/src/common/request/EndpointMeter.ts
+++ b/src/common/request/EndpointMeter.ts
@@ -7,12 +7,13 @@
 export interface IEndpointMeterOptions {
   board: Blackboard;
   clock: IClock;
+  /** Interval at which figures of attempts in flight are written to the panel. Default 100. */
+  sampleMs?: Millis;
 }
 
-/** Interval at which figures of attempts in flight are written to the panel. */
-const SAMPLE_INTERVAL_MS = 100;
+const DEFAULT_SAMPLE_MS: Millis = 100;
 
-/** Share of the older figures that is kept at each sample: a time constant of about 0.3 s. */
+/** Share of the older figures that is kept over the default interval: a time constant of about 0.3 s. */
 const SAMPLE_DECAY = 0.7;
 
 /** Time of streams that must have been seen before a pace without tokens is believed. */
@@ -112,13 +113,17 @@
 
   private _startTimer(): void {
     if (this._timer || this._isDisposed) return;
-    this._timer = this._options.clock.schedule(SAMPLE_INTERVAL_MS, this._sampleAll);
+    this._timer = this._options.clock.schedule(this._sampleMs, this._sampleAll);
+  }
+
+  private get _sampleMs(): Millis {
+    return this._options.sampleMs ?? DEFAULT_SAMPLE_MS;
   }
 
   private readonly _sampleAll = (): void => {
     const { clock } = this._options;
     for (const [endpoint, counts] of this._counts) this._sample(endpoint, counts);
-    this._timer = this._counts.size > 0 ? clock.schedule(SAMPLE_INTERVAL_MS, this._sampleAll) : undefined;
+    this._timer = this._counts.size > 0 ? clock.schedule(this._sampleMs, this._sampleAll) : undefined;
   };
 
   private _sample(endpoint: string, counts: IEndpointCounts): void {
@@ -134,8 +139,9 @@
       streamMs: counts.streamMs,
       firstTokenWaitMs: this._measureWait(counts),
     });
-    counts.streamMs *= SAMPLE_DECAY;
-    counts.tokens *= SAMPLE_DECAY;
+    const decay = SAMPLE_DECAY ** (this._sampleMs / DEFAULT_SAMPLE_MS);
+    counts.streamMs *= decay;
+    counts.tokens *= decay;
   }
 
   private _updateStreams(endpoint: string, change: 1 | -1): void {
--- a/src/common/request/SilenceWatch.ts
+++ b/src/common/request/SilenceWatch.ts
@@ -33,7 +33,6 @@
   public recordOutput(outputs: number): void {
     this._outputs = outputs;
     this._lastAt = this._options.clock.now();
-    this._decide(undefined);
   }
 
   public dispose(): void {
@@ -41,11 +40,10 @@
     this._timer?.dispose();
   }
 
-  private _decide(check: RunCheck | undefined): void {
+  private _decide(check: RunCheck | undefined, silentMs = this._options.clock.now() - this._lastAt): void {
     if (this._isDisposed) return;
     this._timer?.dispose();
-    const { call, clock, decideSilence, onFail } = this._options;
-    const silentMs = clock.now() - this._lastAt;
+    const { call, decideSilence, onFail } = this._options;
     const decision = decideSilence({
       request: call.request,
       attempt: call.attempt,
@@ -56,10 +54,16 @@
     if (decision.kind === 'fail') {
       this.dispose();
       onFail();
-      return;
-    }
-    this._timer = clock.schedule(decision.afterMs, () => {
-      if (decision.kind === 'check') void this._check();
+    } else this._schedule(decision.kind, this._lastAt, silentMs + decision.afterMs);
+  }
+
+  /** Schedules what follows when the silence since a time has lasted so long. */
+  private _schedule(kind: 'wait' | 'check', lastAt: Millis, silentMs: Millis): void {
+    const { clock } = this._options;
+    this._timer = clock.schedule(lastAt + silentMs - clock.now(), () => {
+      // Output moves the time; a timer for each output would cost more than handing it on.
+      if (lastAt !== this._lastAt) this._decide(undefined, 0);
+      else if (kind === 'check') void this._check();
       else this._decide(undefined);
     });
   }
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -62,6 +62,7 @@
   onRefused: (id: string, refusal: IRefusal) => void;
   isReady: () => boolean;
   isClosing: () => boolean;
+  hasStopped: () => boolean;
 }
 
 /** Reaches endpoints. */
@@ -95,6 +96,20 @@
 /** Time that the balancer takes to notice that a host is not ready: two questions, a second apart. */
 const BALANCER_LAG_MS: Millis = 2500;
 
+/**
+ * Interval at which endpoints in use are measured. Only the wait for a first output is used here, and waits
+ * that matter are above half a second.
+ */
+const SAMPLE_MS: Millis = 400;
+
+/** Events that the next one of the same request or attempt repeats. */
+const UNLOGGED_KINDS: ReadonlySet<string> = new Set([
+  'request.admitted',
+  'request.running',
+  'request.answered',
+  'attempt.planned',
+]);
+
 /** Hash values below 2^32 as a point from 0 up to 1. */
 const POINT_DIGITS = 8;
 const POINT_RANGE = 16 ** POINT_DIGITS;
@@ -129,6 +144,7 @@
         },
         isReady: this._isReady,
         isClosing: () => board.lifecycle.get('host')?.phase !== 'serving',
+        hasStopped: () => hasStoppedAccepting(board),
       }),
     );
     this._drain = new DrainController({
@@ -173,7 +189,12 @@
     const { id, sink, writeEvent } = this._options;
     const board = this._board;
     const readWallClock = (): string => new Date().toISOString();
-    const timeline = this._register(new TimelineRecorder({ host: id, board, readWallClock, writeEvent }));
+    const writeDecision = (event: ITimelineEvent): void => {
+      if (!UNLOGGED_KINDS.has(event.kind)) writeEvent(event);
+    };
+    const timeline = this._register(
+      new TimelineRecorder({ host: id, board, readWallClock, writeEvent: writeDecision }),
+    );
     const record = timeline.record.bind(timeline);
     this._register(new DecisionRecorder({ board, clock: systemClock, record }));
     this._register(new MetricsController({ board, clock: systemClock, sink }));
@@ -247,6 +268,7 @@
       new AttemptController({
         ...common,
         runAttempt,
+        sampleMs: SAMPLE_MS,
         deliverChunk: (request, data) => {
           this._front.deliverChunk(request, data);
         },
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -177,6 +177,8 @@
     sessionMs: limits.session_ms,
     exposureShare: limits.exposure_share,
     stopMs: limits.stop_ms,
+    contactMs: limits.contact_ms,
+    applyMs: limits.apply_ms,
   };
 }
 
--- a/src/standins/platform/RevisionStoreServer.ts
+++ b/src/standins/platform/RevisionStoreServer.ts
@@ -131,7 +131,10 @@
   const { searchParams } = new URL(request.url ?? '/', 'http://store');
   const prefix = searchParams.get('prefix') ?? '';
   const after = searchParams.get('after') ?? '';
-  if (operation === 'range') sendRange(store, prefix, after, response);
+  if (operation === 'key') {
+    const item = store.items.get(searchParams.get('key') ?? '');
+    sendJson(response, item ? 200 : 404, item ?? {});
+  } else if (operation === 'range') sendRange(store, prefix, after, response);
   else if (operation === 'watch') {
     await sendEvents(store, prefix, Number(after), Number(searchParams.get('waitMs')), response);
   } else if (operation === 'txn') {
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -60,6 +60,11 @@
     return rig;
   }
 
+  /** `ip:port` for callers. */
+  public get front(): string {
+    return this._front;
+  }
+
   /** Announces a runner in the store. */
   public publish(runner: IRunnerStandIn, service: string, patch: Record<string, unknown> = {}): void {
     const models = service === MODEL_SERVICE ? ['small', 'large'] : [];
@@ -143,7 +148,14 @@
       onError: (error) => {
         throw error;
       },
-      limits: { retryShare: 0.9, sessionMs: 5000, exposureShare: 0.15, stopMs: 2000 },
+      limits: {
+        retryShare: 0.9,
+        sessionMs: 5000,
+        exposureShare: 0.15,
+        stopMs: 2000,
+        contactMs: 3000,
+        applyMs: 2000,
+      },
     });
     await this.host.start();
     this._front = `127.0.0.1:${front?.ports.front ?? 0}`;
