--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -1,4 +1,5 @@
 import { Agent } from 'node:http';
+import { connect } from 'node:net';
 import test from 'ava';
 import { RouterRig, TEST_CONFIGURATION } from '../standins/platform/RouterRig.js';
 import { sendEvents, sendWhole, startStream } from '../standins/platform/ScriptedRunner.js';
@@ -260,10 +261,14 @@
   await new Promise((resolve) => setTimeout(resolve, 200));
   rig.store.put('op/config', { ...TEST_CONFIGURATION, version: 5 });
   t.is((await rig.send('/look/1')).status, 200);
+  // The watch under way brings the change; calls are refused from the next one on.
+  await rig.waitUntil(() => rig.events.some(({ kind }) => kind === 'store.lost'));
+  t.is((await rig.send('/look/1')).status, 200);
   t.is(await rig.readReady(), 200);
+  rig.store.put('op/config', { ...TEST_CONFIGURATION, version: 6 });
   rig.store.compact();
   rig.store.fault = 'none';
-  await rig.waitUntil(() => rig.events.some(({ fields }) => fields.version === 5));
+  await rig.waitUntil(() => rig.events.some(({ fields }) => fields.version === 6));
   const states = rig.events.filter(({ kind }) => kind.startsWith('store.')).map(({ kind }) => kind);
   t.deepEqual([...new Set(states)], ['store.connected', 'store.lost']);
   await rig.close();
@@ -289,6 +294,53 @@
   await rig.close();
 });
 
+// Guards against a call that is run and cannot be answered, as the host has ended its connection meanwhile.
+test('a call that follows on an answer from before the stop is answered too', async (t) => {
+  const rig = await RouterRig.start();
+  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  for (const runner of rig.runners) {
+    runner.answer = async (call, response) => {
+      startStream(call, response);
+      sendEvents(response, 1, 1);
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      sendEvents(response, 2, 2);
+      response.end();
+    };
+  }
+  const [host, port] = rig.front.split(':');
+  const socket = connect({ host: host!, port: Number(port), allowHalfOpen: true });
+  t.teardown(() => socket.destroy());
+  let received = '';
+  const sendNext = (number: number): void => {
+    const head = `POST /stream/${number} HTTP/1.1\r\nhost: a.example\r\nattempt-id: raw-${number}\r\n`;
+    socket.write(
+      `${head}deadline-ms: 3000\r\nmodel: *\r\ncontent-length: 0\r\nauthorization: Token key-north\r\n\r\n`,
+    );
+  };
+  socket.on('data', (bytes) => {
+    received += bytes.toString();
+    if (received.endsWith('0\r\n\r\n') && !received.includes('raw-2')) sendNext(2);
+  });
+  sendNext(1);
+  await rig.waitUntil(() => received.includes('piece 1'));
+  const stopped = rig.host.stop();
+  await new Promise((resolve) => socket.once('end', resolve));
+  await stopped;
+  const calls = rig.runners.flatMap((runner) => runner.calls.map(({ path }) => path));
+  await rig.close();
+  t.deepEqual(calls, ['/stream/1', '/stream/2']);
+  t.deepEqual(received.replaceAll('\r', '').match(/^(HTTP.*|data: .*|0)$/gm), [
+    'HTTP/1.1 200 OK',
+    'data: piece 1',
+    'data: piece 2',
+    '0',
+    'HTTP/1.1 200 OK',
+    'data: piece 1',
+    'data: piece 2',
+    '0',
+  ]);
+});
+
 // Guards against a long request that is taken shortly before the kill, on a connection that was busy until then.
 test('a connection that was busy during a stop takes no further call', async (t) => {
   const rig = await RouterRig.start();
