Add a fault soak of real router processes

Routers run as deployed, in processes of their own; callers, runners, the store and the operator are stand-ins behind loopback proxies. Faults come from outside: signals, proxies, the stand-ins. A board holds calls, runs, faults and configurations; checks are functions that read it as entries change. Each check has a test in which its promise is broken.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,10 @@
 export default {
-  files: ['dist/platform/**/*.test.js', 'dist/src/**/*.test.js', 'dist/bench/**/*.test.js'],
+  files: [
+    'dist/platform/**/*.test.js',
+    'dist/src/**/*.test.js',
+    'dist/bench/**/*.test.js',
+    'dist/soak/**/*.test.js',
+  ],
   concurrency: 4,
   timeout: '180s',
   workerThreads: false,
--- a/bench/Faults.ts
+++ b/bench/Faults.ts
@@ -1,5 +1,5 @@
 import { createSeededRandom } from '../src/adapters/Random.js';
-import type { RandomSource } from '../src/common/Types.js';
+import { planFaultChain, type IChainedFault } from '../src/testing/FaultChains.js';
 import type { IFleet } from './fleet/Types.js';
 import { putJson, waitFor } from './Http.js';
 
@@ -14,13 +14,7 @@
   | 'plain-lost-replies';
 
 /** One fault of a plan. */
-export interface IFault {
-  kind: FaultKind;
-  atMs: number;
-  durationMs: number;
-  /** Chooses the host or endpoint, 0 to 1. */
-  target: number;
-}
+export type IFault = IChainedFault<FaultKind>;
 
 /** Faults that happen one after another; several chains run at the same time. */
 export type FaultChain = readonly IFault[];
@@ -28,8 +22,7 @@
 const HOST_FAULTS: readonly FaultKind[] = ['kill-host', 'pause-host'];
 const STORE_FAULTS: readonly FaultKind[] = ['store-down', 'store-slow', 'store-lost-replies'];
 const ENDPOINT_FAULTS: readonly FaultKind[] = ['engine-crash', 'plain-lost-replies'];
-const SHORTEST_MS = 200;
-const LONGEST_MS = 3000;
+const LENGTHS = { shortestMs: 200, longestMs: 3000 };
 /** Longer than the slowest answer of a store that counts as up. */
 const SLOW_STORE_MS = 300;
 const RESTART_MS = 300;
@@ -37,13 +30,17 @@
 /** Plans random faults of hosts, store and endpoints from a seed. */
 export function planFaults(seed: number, durationMs: number): FaultChain[] {
   const random = createSeededRandom(seed);
-  return [HOST_FAULTS, STORE_FAULTS, ENDPOINT_FAULTS].map((kinds) => planChain(random, kinds, durationMs));
+  return [HOST_FAULTS, STORE_FAULTS, ENDPOINT_FAULTS].map((kinds) =>
+    planFaultChain(random, kinds, { ...LENGTHS, endMs: durationMs }),
+  );
 }
 
 /** Plans faults of hosts and store only. */
 export function planHostAndStoreFaults(seed: number, durationMs: number): FaultChain[] {
   const random = createSeededRandom(seed);
-  return [HOST_FAULTS, STORE_FAULTS].map((kinds) => planChain(random, kinds, durationMs));
+  return [HOST_FAULTS, STORE_FAULTS].map((kinds) =>
+    planFaultChain(random, kinds, { ...LENGTHS, endMs: durationMs }),
+  );
 }
 
 /**
@@ -70,17 +67,6 @@
   );
 }
 
-function planChain(random: RandomSource, kinds: readonly FaultKind[], endMs: number): IFault[] {
-  const faults: IFault[] = [];
-  for (let atMs = random() * LONGEST_MS; atMs < endMs; atMs += random() * LONGEST_MS) {
-    const kind = kinds[Math.floor(random() * kinds.length)] ?? 'store-down';
-    const durationMs = SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS);
-    faults.push({ kind, atMs, durationMs, target: random() });
-    atMs += durationMs;
-  }
-  return faults;
-}
-
 const INJECTORS: Readonly<Record<FaultKind, (fleet: IFleet, fault: IFault) => Promise<void>>> = {
   'kill-host': async (fleet, { target }) => {
     const index = pickIndex(fleet.hosts, target);
--- a/bench/Processes.ts
+++ b/bench/Processes.ts
@@ -98,7 +98,7 @@
 }
 
 /** Reads processor time and resident memory from /proc. */
-function readUsage(pid: number): IUsage {
+export function readUsage(pid: number): IUsage {
   const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
   // The name in parentheses may hold spaces; utime and stime are the 12th and 13th fields after it.
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
--- /dev/null
+++ b/soak/FaultPlan.ts
@@ -0,0 +1,67 @@
+import type { Millis, RandomSource } from '../src/common/Types.js';
+import { planFaultChain } from '../src/testing/FaultChains.js';
+import type {
+  LinkFaultKind,
+  PlannedKind,
+  RouterFaultKind,
+  RunnerFaultKind,
+  SoakFault,
+  SoakProfile,
+  StoreFaultKind,
+} from './Types.js';
+
+/** Planned work, by kind. */
+export const PLANNED_KINDS: readonly PlannedKind[] = [
+  'stop-router',
+  'reload-router',
+  'drain-runner',
+  'change-configuration',
+  'revoke-key',
+];
+const ROUTER_KINDS: readonly RouterFaultKind[] = [
+  'kill-router',
+  'kill-all-routers',
+  'pause-router',
+  'step-clock',
+];
+const LINK_KINDS: readonly LinkFaultKind[] = [
+  'delay-runner',
+  'reset-runner',
+  'mute-to-runner',
+  'mute-from-runner',
+  'silence-runner',
+  'delay-callers',
+  'reset-callers',
+  'silence-callers',
+  'silence-store',
+  'reset-store',
+  'delay-store',
+];
+const RUNNER_KINDS: readonly RunnerFaultKind[] = [
+  'crash-runner',
+  'fail-answers',
+  'refuse-calls',
+  'lose-answers',
+  'tear-answers',
+  'hang-answers',
+];
+const STORE_KINDS: readonly StoreFaultKind[] = [
+  'store-refuse',
+  'store-silent',
+  'store-lose-replies',
+  'store-compact',
+];
+
+/** Chains of each profile. They run at the same time, and two chains of planned work overlap each other. */
+const CHAINS: Readonly<Record<SoakProfile, readonly (readonly SoakFault['kind'][])[]>> = {
+  planned: [PLANNED_KINDS, PLANNED_KINDS],
+  mixed: [PLANNED_KINDS, ROUTER_KINDS, LINK_KINDS, LINK_KINDS, RUNNER_KINDS, STORE_KINDS],
+};
+
+/** Short and long against the time that a router must be undisturbed for before bounds hold, 3 s. */
+const LENGTHS = { shortestMs: 100, longestMs: 4500 };
+
+/** Plans the faults of a run. */
+export function planSoakFaults(profile: SoakProfile, random: RandomSource, endMs: Millis): SoakFault[][] {
+  return CHAINS[profile].map((kinds) => planFaultChain(random, kinds, { ...LENGTHS, endMs }));
+}
--- /dev/null
+++ b/soak/RouterFleet.ts
@@ -0,0 +1,269 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { waitFor } from '../bench/Http.js';
+import { readUsage } from '../bench/Processes.js';
+import { LinkProxy } from './LinkProxy.js';
+import type { SoakBoard } from './SoakBoard.js';
+
+/** The program as it is deployed. */
+const ROUTER_SCRIPT = fileURLToPath(new URL('../router/RouterMain.js', import.meta.url));
+const CLOCK_SCRIPT = new URL('./ClockStep.js', import.meta.url).href;
+
+/** Time that a stopped router has before it is killed, as on the platform's deployments. */
+const STOP_MS = 8000;
+
+/** Pause before a process that has ended is started again. */
+const RESTART_MS = 400;
+
+/** Interval of the question whether a router is ready; two without a 200 take it out. */
+const POLL_MS = 500;
+const POLL_TIMEOUT_MS = 400;
+const POLLS_BEFORE_OUT = 2;
+
+/** Memory of the smallest machine of the platform's deployments. */
+const MAX_RESIDENT_BYTES = 250e6;
+
+/** Ports of each router, at an address of its own. */
+const PORTS = { front: 7000, ready: 7001, metrics: 7002 };
+
+/** Options of a fleet of routers. */
+export interface IRouterFleetOptions {
+  board: SoakBoard;
+  count: number;
+  /** Folder for settings and logs. */
+  folder: string;
+  storePort: number;
+}
+
+interface IRouter {
+  id: string;
+  /** Loopback address of its own: ports that are free now may be taken before a process binds them. */
+  ip: string;
+  callers: LinkProxy;
+  store: LinkProxy;
+  retryShare: number;
+  child: ChildProcess | undefined;
+  /** Whether the end of the running process was asked for. */
+  isEnding: boolean;
+  failedPolls: number;
+  /** Whether the running process has replied to anything. */
+  hasReplied: boolean;
+}
+
+/** Starts router processes, restarts them when they end, and follows whether they are ready. */
+export class RouterFleet {
+  private readonly _routers = new Map<string, IRouter>();
+  private readonly _startWaiters = new Set<() => void>();
+  private _isClosed = false;
+
+  private constructor(private readonly _options: IRouterFleetOptions) {}
+
+  /** Starts all routers; resolves when each has been ready once. */
+  public static async start(options: IRouterFleetOptions): Promise<RouterFleet> {
+    const fleet = new RouterFleet(options);
+    for (let index = 0; index < options.count; index += 1) await fleet._addRouter(index);
+    for (const router of fleet._routers.values()) fleet._startProcess(router);
+    void fleet._pollRouters();
+    return fleet;
+  }
+
+  /** Lists the ids of all routers. */
+  public get ids(): readonly string[] {
+    return [...this._routers.keys()];
+  }
+
+  /** The proxy between a router and its callers, or the store. */
+  public getLink(id: string, side: 'callers' | 'store'): LinkProxy {
+    return this._get(id)[side];
+  }
+
+  /** Sends a signal to a running router. */
+  public send(id: string, signal: NodeJS.Signals): void {
+    const router = this._get(id);
+    if (signal === 'SIGKILL' || signal === 'SIGTERM') router.isEnding = true;
+    router.child?.kill(signal);
+  }
+
+  /** Sends SIGTERM, and SIGKILL where the process takes too long. Resolves when the next process was started. */
+  public async stopAndStart(id: string): Promise<void> {
+    const { child } = this._get(id);
+    const timer = setTimeout(() => child?.kill('SIGKILL'), STOP_MS);
+    await this.endAndStart(id, () => {
+      this.send(id, 'SIGTERM');
+    });
+    clearTimeout(timer);
+  }
+
+  /** Ends a process; resolves when the next one of that router was started. */
+  public async endAndStart(id: string, end: () => void): Promise<void> {
+    const before = this._get(id).child;
+    end();
+    while (!this._isClosed && (this._get(id).child ?? before) === before) {
+      await new Promise<void>((resolve) => this._startWaiters.add(resolve));
+    }
+  }
+
+  /** Changes a setting and tells the router. */
+  public updateSettings(id: string): void {
+    const router = this._get(id);
+    router.retryShare = router.retryShare === 0.9 ? 0.8 : 0.9;
+    this._writeSettings(router);
+    this.sendIfStarted(id, 'SIGHUP');
+  }
+
+  /** Sends a signal that would end a process which has not yet loaded its program. */
+  public sendIfStarted(id: string, signal: NodeJS.Signals): void {
+    if (this._get(id).hasReplied) this.send(id, signal);
+  }
+
+  /** Ends all processes and checks their logs for errors that no handler expected. */
+  public close(): void {
+    this._isClosed = true;
+    for (const wake of this._startWaiters) wake();
+    for (const router of this._routers.values()) {
+      router.child?.kill('SIGKILL');
+      router.callers.close();
+      router.store.close();
+      this._checkLog(router.id);
+    }
+  }
+
+  private _get(id: string): IRouter {
+    const router = this._routers.get(id);
+    if (!router) throw new Error(`There is no router ${id}.`);
+    return router;
+  }
+
+  private async _addRouter(index: number): Promise<void> {
+    const { board, storePort } = this._options;
+    const id = `router-${index}`;
+    const ip = formatLoopback(index);
+    const callers = await LinkProxy.start(PORTS.front, ip);
+    const store = await LinkProxy.start(storePort);
+    const state = { retryShare: 0.9, child: undefined, isEnding: false, failedPolls: 0, hasReplied: false };
+    const router: IRouter = { id, ip, callers, store, ...state };
+    this._routers.set(id, router);
+    this._writeSettings(router);
+    const proven = { provenVersion: 0, provenAt: 0 };
+    board.routers.set(id, { id, address: callers.address, state: 'starting', incarnation: 0, ...proven });
+  }
+
+  private _writeSettings({ id, ip, retryShare, store }: IRouter): void {
+    const lines = [
+      '[host]',
+      `id = ${id}`,
+      'zone = a',
+      `ip = ${ip}`,
+      `front = ${ip}:${PORTS.front}`,
+      `ready = ${ip}:${PORTS.ready}`,
+      `metrics_port = ${PORTS.metrics}`,
+      '[store]',
+      `address = ${store.address}`,
+      '[limits]',
+      `retry_share = ${retryShare}`,
+      `stop_ms = ${STOP_MS}`,
+      'session_ms = 5000',
+      'exposure_share = 0.15',
+      'contact_ms = 3000',
+      'apply_ms = 2000',
+    ];
+    writeFileSync(this._locate(id, 'ini'), `${lines.join('\n')}\n`);
+  }
+
+  private _startProcess(router: IRouter): void {
+    if (this._isClosed) return;
+    const { board } = this._options;
+    const log = openSync(this._locate(router.id, 'log'), 'a');
+    const child = spawn(
+      process.execPath,
+      ['--import', CLOCK_SCRIPT, ROUTER_SCRIPT, this._locate(router.id, 'ini')],
+      { stdio: ['ignore', log, log] },
+    );
+    closeSync(log);
+    router.child = child;
+    router.isEnding = false;
+    router.hasReplied = false;
+    const incarnation = (board.routers.get(router.id)?.incarnation ?? 0) + 1;
+    board.routers.update(router.id, { state: 'starting', incarnation, provenVersion: 0 });
+    child.once('exit', (code, signal) => {
+      this._handleExit(router, code, signal);
+    });
+    for (const wake of [...this._startWaiters]) {
+      this._startWaiters.delete(wake);
+      wake();
+    }
+  }
+
+  private _handleExit(router: IRouter, code: number | null, signal: NodeJS.Signals | null): void {
+    if (this._isClosed) return;
+    const { board } = this._options;
+    router.hasReplied = false;
+    board.routers.update(router.id, { state: 'down' });
+    if (!router.isEnding) {
+      board.addFinding('process-health', `${router.id} ended by itself with ${String(signal ?? code)}`);
+    }
+    void waitFor(RESTART_MS).then(() => {
+      this._startProcess(router);
+    });
+  }
+
+  private async _pollRouters(): Promise<void> {
+    while (!this._isClosed) {
+      await Promise.all([...this._routers.values()].map((router) => this._pollRouter(router)));
+      await waitFor(POLL_MS);
+    }
+  }
+
+  private async _pollRouter(router: IRouter): Promise<void> {
+    const { board } = this._options;
+    const entry = board.routers.get(router.id);
+    if (!entry || entry.state === 'down') return;
+    const status = await fetchReadiness(router.ip);
+    const now = board.routers.get(router.id);
+    if (this._isClosed || now?.incarnation !== entry.incarnation || now.state === 'down') return;
+    router.hasReplied ||= status !== undefined;
+    router.failedPolls = status === 200 ? 0 : router.failedPolls + 1;
+    if (status === 200) board.routers.update(router.id, { state: 'ready' });
+    else if (router.failedPolls >= POLLS_BEFORE_OUT) board.routers.update(router.id, { state: 'not-ready' });
+    this._checkMemory(router);
+  }
+
+  private _checkMemory({ child, id }: IRouter): void {
+    if (child?.pid === undefined || child.exitCode !== null || child.signalCode !== null) return;
+    const { residentBytes } = readUsage(child.pid);
+    if (residentBytes <= MAX_RESIDENT_BYTES) return;
+    this._options.board.addFinding('process-health', `${id} holds ${Math.round(residentBytes / 1e6)} MB`);
+  }
+
+  private _checkLog(id: string): void {
+    const lines = readFileSync(this._locate(id, 'log'), 'utf8').split('\n');
+    const failed = lines.find(
+      (line) => line !== '' && (!line.startsWith('{') || line.includes('controller.failed')),
+    );
+    if (failed === undefined) return;
+    this._options.board.addFinding('process-health', `${id} wrote: ${failed.slice(0, 300)}`);
+  }
+
+  private _locate(id: string, kind: 'ini' | 'log'): string {
+    return join(this._options.folder, `${id}.${kind}`);
+  }
+}
+
+/** Addresses that no other soak on this machine uses at the same time. */
+function formatLoopback(index: number): string {
+  return `127.${1 + ((process.pid >> 8) % 254)}.${process.pid % 256}.${index + 1}`;
+}
+
+async function fetchReadiness(ip: string): Promise<number | undefined> {
+  try {
+    const signal = AbortSignal.timeout(POLL_TIMEOUT_MS);
+    const reply = await fetch(`http://${ip}:${PORTS.ready}/-/ready`, { signal });
+    await reply.arrayBuffer();
+    return reply.status;
+  } catch {
+    // A router that is down or paused counts as one that is not ready.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/soak/Soak.ts
@@ -0,0 +1,126 @@
+import { mkdirSync, rmSync } from 'node:fs';
+import { join } from 'node:path';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { waitFor } from '../bench/Http.js';
+import { createSeededRandom } from '../src/adapters/Random.js';
+import type { Millis } from '../src/common/Types.js';
+import { startRevisionStoreServer } from '../src/standins/platform/RevisionStoreServer.js';
+import { ANSWER_CHECKS } from './AnswerChecks.js';
+import { CheckController } from './CheckController.js';
+import { planSoakFaults } from './FaultPlan.js';
+import { FLEET_CHECKS } from './FleetChecks.js';
+import { runFaultChain } from './Injectors.js';
+import { RouterFleet } from './RouterFleet.js';
+import { SoakBoard } from './SoakBoard.js';
+import { SoakCallers } from './SoakCallers.js';
+import { SoakOperator } from './SoakOperator.js';
+import { SoakRunner } from './SoakRunner.js';
+import { MODEL_SERVICE, PLAIN_SERVICE } from './Traffic.js';
+import type { ICallEntry, ISoakOutcome, SoakProfile } from './Types.js';
+
+/** Options of one run. */
+export interface ISoakOptions {
+  seed: number;
+  /** Time for which faults begin. Default 15 s. */
+  durationMs?: Millis;
+  /** Default 3. */
+  routers?: number;
+  /** Default 12. */
+  callers?: number;
+  /** Default: planned work alone for every third seed, everything for the others. */
+  profile?: SoakProfile;
+  /** Folder for settings and logs; those of a run without findings are removed. */
+  folder: string;
+}
+
+const MODEL_RUNNERS = 4;
+const PLAIN_RUNNERS = 3;
+
+/** Bound of the platform's pages: time after the last fault until callers are served again. */
+const RECOVER_MS: Millis = 12_000;
+
+/** Load after the recovery, and the share of it that has to be served. */
+const AFTERMATH_MS: Millis = 2000;
+const SERVED_SHARE = 0.25;
+const READY_CHECK_MS: Millis = 100;
+
+/** Runs real router processes under load and faults, and returns which promises were broken. */
+export async function runSoak(options: ISoakOptions): Promise<ISoakOutcome> {
+  const { callers = 12, durationMs = 15_000, routers = 3, seed } = options;
+  const profile = options.profile ?? (seed % 3 === 0 ? 'planned' : 'mixed');
+  const folder = join(options.folder, String(seed));
+  mkdirSync(folder, { recursive: true });
+  const startedAt = performance.now();
+  const board = new SoakBoard(() => performance.now() - startedAt);
+  const lag = monitorEventLoopDelay();
+  lag.enable();
+  const checks = new CheckController(board, [...ANSWER_CHECKS, ...FLEET_CHECKS]);
+  const store = await startRevisionStoreServer();
+  const operator = new SoakOperator(board, store);
+  const random = createSeededRandom(seed);
+  const runners: SoakRunner[] = [];
+  for (const [service, count] of [
+    [MODEL_SERVICE, MODEL_RUNNERS],
+    [PLAIN_SERVICE, PLAIN_RUNNERS],
+  ] as const) {
+    for (let index = 0; index < count; index += 1) {
+      runners.push(await SoakRunner.start({ id: `${service}-${index}`, service, board, random, store }));
+    }
+  }
+  const storePort = Number(new URL(store.address).port);
+  const fleet = await RouterFleet.start({ board, count: routers, folder, storePort });
+  await waitForRouters(board);
+  const load = new SoakCallers({ board, count: callers, random });
+  const plan = planSoakFaults(profile, createSeededRandom(seed), durationMs);
+  const targets = { board, routers: fleet, runners, store, operator };
+  await Promise.all(plan.map((chain) => runFaultChain(targets, chain)));
+  await checkRecovery(board);
+  await load.stop();
+  checks.finish();
+  fleet.close();
+  for (const runner of runners) await runner.close();
+  await store.close();
+  checks.dispose();
+  lag.disable();
+  const findings = [...board.findings.list()];
+  if (findings.length === 0) rmSync(folder, { recursive: true });
+  return {
+    seed,
+    profile,
+    calls: board.calls.size,
+    served: [...board.calls.list()].filter(isServed).length,
+    runs: board.runs.size,
+    faults: board.faults.size,
+    lagMs: Math.round(lag.max / 1e6),
+    findings,
+  };
+}
+
+async function waitForRouters(board: SoakBoard): Promise<boolean> {
+  const end = board.now() + RECOVER_MS;
+  while (board.now() < end) {
+    if ([...board.routers.list()].every(({ state }) => state === 'ready')) return true;
+    await waitFor(READY_CHECK_MS);
+  }
+  return false;
+}
+
+/** After the last fault all routers are ready in time, and calls are served. */
+async function checkRecovery(board: SoakBoard): Promise<void> {
+  if (!(await waitForRouters(board))) {
+    const states = [...board.routers.list()].map(({ id, state }) => `${id} ${state}`);
+    board.addFinding('recovery', `after ${RECOVER_MS} ms: ${states.join(', ')}`);
+  }
+  const from = board.now();
+  await waitFor(AFTERMATH_MS);
+  const ended = [...board.calls.list()].filter(
+    ({ endedAt, sentAt }) => sentAt > from && endedAt !== undefined,
+  );
+  const served = ended.filter(isServed);
+  if (served.length > SERVED_SHARE * ended.length) return;
+  board.addFinding('recovery', `${served.length} of ${ended.length} calls were served after the faults`);
+}
+
+function isServed({ isWhole, status }: Readonly<ICallEntry>): boolean {
+  return isWhole === true && status === 200;
+}
--- /dev/null
+++ b/soak/SoakOperator.ts
@@ -0,0 +1,82 @@
+import type { IRevisionStoreStandIn } from '../src/standins/platform/RevisionStoreServer.js';
+import { createTestRoute } from '../src/standins/platform/Routes.js';
+import type { SoakBoard } from './SoakBoard.js';
+import { FORGED_VALUE, MODEL_SERVICE, MODELS, PLAIN_SERVICE, ROUTES, VERSION_ROUTE } from './Traffic.js';
+
+/** Routes of older versions that a configuration keeps. */
+const KEPT_VERSIONS = 2;
+
+/** Key of the account that every configuration has. */
+const LASTING_KEY = `${FORGED_VALUE}-north`;
+
+/** Account names by the first part of their keys. */
+const ACCOUNTS = { north: 'north', south: 'south' };
+
+/** Name of the account that a key of this run belongs to. */
+export function findAccount(key: string): string {
+  return key === LASTING_KEY ? ACCOUNTS.north : ACCOUNTS.south;
+}
+
+/** Writes configurations into the store, as the platform's operator does. */
+export class SoakOperator {
+  private _version = 1;
+  private _keyNumber = 1;
+
+  constructor(
+    private readonly _board: SoakBoard,
+    private readonly _store: IRevisionStoreStandIn,
+  ) {
+    this._publish();
+  }
+
+  /** Puts the next configuration in force: it has one route more, and lacks the oldest of its kind. */
+  public publishNext(): void {
+    this._version += 1;
+    this._publish();
+  }
+
+  /** Takes the key of an account away and gives it another one. */
+  public replaceKey(): void {
+    this._keyNumber += 1;
+    this.publishNext();
+  }
+
+  private _publish(): void {
+    const version = this._version;
+    const keys = [LASTING_KEY, `${FORGED_VALUE}-south-${this._keyNumber}`];
+    const versionRoutes = [...Array(KEPT_VERSIONS + 1).keys()]
+      .map((age) => version - age)
+      .filter((number) => number > 0)
+      .map((number) => `${VERSION_ROUTE}${number}`);
+    const routes = ROUTES.flatMap(({ kind, maxAttempts, name, service, timeoutMs }) => {
+      const stream = { sizes: MODELS, streamResume: true, gapAimMs: 1200 };
+      const patch = { service, timeoutMs, maxAttempts, ...(kind === 'streaming' ? stream : {}) };
+      const names = name === VERSION_ROUTE ? versionRoutes : [name];
+      return names.map((each) => createTestRoute(each, kind, patch));
+    });
+    const sentAt = this._board.now();
+    this._store.put('op/config', {
+      version,
+      routes,
+      services: [
+        { name: MODEL_SERVICE, engine: { models: [] } },
+        { name: PLAIN_SERVICE, healthPath: '/health' },
+      ],
+      tenants: [
+        { name: ACCOUNTS.north, apiKeys: keys.slice(0, 1) },
+        { name: ACCOUNTS.south, apiKeys: keys.slice(1) },
+      ],
+    });
+    const names = [
+      ...ROUTES.map(({ name }) => name).filter((name) => name !== VERSION_ROUTE),
+      ...versionRoutes,
+    ];
+    this._board.configurations.set(version, {
+      version,
+      sentAt,
+      ackAt: this._board.now(),
+      routes: names,
+      keys,
+    });
+  }
+}
--- /dev/null
+++ b/soak/SoakRunner.ts
@@ -0,0 +1,278 @@
+import type { ServerResponse } from 'node:http';
+import { waitFor } from '../bench/Http.js';
+import { toDisposable, type IDisposable } from '../src/common/Lifecycle.js';
+import type { Millis, RandomSource } from '../src/common/Types.js';
+import type { IRevisionStoreStandIn } from '../src/standins/platform/RevisionStoreServer.js';
+import {
+  startRunnerStandIn,
+  type IRunnerCall,
+  type IRunnerStandIn,
+} from '../src/standins/platform/ScriptedRunner.js';
+import { formatPiece, formatStamp, formatWhole } from './Answers.js';
+import { LinkProxy } from './LinkProxy.js';
+import type { SoakBoard } from './SoakBoard.js';
+import { FORGED_HEADERS, FORGED_VALUE, MODEL_SERVICE, MODELS } from './Traffic.js';
+import type { IRunEntry, RunEnd, RunnerFault } from './Types.js';
+
+/** Options of a runner. */
+export interface ISoakRunnerOptions {
+  id: string;
+  service: string;
+  board: SoakBoard;
+  random: RandomSource;
+  store: IRevisionStoreStandIn;
+}
+
+/** Share of the calls that meet a runner's fault. */
+const FAULT_SHARE = 0.5;
+
+/** Work on a whole answer: mostly short, at times longer than the shortest route time-out. */
+const WORK_MS: Millis = 60;
+const LONG_WORK_SHARE = 0.03;
+const LONG_WORK_MS: Millis = 900;
+
+/** Streams: pieces, and the time to the first one and between two. */
+const MOST_PIECES = 12;
+const FIRST_PIECE_MS: Millis = 120;
+const PIECE_MS: Millis = 50;
+
+/** Share of the streams in which the small model has little confidence. */
+const DOUBT_SHARE = 0.3;
+
+/** The store drops the entry of a silent runner after three heartbeats. */
+const LAPSE_MS: Millis = 3600;
+
+/** Time for which a runner serves on after the store has taken its report that it leaves. */
+const DRAIN_MS: Millis = 2500;
+
+/** Time after which the address of a runner that is gone is used again. */
+const REUSE_MS: Millis = 2000;
+
+/** Slots that runners announce: callers never fill them. */
+const SLOTS = 32;
+
+/** A runner behind a proxy, which records what reaches it. */
+export class SoakRunner {
+  private readonly _faults: { fault: RunnerFault }[] = [];
+  private _born = 1;
+  private _replacements = 0;
+  private _id: string;
+  private _phase: 'serving' | 'down' | 'leaving' = 'serving';
+
+  private constructor(
+    private readonly _options: ISoakRunnerOptions,
+    private readonly _standIn: IRunnerStandIn,
+    public readonly link: LinkProxy,
+  ) {
+    this._id = _options.id;
+    _standIn.answer = (call, response) => this._replyTo(call, response);
+  }
+
+  /** Starts a runner and announces it. */
+  public static async start(options: ISoakRunnerOptions): Promise<SoakRunner> {
+    const standIn = await startRunnerStandIn(options.id);
+    const link = await LinkProxy.start(Number(standIn.address.split(':')[1]));
+    const runner = new SoakRunner(options, standIn, link);
+    options.board.runners.set(options.id, { id: options.id, service: options.service, leftAt: undefined });
+    runner._publish('ready');
+    return runner;
+  }
+
+  /** Current id: a runner that left comes back as another one. */
+  public get id(): string {
+    return this._id;
+  }
+
+  /** Applies a fault to part of the calls until the result is disposed. */
+  public addFault(fault: RunnerFault): IDisposable {
+    const entry = { fault };
+    this._faults.push(entry);
+    return toDisposable(() => this._faults.splice(this._faults.indexOf(entry), 1));
+  }
+
+  /** Ends the runner without a word for a time; it comes back under its id. */
+  public async stopAbruptly(durationMs: Millis): Promise<void> {
+    if (this._phase !== 'serving') return;
+    this._phase = 'down';
+    const { board, store } = this._options;
+    const down = this.link.addMode('reset');
+    for (const run of board.runs.list()) {
+      if (run.runner === this._id && run.hasRun && run.end === undefined) this._end(run.number, 'crashed');
+    }
+    await waitFor(Math.min(durationMs, LAPSE_MS));
+    if (durationMs > LAPSE_MS) {
+      store.remove(`servers/${this._id}`);
+      board.runners.update(this._id, { leftAt: board.now() });
+      await waitFor(durationMs - LAPSE_MS);
+    }
+    this._serveAgain(down);
+  }
+
+  /** Leaves as planned; its address is used again by a runner with another id. */
+  public async drain(): Promise<void> {
+    if (this._phase !== 'serving') return;
+    this._phase = 'leaving';
+    const { board, random, store } = this._options;
+    // Some runners never report that they leave: their entry is removed.
+    if (random() < 0.5) this._publish('draining');
+    else store.remove(`servers/${this._id}`);
+    board.runners.update(this._id, { leftAt: board.now() });
+    await waitFor(DRAIN_MS);
+    const down = this.link.addMode('reset');
+    store.remove(`servers/${this._id}`);
+    await waitFor(REUSE_MS);
+    this._replacements += 1;
+    this._id = `${this._options.id}.${this._replacements}`;
+    this._serveAgain(down);
+  }
+
+  /** Closes the runner. */
+  public async close(): Promise<void> {
+    this.link.close();
+    await this._standIn.close();
+  }
+
+  private _serveAgain(down: IDisposable): void {
+    const { board, service } = this._options;
+    this._born += 1;
+    this._phase = 'serving';
+    down.dispose();
+    board.runners.set(this._id, { id: this._id, service, leftAt: undefined });
+    this._publish('ready');
+  }
+
+  private _publish(state: 'ready' | 'draining'): void {
+    const { service, store } = this._options;
+    store.put(`servers/${this._id}`, {
+      service,
+      address: this.link.address,
+      zone: 'a',
+      version: 'v1',
+      slots: SLOTS,
+      state,
+      models: service === MODEL_SERVICE ? MODELS.map((name) => ({ name, version: 1 })) : [],
+      born: this._born,
+    });
+  }
+
+  private async _replyTo(call: IRunnerCall, response: ServerResponse): Promise<void> {
+    const { random } = this._options;
+    if (call.headers['expect-instance'] !== this._id) {
+      this._record(call, false);
+      response.writeHead(421, { 'not-executed': '1', 'instance-id': this._id, 'content-length': 0 }).end();
+      return;
+    }
+    const fault = random() < FAULT_SHARE ? this._faults.at(-1)?.fault : undefined;
+    if (fault === 'refuse') {
+      this._record(call, false);
+      response.writeHead(503, { 'not-executed': '1', 'content-length': 0 }).end();
+      return;
+    }
+    const run = this._record(call, true);
+    response.on('close', () => {
+      this._end(run.number, 'dropped');
+    });
+    if (fault === 'hang') return;
+    if (this._options.service === MODEL_SERVICE) await this._stream(run, response, fault);
+    else await this._sendWhole(run, response, fault);
+  }
+
+  private async _sendWhole(run: IRunEntry, response: ServerResponse, fault?: RunnerFault): Promise<void> {
+    const { random } = this._options;
+    const isLong = random() < LONG_WORK_SHARE;
+    await waitFor(random() * (isLong ? LONG_WORK_MS : WORK_MS));
+    if (!this._isWorking(run)) return;
+    if (fault === 'lose') {
+      this._end(run.number, 'lost');
+      response.socket?.resetAndDestroy();
+      return;
+    }
+    const status = fault === 'fail' ? 500 : 200;
+    const text = formatWhole(run);
+    response.writeHead(status, { ...buildHead(run), 'content-length': text.length });
+    if (fault === 'tear') {
+      this._end(run.number, 'torn', status);
+      response.write(text.slice(0, text.length / 2), () => response.destroy());
+      return;
+    }
+    this._end(run.number, fault === 'fail' ? 'failed' : 'done', status);
+    response.end(text);
+  }
+
+  private async _stream(run: IRunEntry, response: ServerResponse, fault?: RunnerFault): Promise<void> {
+    const { random } = this._options;
+    await waitFor(random() * FIRST_PIECE_MS);
+    if (!this._isWorking(run)) return;
+    if (fault === 'fail') {
+      this._end(run.number, 'failed', 500);
+      response.writeHead(500, { ...buildHead(run), 'content-length': 0 }).end();
+      return;
+    }
+    const hasDoubt = run.model === MODELS[0] && random() < DOUBT_SHARE;
+    response.writeHead(200, {
+      ...buildHead(run),
+      'content-type': 'text/event-stream',
+      confidence: hasDoubt ? '20' : '90',
+    });
+    // A run that goes on makes at least one piece more, so that its end can be told.
+    const last = run.resumeAfter + 1 + Math.floor(random() * MOST_PIECES);
+    const report = [run.call, 100, run.resumeAfter, 0];
+    this._standIn.runs.push(report);
+    for (let piece = run.resumeAfter + 1; piece <= last && this._isWorking(run); piece += 1) {
+      const text = formatPiece(run, piece, piece === last);
+      report[2] = piece;
+      if (fault === 'tear' && piece === last) {
+        this._end(run.number, 'torn', 200);
+        response.write(text.slice(0, text.length / 2), () => response.destroy());
+      } else if (fault === 'lose' && piece === last) {
+        this._end(run.number, 'lost', 200);
+        response.socket?.resetAndDestroy();
+      } else response.write(text);
+      await waitFor(random() * PIECE_MS);
+    }
+    this._standIn.runs.splice(this._standIn.runs.indexOf(report), 1);
+    if (!this._isWorking(run)) return;
+    this._end(run.number, 'done', 200);
+    response.end();
+  }
+
+  private _record(call: IRunnerCall, hasRun: boolean): IRunEntry {
+    const { board, service } = this._options;
+    const { body, headers, method, path } = call;
+    const entry: IRunEntry = {
+      number: board.runs.size + 1,
+      call: headers['attempt-id']?.toString() ?? '',
+      runner: this._id,
+      service,
+      hasRun,
+      startedAt: board.now(),
+      endedAt: hasRun ? undefined : board.now(),
+      end: undefined,
+      status: undefined,
+      method,
+      path,
+      body,
+      account: headers.tenant?.toString(),
+      model: headers.model?.toString(),
+      resumeAfter: Number(headers['last-event-id'] ?? 0),
+      leftMs: headers['deadline-ms'] === undefined ? undefined : Number(headers['deadline-ms']),
+      forged: FORGED_HEADERS.filter((name) => headers[name]?.toString().includes(FORGED_VALUE)),
+    };
+    board.runs.set(entry.number, entry);
+    return entry;
+  }
+
+  private _isWorking({ number }: IRunEntry): boolean {
+    return this._options.board.runs.get(number)?.end === undefined;
+  }
+
+  private _end(number: number, end: RunEnd, status?: number): void {
+    const { board } = this._options;
+    if (board.runs.get(number)?.end !== undefined) return;
+    board.runs.update(number, { end, endedAt: board.now(), ...(status === undefined ? {} : { status }) });
+  }
+}
+
+function buildHead(run: IRunEntry): Record<string, string> {
+  return { 'attempt-id': run.call, 'response-stamp': formatStamp(run.number) };
+}
