Keep endpoints that vanish after a store outage until its end plus 2 s

Cause: an entry that vanished within 3 s after an outage was kept for 2 s from then on. Where its endpoint had left by removal, calls reached it up to 5 s after the outage, while bounds hold from 3 s on. The pause between watches made it more likely. Change: endpoints have until 2 s after the contact came back, the time that the platform names. Ruled out: leaving out the pause after an outage alone, which leaves 2 s of work for an endpoint that left 2.9 s after it.

--- a/src/common/fleet/EndpointRegistryController.test.ts
+++ b/src/common/fleet/EndpointRegistryController.test.ts
@@ -64,6 +64,20 @@
   t.deepEqual([atOnce, returned, readHealth()], ['healthy', 'healthy', 'absent']);
 });
 
+// Guards against work for an endpoint that left after an outage: a bound on that holds 3 s after the outage.
+test('an entry that vanishes long after an outage is kept no longer than one that vanishes in it', async (t) => {
+  const { publish, board, clock, readHealth } = createRig({ losses: 1, changedAt: 0 });
+  publish();
+  await clock.advance(1900);
+  board.facts.delete('e-1');
+  const near = readHealth();
+  await clock.advance(200);
+  const gone = readHealth();
+  publish();
+  board.facts.delete('e-1');
+  t.deepEqual([near, gone, readHealth()], ['healthy', 'absent', 'absent']);
+});
+
 // Guards against a known endpoint that is dropped for a value that cannot be read.
 test('an unreadable value changes nothing', (t) => {
   const { publish, board, readHealth } = createRig();
--- a/src/common/fleet/EndpointRegistryController.ts
+++ b/src/common/fleet/EndpointRegistryController.ts
@@ -12,13 +12,10 @@
 }
 
 /**
- * Time for an endpoint to announce itself again after its entry lapsed in a store outage. The platform
- * promises about two seconds.
+ * Time after a store outage in which endpoints whose entries lapsed announce themselves again. The platform
+ * promises about two seconds. An entry that is missing after it names an endpoint that is gone.
  */
-const LAPSE_GRACE_MS: Millis = 2000;
-
-/** Entries that vanish within this time after an outage may have lapsed in it. */
-const OUTAGE_SHADOW_MS: Millis = 3000;
+const RETURN_MS: Millis = 2000;
 
 /** Keeps the `endpoints` panel equal to what the endpoints announce in the store. */
 export class EndpointRegistryController extends Disposable {
@@ -56,23 +53,25 @@
 
   private _remove({ id }: IEndpointAnnouncement): void {
     const { board, clock } = this._options;
-    if (!this._isInOutageShadow()) {
+    const graceMs = this._measureGrace();
+    if (graceMs <= 0) {
       board.endpoints.delete(id);
       return;
     }
     this._cancelLapse(id);
-    const timer = clock.schedule(LAPSE_GRACE_MS, () => {
+    const timer = clock.schedule(graceMs, () => {
       this._lapsing.delete(id);
       board.endpoints.delete(id);
     });
     this._lapsing.set(id, timer);
   }
 
-  private _isInOutageShadow(): boolean {
+  /** Time that is left for endpoints to return after an outage. */
+  private _measureGrace(): Millis {
     const { board, clock } = this._options;
     const feed = board.feed.get('store');
-    if (!feed || feed.state === 'lost') return true;
-    return feed.losses > 0 && clock.now() - feed.changedAt < OUTAGE_SHADOW_MS;
+    if (!feed || feed.state === 'lost') return RETURN_MS;
+    return feed.losses > 0 ? feed.changedAt + RETURN_MS - clock.now() : 0;
   }
 
   private _cancelLapse(id: string): void {
