Finish a drain when SIGTERM comes again

Cause: the handler of SIGTERM was removed by the first signal, so that a second one ended the process in the middle of its drain. The new test saw the process end by SIGTERM before; it exits with 0 now.

--- a/soak/Regressions.ts
+++ b/soak/Regressions.ts
@@ -16,4 +16,8 @@
     run: { seed: 15, profile: 'planned' },
     cause: 'A call followed on a stream from before a stop; its connection was ended while it ran.',
   },
+  {
+    run: { seed: 27, profile: 'planned' },
+    cause: 'A second SIGTERM ended a process in the middle of its drain.',
+  },
 ];
--- a/src/daemons/RouterProcess.test.ts
+++ b/src/daemons/RouterProcess.test.ts
@@ -49,7 +49,8 @@
 }
 
 // Guards against a process that is ended by a signal for changed settings, sent as soon as it listens, and
-// against settings that are told as changed and have no effect.
+// against settings that are told as changed and have no effect. Guards against a drain that a second request
+// to stop cuts off.
 test('changed settings take effect in a process that has just begun to listen', async (t) => {
   const folder = mkdtempSync(join(tmpdir(), 'mulberryweir-'));
   const settings = join(folder, 'router.ini');
@@ -81,7 +82,10 @@
   t.is(child.signalCode, null);
   t.snapshot(listReloads());
   child.kill('SIGTERM');
-  await waitUntil(() => child.exitCode !== null);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  child.kill('SIGTERM');
+  await waitUntil(() => child.exitCode !== null || child.signalCode !== null);
+  t.deepEqual([child.exitCode, child.signalCode], [0, null]);
   await store.close();
   rmSync(folder, { recursive: true });
 });
