Build new requests and endpoints from one list of initial fields

Change: UNDECIDED_REQUEST and UNUSED_ENDPOINT hold them once; the tests call the fixtures. Ruled out: a builder function with the remaining fields as options, as hardly any of them agree. Conclusion: a new field with an initial value has one place.

--- a/src/common/coordination/EndpointStateController.test.ts
+++ b/src/common/coordination/EndpointStateController.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { createTestEndpoint } from '../../testing/Entries.js';
 import { ManualClock } from '../../testing/ManualClock.js';
 import { Blackboard } from '../blackboard/Blackboard.js';
 import type { IAttemptEntry, IEndpointEntry } from '../blackboard/Types.js';
@@ -7,24 +8,12 @@
 import type { GossipUpdate } from './Gossip.js';
 import { publishUpdate } from './UpdateQueue.js';
 
-const ENDPOINT: IEndpointEntry = {
-  id: 'engine-1',
-  kind: 'engine',
+const ENDPOINT = createTestEndpoint('engine-1', {
   service: 'deposits',
   address: 'http://10.0.0.1:80',
   zone: 'zone-a',
-  health: 'healthy',
-  healthChangedAt: 0,
-  versions: ['small-1'],
-  inFlight: 0,
-  inFlightTokens: 0,
-  firstTokenMs: undefined,
-  tokenMs: undefined,
-  consecutiveFailures: 0,
-  report: undefined,
-  checksFencing: false,
   incarnation: 1,
-};
+});
 const REPORT = { running: 0, waiting: 0, cacheUse: 0, versions: ['small-1'], isLeaving: true, receivedAt: 0 };
 const REFUSED: IAttemptEntry = {
   id: 'a-1',
--- a/src/common/fleet/EndpointRegistryController.ts
+++ b/src/common/fleet/EndpointRegistryController.ts
@@ -4,6 +4,7 @@
 import type { IClock, Millis } from '../Types.js';
 import type { IEndpointAnnouncement } from './Types.js';
 import { formatVersion } from './Versions.js';
+import { UNUSED_ENDPOINT } from '../request/NewEntries.js';
 
 /** Options of the endpoint registry. */
 export interface IEndpointRegistryOptions {
@@ -95,14 +96,8 @@
     health: announced.isLeaving ? 'leaving' : 'healthy',
     healthChangedAt: now,
     versions,
-    inFlight: 0,
-    inFlightTokens: 0,
-    firstTokenMs: undefined,
-    tokenMs: undefined,
-    consecutiveFailures: 0,
+    ...UNUSED_ENDPOINT,
     inFlightLimit: slots,
-    report: undefined,
-    checksFencing: false,
     incarnation: startedAt,
     release,
     slots,
--- a/src/common/request/ClaimController.test.ts
+++ b/src/common/request/ClaimController.test.ts
@@ -5,6 +5,7 @@
 import type { IRequestEntry } from '../blackboard/Types.js';
 import type { JournalEntry, JournalError } from '../coordination/Types.js';
 import { ClaimController } from './ClaimController.js';
+import { UNDECIDED_REQUEST } from './NewEntries.js';
 
 const DAY_MS = 86_400_000;
 /** UUIDv7 of 2025-10-20. */
@@ -33,14 +34,7 @@
     priority: 'normal',
     receivedAt: 0,
     deadlineAt: 1000,
-    version: undefined,
-    winner: undefined,
-    attemptCount: 0,
-    escalatedFrom: [],
-    ran: 'no',
-    isCallerGone: false,
-    answer: undefined,
-    refusal: undefined,
+    ...UNDECIDED_REQUEST,
   };
 }
 
--- a/src/common/request/EscalationController.test.ts
+++ b/src/common/request/EscalationController.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { createTestEndpoint } from '../../testing/Entries.js';
 import { ManualClock, settlePromises } from '../../testing/ManualClock.js';
 import {
   buildTestDocument,
@@ -87,23 +88,8 @@
 }
 
 function addEndpoint(board: Blackboard): void {
-  board.endpoints.set('e-1', {
-    id: 'e-1',
-    kind: 'engine',
-    service: 'deposits',
-    address: '',
-    zone: 'a',
-    health: 'healthy',
-    healthChangedAt: 0,
-    versions: ['large-1'],
-    inFlight: 0,
-    inFlightTokens: 0,
-    firstTokenMs: undefined,
-    tokenMs: undefined,
-    consecutiveFailures: 0,
-    report: undefined,
-    checksFencing: false,
-  });
+  const fields = { service: 'deposits', versions: ['large-1'] };
+  board.endpoints.set('e-1', createTestEndpoint('e-1', fields));
 }
 
 function finishAttempt(board: Blackboard, id: string, version: string): void {
--- /dev/null
+++ b/src/common/request/NewEntries.ts
@@ -0,0 +1,24 @@
+import type { IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
+
+/** Fields of a request that nothing has been decided of. */
+export const UNDECIDED_REQUEST = {
+  version: undefined,
+  winner: undefined,
+  attemptCount: 0,
+  escalatedFrom: [],
+  ran: 'no',
+  isCallerGone: false,
+  answer: undefined,
+  refusal: undefined,
+} as const satisfies Partial<IRequestEntry>;
+
+/** Fields of an endpoint that this host has not used. */
+export const UNUSED_ENDPOINT = {
+  inFlight: 0,
+  inFlightTokens: 0,
+  firstTokenMs: undefined,
+  tokenMs: undefined,
+  consecutiveFailures: 0,
+  report: undefined,
+  checksFencing: false,
+} as const satisfies Partial<IEndpointEntry>;
--- a/src/common/request/RouteController.test.ts
+++ b/src/common/request/RouteController.test.ts
@@ -1,10 +1,12 @@
 import test from 'ava';
 import { parseDocumentText } from '../../adapters/ConfigStore.js';
+import { createTestEndpoint } from '../../testing/Entries.js';
 import { buildDocument } from '../../testing/HostGroup.js';
 import { ManualClock } from '../../testing/ManualClock.js';
 import { Blackboard } from '../blackboard/Blackboard.js';
-import type { IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
+import type { IRequestEntry } from '../blackboard/Types.js';
 import { EndpointIndex } from './EndpointIndex.js';
+import { UNDECIDED_REQUEST } from './NewEntries.js';
 import { RouteController } from './RouteController.js';
 
 const REQUEST: IRequestEntry = {
@@ -29,32 +31,14 @@
   priority: 'normal',
   receivedAt: 0,
   deadlineAt: 60_000,
+  ...UNDECIDED_REQUEST,
   version: 'small-1',
-  winner: undefined,
-  attemptCount: 0,
-  escalatedFrom: [],
-  ran: 'no',
-  isCallerGone: false,
-  answer: undefined,
-  refusal: undefined,
 };
-const ENDPOINT: IEndpointEntry = {
-  id: 'engine-1',
-  kind: 'engine',
+const ENDPOINT = createTestEndpoint('engine-1', {
   service: 'deposits',
   address: 'http://10.0.0.1:80',
   zone: 'zone-a',
-  health: 'healthy',
-  healthChangedAt: 0,
-  versions: ['small-1'],
-  inFlight: 0,
-  inFlightTokens: 0,
-  firstTokenMs: undefined,
-  tokenMs: undefined,
-  consecutiveFailures: 0,
-  report: undefined,
-  checksFencing: false,
-};
+});
 
 function setDocument(board: Blackboard, revision: number, stage: string): void {
   const account = `\n[account depot]\nkey_sha256 = ${'0'.repeat(64)}\nversions = small-1\n`;
--- a/src/common/request/VersionController.test.ts
+++ b/src/common/request/VersionController.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { hashRequestPoint } from '../../daemons/VersionsWiring.js';
+import { createTestEndpoint } from '../../testing/Entries.js';
 import { ManualClock } from '../../testing/ManualClock.js';
 import {
   buildTestDocument,
@@ -28,23 +29,8 @@
   const options = { board, clock, journal, chooseVersion, hashSession, hashPoint, hasVersion };
   new VersionController({ ...options, readWallClock: () => 0 });
   for (const name of NAMES) {
-    board.endpoints.set(name, {
-      id: name,
-      kind: 'engine',
-      service: 'deposits',
-      address: '',
-      zone: 'a',
-      health: 'healthy',
-      healthChangedAt: 0,
-      versions: [name],
-      inFlight: 0,
-      inFlightTokens: 0,
-      firstTokenMs: undefined,
-      tokenMs: undefined,
-      consecutiveFailures: 0,
-      report: undefined,
-      checksFencing: false,
-    });
+    const fields = { service: 'deposits', versions: [name] };
+    board.endpoints.set(name, createTestEndpoint(name, fields));
   }
   return board;
 }
--- a/src/common/rollout/PlacementController.test.ts
+++ b/src/common/rollout/PlacementController.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { createSendOrder } from '../../adapters/EngineOrders.js';
 import { createFetchLoadLimit } from '../../adapters/WeightStoreClient.js';
+import { createTestEndpoint } from '../../testing/Entries.js';
 import { startEngineServer } from '../../standins/EngineServer.js';
 import { startWeightStoreServer } from '../../standins/WeightStoreServer.js';
 import { ManualClock } from '../../testing/ManualClock.js';
@@ -54,23 +55,9 @@
   const board = new Blackboard();
   const lease = { isHeld: true, token: 5 };
   board.services.set('deposits', buildTestService(buildTestDocument(STAGES)));
-  board.endpoints.set('e-1', {
-    id: 'e-1',
-    kind: 'engine',
-    service: 'deposits',
-    address: engine.address,
-    zone: 'a',
-    health: 'healthy',
-    healthChangedAt: 0,
-    versions: ['small-1'],
-    inFlight: 0,
-    inFlightTokens: 0,
-    firstTokenMs: undefined,
-    tokenMs: undefined,
-    consecutiveFailures: 0,
-    report: undefined,
-    checksFencing: true,
-  });
+  const address = engine.address;
+  const fields = { service: 'deposits', address, checksFencing: true };
+  board.endpoints.set('e-1', createTestEndpoint('e-1', fields));
   const controller = new PlacementController({
     board,
     clock,
--- a/src/daemons/EndpointTracker.ts
+++ b/src/daemons/EndpointTracker.ts
@@ -5,6 +5,7 @@
 import { reconcileEndpoint, type IListedEndpointState } from '../common/coordination/EndpointStates.js';
 import { Disposable, type IDisposable } from '../common/Lifecycle.js';
 import type { IClock, Millis } from '../common/Types.js';
+import { UNUSED_ENDPOINT } from '../common/request/NewEntries.js';
 
 /** Options of the endpoint tracker. */
 export interface IEndpointTrackerOptions {
@@ -92,13 +93,7 @@
     health: machine.state === 'leaving' ? 'leaving' : 'healthy',
     healthChangedAt: now,
     versions: machine.versions,
-    inFlight: 0,
-    inFlightTokens: 0,
-    firstTokenMs: undefined,
-    tokenMs: undefined,
-    consecutiveFailures: 0,
-    report: undefined,
-    checksFencing: false,
+    ...UNUSED_ENDPOINT,
     incarnation: machine.incarnation ?? 0,
   };
 }
--- a/src/daemons/RequestParser.ts
+++ b/src/daemons/RequestParser.ts
@@ -7,6 +7,7 @@
 import { classifyKind } from '../common/policy/Kinds.js';
 import type { Millis, Priority } from '../common/Types.js';
 import { hashFingerprint } from './RequestKeys.js';
+import { UNDECIDED_REQUEST } from '../common/request/NewEntries.js';
 
 /** A request as it arrived, after authentication. */
 export interface IArrivedRequest {
@@ -89,14 +90,7 @@
     priority,
     receivedAt: arrived.receivedAt,
     deadlineAt: arrived.receivedAt + deadline,
-    version: undefined,
-    winner: undefined,
-    attemptCount: 0,
-    escalatedFrom: [],
-    ran: 'no',
-    isCallerGone: false,
-    answer: undefined,
-    refusal: undefined,
+    ...UNDECIDED_REQUEST,
   });
 }
 
--- a/src/testing/Entries.ts
+++ b/src/testing/Entries.ts
@@ -5,6 +5,7 @@
   RequestTarget,
 } from '../common/blackboard/Types.js';
 import type { IAccountSpec, IVersionSpec } from '../common/config/Types.js';
+import { UNDECIDED_REQUEST, UNUSED_ENDPOINT } from '../common/request/NewEntries.js';
 
 /** Creates a healthy, idle engine with version `small-1` in zone `a`. */
 export function createTestEndpoint(id: string, patch: Partial<IEndpointEntry> = {}): IEndpointEntry {
@@ -17,13 +18,7 @@
     health: 'healthy',
     healthChangedAt: 0,
     versions: ['small-1'],
-    inFlight: 0,
-    inFlightTokens: 0,
-    firstTokenMs: undefined,
-    tokenMs: undefined,
-    consecutiveFailures: 0,
-    report: undefined,
-    checksFencing: false,
+    ...UNUSED_ENDPOINT,
     ...patch,
   };
 }
@@ -56,14 +51,8 @@
     priority: 'normal',
     receivedAt,
     deadlineAt: receivedAt + 10_000,
+    ...UNDECIDED_REQUEST,
     version: 'small-1',
-    winner: undefined,
-    attemptCount: 0,
-    escalatedFrom: [],
-    ran: 'no',
-    isCallerGone: false,
-    answer: undefined,
-    refusal: undefined,
     ...patch,
   };
 }
--- a/src/testing/VersionFixtures.ts
+++ b/src/testing/VersionFixtures.ts
@@ -3,6 +3,7 @@
 import type { IRequestEntry, IServiceEntry } from '../common/blackboard/Types.js';
 import type { IRolloutState, IServiceDocument, VersionStage } from '../common/config/Types.js';
 import type { IJournal, IJournalRecord } from '../common/coordination/Types.js';
+import { UNDECIDED_REQUEST } from '../common/request/NewEntries.js';
 
 /** Stages by version; price and expected quality grow with the position. */
 export type VersionStages = Readonly<Record<string, VersionStage>>;
@@ -62,14 +63,7 @@
     priority: 'normal',
     receivedAt: 0,
     deadlineAt: 60_000,
-    version: undefined,
-    winner: undefined,
-    attemptCount: 0,
-    escalatedFrom: [],
-    ran: 'no',
-    isCallerGone: false,
-    answer: undefined,
-    refusal: undefined,
+    ...UNDECIDED_REQUEST,
     ...patch,
   };
 }
