Pause only after the watch that brought changes

Cause: the feed kept a flag of whether its last watch had brought changes. A watch told that the history was dropped left the flag as it was, so that the host paused before it listed, and once more after it. Change: the watch that brought changes pauses itself; the flag and the timer of zero after each calm watch are gone. Ruled out: clearing the flag at each call, which keeps the state and the needless timer. Conclusion: the pause belongs to the call that earns it.

--- a/src/common/fleet/FactFeedController.test.ts
+++ b/src/common/fleet/FactFeedController.test.ts
@@ -12,6 +12,8 @@
   const clock = new ManualClock();
   const board = new Blackboard();
   let watches = 0;
+  let isCompacted = false;
+  const lists: number[] = [];
   const listChanges = (after: number): FactChange[] => {
     const changes: FactChange[] = [];
     for (let at = Math.max(from, (after + 1) * 50); at <= Math.min(to, clock.now()); at += 50) {
@@ -20,9 +22,16 @@
     return changes;
   };
   const store: Pick<IFactStore, 'listFacts' | 'watchFacts'> = {
-    listFacts: () => Promise.resolve(Result.ok({ facts: [], revision: 0 })),
+    listFacts: () => {
+      lists.push(clock.now());
+      return Promise.resolve(Result.ok({ facts: [], revision: Math.floor(clock.now() / 50) }));
+    },
     watchFacts: async (after, waitMs) => {
       watches += 1;
+      if (isCompacted) {
+        isCompacted = false;
+        return Result.ok({ kind: 'compacted' as const });
+      }
       const end = clock.now() + waitMs;
       while (listChanges(after).length === 0 && clock.now() < end) {
         await new Promise<void>((resolve) => void clock.schedule(10, resolve));
@@ -33,7 +42,10 @@
   };
   const feed = new FactFeedController({ board, clock, random: () => 0.5, store });
   void feed.run();
-  return { board, clock, feed, countWatches: () => watches };
+  const dropHistory = (): void => {
+    isCompacted = true;
+  };
+  return { board, clock, dropHistory, feed, lists, countWatches: () => watches };
 }
 
 // Guards against a call of every host for every endpoint that comes or goes.
@@ -52,6 +64,17 @@
   feed.dispose();
 });
 
+// Guards against a host that waits twice before it reads what the store has forgotten to tell.
+test('a list follows at once when the store has dropped its history', async (t) => {
+  const { clock, dropHistory, feed, lists } = createRig(50, 50);
+  await clock.advance(100);
+  dropHistory();
+  // One pause after the change, then the watch that tells of it.
+  await clock.advance(700);
+  t.is(lists.length, 2);
+  feed.dispose();
+});
+
 // Guards against a calm store that is asked more often than its connection has to be tested.
 test('a calm store is asked once in the time of a watch', async (t) => {
   const { clock, countWatches, feed, board } = createRig(1, 0);
--- a/src/common/fleet/FactFeedController.ts
+++ b/src/common/fleet/FactFeedController.ts
@@ -36,8 +36,6 @@
  */
 export class FactFeedController extends Disposable {
   private _failures = 0;
-  /** Whether the last call brought changes. */
-  private _hasChanges = false;
 
   constructor(private readonly _options: IFactFeedOptions) {
     super();
@@ -49,7 +47,6 @@
     while (!this._isDisposed) {
       revision = revision === undefined ? await this._list() : await this._watch(revision);
       if (this._failures > 0) await this._waitBeforeRetry();
-      else await this._waitForMoreChanges();
     }
   }
 
@@ -74,8 +71,9 @@
     }
     if (watched.value.kind === 'compacted') return undefined;
     this._handleContact(watched.value.revision);
-    this._hasChanges = watched.value.changes.length > 0;
     for (const change of watched.value.changes) this._apply(change);
+    // Changes that come meanwhile are read by one call.
+    if (watched.value.changes.length > 0) await this._wait(this._measurePause());
     return watched.value.revision;
   }
 
@@ -125,10 +123,9 @@
     return this._wait(longest * (0.5 + 0.5 * this._options.random()));
   }
 
-  /** Changes that come meanwhile are read by one call. */
-  private _waitForMoreChanges(): Promise<void> {
+  private _measurePause(): Millis {
     const applyMs = this._options.board.limits.get('in-force')?.applyMs ?? DEFAULT_APPLY_MS;
-    return this._wait(this._hasChanges ? applyMs * PAUSE_SHARE : 0);
+    return applyMs * PAUSE_SHARE;
   }
 
   private _wait(ms: Millis): Promise<void> {
