--- a/src/adapters/GossipMessages.test.ts
+++ b/src/adapters/GossipMessages.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import type { GossipUpdate, IHostUpdate } from '../common/coordination/Gossip.js';
+import type { GossipUpdate, IHostUpdate } from '../common/coordination/Updates.js';
 import { ok } from 'node:assert';
 import { createGossipHandlers, decodeGossipMessage, encodeGossipMessage } from './GossipMessages.js';
 
--- a/src/adapters/GossipMessages.ts
+++ b/src/adapters/GossipMessages.ts
@@ -1,12 +1,7 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
-import type {
-  CheckHost,
-  ExchangeGossip,
-  GossipUpdate,
-  IGossipMessage,
-  IHostUpdate,
-} from '../common/coordination/Gossip.js';
+import type { CheckHost, ExchangeGossip, IGossipMessage } from '../common/coordination/Gossip.js';
+import type { GossipUpdate, IHostUpdate } from '../common/coordination/Updates.js';
 import type { PeerError, PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 
 /** Tuples instead of objects keep an exchange near 700 bytes. */
--- a/src/common/coordination/EndpointStateController.test.ts
+++ b/src/common/coordination/EndpointStateController.test.ts
@@ -5,7 +5,7 @@
 import type { IAttemptEntry, IEndpointEntry } from '../blackboard/Types.js';
 import { EndpointStateController } from './EndpointStateController.js';
 import { reconcileEndpoint, type IListedEndpointState } from './EndpointStates.js';
-import type { GossipUpdate } from './Gossip.js';
+import type { GossipUpdate } from './Updates.js';
 import { publishUpdate } from './UpdateQueue.js';
 
 const ENDPOINT = createTestEndpoint('engine-1', {
--- a/src/common/coordination/EndpointStateController.ts
+++ b/src/common/coordination/EndpointStateController.ts
@@ -2,13 +2,8 @@
 import type { IAttemptEntry, IEndpointEntry } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
-import {
-  formatUpdateKey,
-  type EndpointCondition,
-  type IEndpointUpdate,
-  type PublishUpdate,
-  type UpdateUrgency,
-} from './Gossip.js';
+import { formatUpdateKey, type PublishUpdate } from './Gossip.js';
+import type { EndpointCondition, IEndpointUpdate, UpdateUrgency } from './Updates.js';
 
 /** Options of the endpoint state controller. */
 export interface IEndpointStateOptions {
--- a/src/common/coordination/Gossip.ts
+++ b/src/common/coordination/Gossip.ts
@@ -3,14 +3,6 @@
 import type { PeerError } from './Peers.js';
 import type { EndpointCondition, GossipUpdate, HostState, IHostUpdate, UpdateUrgency } from './Updates.js';
 
-export type {
-  EndpointCondition,
-  GossipUpdate,
-  IEndpointUpdate,
-  IHostUpdate,
-  UpdateUrgency,
-} from './Updates.js';
-
 /** Both directions of an exchange between two hosts. */
 export interface IGossipMessage {
   /** The sender's own state. */
--- a/src/common/coordination/GossipController.ts
+++ b/src/common/coordination/GossipController.ts
@@ -7,10 +7,9 @@
   isNewerHostState,
   type CheckHost,
   type ExchangeGossip,
-  type GossipUpdate,
   type IGossipMessage,
-  type IHostUpdate,
 } from './Gossip.js';
+import type { GossipUpdate, IHostUpdate } from './Updates.js';
 import {
   applyHostUpdate,
   decideHostState,
--- a/src/common/coordination/HostStates.ts
+++ b/src/common/coordination/HostStates.ts
@@ -1,7 +1,8 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { HostState, IHostEntry } from '../blackboard/Types.js';
 import type { Millis } from '../Types.js';
-import { buildHostUpdate, isNewerHostState, type IHostUpdate, type UpdateUrgency } from './Gossip.js';
+import { buildHostUpdate, isNewerHostState } from './Gossip.js';
+import type { IHostUpdate, UpdateUrgency } from './Updates.js';
 import { publishUpdate } from './UpdateQueue.js';
 
 /** What a change of the `hosts` panel needs to know. */
--- a/src/common/coordination/MembershipController.ts
+++ b/src/common/coordination/MembershipController.ts
@@ -2,7 +2,8 @@
 import type { IHostEntry, IListedHost, ILifecycleEntry } from '../blackboard/Types.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
-import { buildHostUpdate, type IHostUpdate } from './Gossip.js';
+import { buildHostUpdate } from './Gossip.js';
+import type { IHostUpdate } from './Updates.js';
 import { applyHostUpdate, decideHostState, updateOwnState, type IHostStateContext } from './HostStates.js';
 import { isCutOff } from './Readiness.js';
 
--- a/src/common/coordination/UpdateQueue.ts
+++ b/src/common/coordination/UpdateQueue.ts
@@ -1,13 +1,8 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IUpdateEntry } from '../blackboard/Types.js';
 import type { Millis } from '../Types.js';
-import {
-  formatUpdateKey,
-  isNewerUpdate,
-  type GossipUpdate,
-  type PublishUpdate,
-  type UpdateUrgency,
-} from './Gossip.js';
+import { formatUpdateKey, isNewerUpdate, type PublishUpdate } from './Gossip.js';
+import type { GossipUpdate, UpdateUrgency } from './Updates.js';
 
 /** Bounds of the updates in one message. */
 export interface IUpdateLimits {
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -2,7 +2,7 @@
 import type { IAttemptEntry } from '../blackboard/Types.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { DecideRollout } from '../policy/RolloutVerdicts.js';
-import { isAcceptingWork } from '../request/Candidates.js';
+import { isAcceptingWork, listServiceEndpoints } from '../request/Candidates.js';
 import type { IClock, Millis, RandomSource } from '../Types.js';
 import { AnswerQuality } from './AnswerQuality.js';
 import type {
@@ -134,7 +134,7 @@
     const { board, clock, decideRollout, random } = this._options;
     const { service } = rollout;
     if (this._writing.has(service)) return;
-    const endpoints = [...board.endpoints.list()].filter((endpoint) => endpoint.service === service);
+    const endpoints = listServiceEndpoints(board, service);
     const own = this._getEvidence(rollout);
     const others = this._listOthers(rollout);
     const isUnrecorded = rollout.stage === 'rolled-back' && rollout.recordedStage !== 'rolled-back';
--- a/src/common/fleet/PlanController.ts
+++ b/src/common/fleet/PlanController.ts
@@ -1,6 +1,7 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IRequestEntry } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
+import { listServiceEndpoints } from '../request/Candidates.js';
 import { refuseRequest } from '../request/Refusals.js';
 import type { IClock, Millis } from '../Types.js';
 import type { ChooseModels, ChooseRelease } from './Plans.js';
@@ -58,7 +59,7 @@
     const isRecent = session !== undefined && clock.now() - session.pinnedAt < readSessionMs(board);
     return chooseRelease({
       rollout: board.rollouts.get(request.service),
-      endpoints: listOfService(board, request.service),
+      endpoints: listServiceEndpoints(board, request.service),
       lastRelease: isRecent ? session.version : undefined,
       point: hashPoint(`${request.service}/${request.session ?? request.id}`),
       now: clock.now(),
@@ -111,7 +112,3 @@
 function formatSession({ service, session }: IRequestEntry): string {
   return `${service}/${session ?? ''}`;
 }
-
-function listOfService(board: Blackboard, service: string) {
-  return [...board.endpoints.list()].filter((endpoint) => endpoint.service === service);
-}
--- a/src/common/request/Candidates.ts
+++ b/src/common/request/Candidates.ts
@@ -1,3 +1,4 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
 
 /** Tells whether an endpoint may receive new work. */
@@ -13,3 +14,8 @@
   }
   return endpoint.kind === 'engine' && endpoint.versions.includes(request.version ?? '');
 }
+
+/** Lists the endpoints of a service, those that leave included. */
+export function listServiceEndpoints(board: Blackboard, service: string): Readonly<IEndpointEntry>[] {
+  return [...board.endpoints.list()].filter((endpoint) => endpoint.service === service);
+}
--- a/src/common/timeline/TimelineRecorder.ts
+++ b/src/common/timeline/TimelineRecorder.ts
@@ -9,6 +9,8 @@
   /** Wall-clock time, ISO 8601. */
   readWallClock: () => string;
   writeEvent: (event: ITimelineEvent) => void;
+  /** Whether events of a kind are written. Default: all are. */
+  isWritten?: (kind: string) => boolean;
 }
 
 /**
@@ -41,7 +43,8 @@
   public record(kind: string, fields: TimelineFields): void {
     this._lamport += 1;
     this._sequence += 1;
-    const { host, readWallClock, writeEvent } = this._options;
+    const { host, isWritten, readWallClock, writeEvent } = this._options;
+    if (isWritten?.(kind) === false) return;
     writeEvent({ host, lamport: this._lamport, sequence: this._sequence, at: readWallClock(), kind, fields });
   }
 
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -189,11 +189,9 @@
     const { id, sink, writeEvent } = this._options;
     const board = this._board;
     const readWallClock = (): string => new Date().toISOString();
-    const writeDecision = (event: ITimelineEvent): void => {
-      if (!UNLOGGED_KINDS.has(event.kind)) writeEvent(event);
-    };
+    const isWritten = (kind: string): boolean => !UNLOGGED_KINDS.has(kind);
     const timeline = this._register(
-      new TimelineRecorder({ host: id, board, readWallClock, writeEvent: writeDecision }),
+      new TimelineRecorder({ host: id, board, readWallClock, writeEvent, isWritten }),
     );
     const record = timeline.record.bind(timeline);
     this._register(new DecisionRecorder({ board, clock: systemClock, record }));
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -35,14 +35,15 @@
  * host has begun to start: a restarted process serves sooner.
  */
 export async function runRouterProcess(file: string): Promise<void> {
-  const settings = readSettings(file);
-  if (!settings) return;
+  const read = readSettings(file);
+  if (!read) return;
+  const { settings } = read;
   // A signal that arrives before there is a handler ends the process.
   const stopAsked = waitForStop();
   const observers = new LateObservers();
   const { host, stop } = createHost(settings, observers);
   let { limits } = settings;
-  const watch = watchSettings(file, (reloaded) => {
+  const watch = watchSettings(file, read.text, (reloaded) => {
     if (reloaded.isOk) {
       limits = reloaded.value.limits;
       host.applyLimits(toHostLimits(limits));
@@ -182,10 +183,11 @@
   };
 }
 
-function readSettings(file: string): RouterSettings | undefined {
+function readSettings(file: string): { settings: RouterSettings; text: string } | undefined {
   try {
-    const parsed = parseRouterSettings(readFileSync(file, 'utf8'));
-    if (parsed.isOk) return parsed.value;
+    const text = readFileSync(file, 'utf8');
+    const parsed = parseRouterSettings(text);
+    if (parsed.isOk) return { settings: parsed.value, text };
     process.stderr.write(`${file}: ${parsed.error}\n`);
   } catch (error) {
     process.stderr.write(`${file}: ${error instanceof Error ? error.message : String(error)}\n`);
@@ -194,13 +196,14 @@
   return undefined;
 }
 
-/** Tells of changed settings, or why they cannot be used. */
+/** Tells of settings that differ from those in use, or why they cannot be used. */
 function watchSettings(
   file: string,
+  usedText: string,
   onReload: (reloaded: Result<RouterSettings, string>) => void,
 ): NodeJS.Timeout {
-  let text = readFileSync(file, 'utf8');
-  let modifiedAt = statSync(file).mtimeMs;
+  let text = usedText;
+  let modifiedAt: number | undefined;
   const check = (): void => {
     try {
       const { mtimeMs } = statSync(file);
