Compare calls of a stop in the order of their arrival

Cause: the test of a call that follows on an answer from before the stop listed the calls runner by runner. Change: each runner notes a call when it arrives, in one list; the expected order stays. Ruled out: sorting the calls, which would pass when the second call reaches a runner first. Conclusion: the fault lay in the test; the check is as strict as before.

--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -298,8 +298,10 @@
 test('a call that follows on an answer from before the stop is answered too', async (t) => {
   const rig = await RouterRig.start();
   await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const calls: string[] = [];
   for (const runner of rig.runners) {
     runner.answer = async (call, response) => {
+      calls.push(call.path);
       startStream(call, response);
       sendEvents(response, 1, 1);
       await new Promise((resolve) => setTimeout(resolve, 200));
@@ -326,7 +328,6 @@
   const stopped = rig.host.stop();
   await new Promise((resolve) => socket.once('end', resolve));
   await stopped;
-  const calls = rig.runners.flatMap((runner) => runner.calls.map(({ path }) => path));
   await rig.close();
   t.deepEqual(calls, ['/stream/1', '/stream/2']);
   t.deepEqual(received.replaceAll('\r', '').match(/^(HTTP.*|data: .*|0)$/gm), [
