Share the listening, waiting and settings code of tests and daemons

Cause: four servers, three tests and the soak each had code of their own to listen with errors, to wait, to find a free port and to write a test router's settings; the soak kept a list of waiters beside its panel of routers. Change: startListening, waitFor, findFreePort, formatTestSettings and RouterRig.startReady hold each once; the soak waits for the panel's change.

--- a/bench/Faults.ts
+++ b/bench/Faults.ts
@@ -1,7 +1,8 @@
 import { createSeededRandom } from '../src/adapters/Random.js';
+import { waitFor } from '../src/standins/HttpTools.js';
 import { planFaultChain, type IChainedFault } from '../src/testing/FaultChains.js';
 import type { IFleet } from './fleet/Types.js';
-import { putJson, waitFor } from './Http.js';
+import { putJson } from './Http.js';
 
 /** Kind of a fault that the bench injects. */
 export type FaultKind =
--- a/bench/Http.ts
+++ b/bench/Http.ts
@@ -1,5 +1,5 @@
-import { createServer, type AddressInfo } from 'node:net';
 import { request as sendRequest } from 'undici';
+import { waitFor } from '../src/standins/HttpTools.js';
 
 /** Reads JSON from a stand-in or a host. */
 export async function fetchJson(url: string): Promise<unknown> {
@@ -27,11 +27,6 @@
   }
 }
 
-/** Waits. */
-export function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Tells whether a host reports ready. */
 export async function isReady(address: string): Promise<boolean> {
   try {
@@ -42,12 +37,3 @@
     return false;
   }
 }
-
-/** Finds a loopback port that is free now. */
-export async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
--- a/bench/capacity/Daemons.ts
+++ b/bench/capacity/Daemons.ts
@@ -1,8 +1,9 @@
 import { z } from 'zod';
+import { waitFor } from '../../src/standins/HttpTools.js';
 import type { IBenchVersion } from '../Documents.js';
 import { startFleet } from '../Fleet.js';
 import type { IFleet } from '../fleet/Types.js';
-import { fetchJson, waitFor } from '../Http.js';
+import { fetchJson } from '../Http.js';
 import { buildTarget, runAndCollect } from '../Loads.js';
 import type { IPoint } from './Types.js';
 
--- a/bench/capacity/Journal.ts
+++ b/bench/capacity/Journal.ts
@@ -6,8 +6,8 @@
 import { PartitionLog } from '../../src/common/coordination/PartitionLog.js';
 import { applyEntry, createPartitionState } from '../../src/common/coordination/PartitionState.js';
 import type { JournalEntry } from '../../src/common/coordination/Types.js';
+import { waitFor } from '../../src/standins/HttpTools.js';
 import { MemoryStore } from '../../src/testing/MemoryStore.js';
-import { waitFor } from '../Http.js';
 import type { IPoint } from './Types.js';
 
 const MEASURE_MS = 5000;
--- a/bench/fleet/Hosts.ts
+++ b/bench/fleet/Hosts.ts
@@ -1,7 +1,7 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { findFreePort } from '../Http.js';
+import { findFreePort } from '../../src/standins/HttpTools.js';
 import { startProcess } from '../Processes.js';
 import { formatZone } from './Machines.js';
 import type { IFleetSpec, IHostPlace, IHostProcess, IPlatform } from './Types.js';
--- a/bench/scenarios/Configuration.ts
+++ b/bench/scenarios/Configuration.ts
@@ -1,10 +1,10 @@
 import { readFileSync } from 'node:fs';
 import { z } from 'zod';
 import { computeQuantiles } from '../../src/load/LoadRecorder.js';
+import { waitFor } from '../../src/standins/HttpTools.js';
 import { planHostAndStoreFaults, runFaults } from '../Faults.js';
 import { startFleet } from '../Fleet.js';
 import type { IFleet } from '../fleet/Types.js';
-import { waitFor } from '../Http.js';
 import { listQuantileRows } from '../Plots.js';
 import type { IBenchDocument } from '../Documents.js';
 import type { IScenarioOptions, IScenarioResult } from '../Types.js';
--- a/bench/scenarios/Crest.ts
+++ b/bench/scenarios/Crest.ts
@@ -2,10 +2,10 @@
 import { computeQuantiles } from '../../src/load/LoadRecorder.js';
 import { formatRequestName } from '../../src/load/LoadCall.js';
 import type { ICallOutcome, ILoadStep, ILoadSummary } from '../../src/load/Types.js';
+import { waitFor } from '../../src/standins/HttpTools.js';
 import { readBooks } from '../Books.js';
 import { BENCH_VERSION, computeCapacity, DEPLOYMENTS, withDeployment } from '../Deployments.js';
 import type { IFleet } from '../fleet/Types.js';
-import { waitFor } from '../Http.js';
 import { buildTarget, runAndCollect } from '../Loads.js';
 import type { IPlotRow, IScenarioOptions, IScenarioResult } from '../Types.js';
 
--- a/soak/AnswerChecks.ts
+++ b/soak/AnswerChecks.ts
@@ -119,12 +119,7 @@
 /** Runs at runners that ended or were cut off meanwhile do not count. */
 function hasEndedWithRunner(board: SoakBoard, { endedAt, runner, startedAt }: Readonly<IRunEntry>): boolean {
   const stretch = { scopes: [runner], from: startedAt, to: (endedAt ?? startedAt) + CONTACT_MS };
-  const isCut = findDisturbance(
-    board,
-    stretch,
-    ({ kind }) => kind === 'crash-runner' || kind.startsWith('mute') || kind.endsWith('-runner'),
-  );
-  return isCut !== undefined;
+  return findDisturbance(board, stretch, ({ kind }) => kind.endsWith('-runner')) !== undefined;
 }
 
 function listIds(calls: readonly Readonly<ICallEntry>[]): string {
--- a/soak/FleetChecks.ts
+++ b/soak/FleetChecks.ts
@@ -9,6 +9,7 @@
   ROUTERS_SCOPE,
   STORE_SCOPE,
 } from './Disturbances.js';
+import { STOP_MS } from './RouterFleet.js';
 import type { SoakBoard } from './SoakBoard.js';
 import { ROUTES, VERSION_ROUTE } from './Traffic.js';
 import type { ICallEntry, IConfigurationEntry, IRunEntry } from './Types.js';
@@ -18,7 +19,6 @@
 const APPLY_MS: Millis = 2000;
 const BACK_MS: Millis = 250;
 const LATE_MS: Millis = 500;
-const STOP_MS: Millis = 8000;
 const LOSS_SLACK_MS: Millis = 200;
 const BUDGET_WINDOW_MS: Millis = 10_000;
 const BUDGET_SHARE = 0.9;
--- a/soak/Injectors.ts
+++ b/soak/Injectors.ts
@@ -1,6 +1,6 @@
-import { waitFor } from '../bench/Http.js';
 import type { IDisposable } from '../src/common/Lifecycle.js';
 import type { Millis } from '../src/common/Types.js';
+import { waitFor } from '../src/standins/HttpTools.js';
 import type {
   IRevisionStoreStandIn,
   RevisionStoreFault,
--- a/soak/LinkProxy.test.ts
+++ b/soak/LinkProxy.test.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events';
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import test from 'ava';
-import { waitFor } from '../bench/Http.js';
+import { waitFor } from '../src/standins/HttpTools.js';
 import { LinkProxy } from './LinkProxy.js';
 import type { LinkMode } from './Types.js';
 
--- a/soak/LinkProxy.ts
+++ b/soak/LinkProxy.ts
@@ -1,4 +1,5 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { startListening } from '../src/adapters/Listening.js';
 import { toDisposable, type IDisposable } from '../src/common/Lifecycle.js';
 import type { Millis } from '../src/common/Types.js';
 import type { LinkMode } from './Types.js';
@@ -32,7 +33,7 @@
   /** Starts a proxy; it reaches its target only when a connection is made. */
   public static async start(targetPort: number, targetHost = '127.0.0.1'): Promise<LinkProxy> {
     const proxy = new LinkProxy(targetPort, targetHost);
-    await new Promise<void>((resolve) => proxy._server.listen(0, '127.0.0.1', resolve));
+    await startListening(proxy._server, '127.0.0.1', 0);
     return proxy;
   }
 
--- a/soak/RouterFleet.ts
+++ b/soak/RouterFleet.ts
@@ -2,8 +2,10 @@
 import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { waitFor } from '../bench/Http.js';
 import { readUsage } from '../bench/Processes.js';
+import type { Millis } from '../src/common/Types.js';
+import { waitFor } from '../src/standins/HttpTools.js';
+import { formatTestSettings } from '../src/standins/platform/RouterSettings.js';
 import { LinkProxy } from './LinkProxy.js';
 import type { SoakBoard } from './SoakBoard.js';
 
@@ -12,7 +14,7 @@
 const CLOCK_SCRIPT = new URL('./ClockStep.js', import.meta.url).href;
 
 /** Time that a stopped router has before it is killed, as on the platform's deployments. */
-const STOP_MS = 8000;
+export const STOP_MS: Millis = 8000;
 
 /** Pause before a process that has ended is started again. */
 const RESTART_MS = 400;
@@ -55,7 +57,6 @@
 /** Starts router processes, restarts them when they end, and follows whether they are ready. */
 export class RouterFleet {
   private readonly _routers = new Map<string, IRouter>();
-  private readonly _startWaiters = new Set<() => void>();
   private _isClosed = false;
 
   private constructor(private readonly _options: IRouterFleetOptions) {}
@@ -98,11 +99,16 @@
 
   /** Ends a process; resolves when the next one of that router was started. */
   public async endAndStart(id: string, end: () => void): Promise<void> {
-    const before = this._get(id).child;
-    end();
-    while (!this._isClosed && (this._get(id).child ?? before) === before) {
-      await new Promise<void>((resolve) => this._startWaiters.add(resolve));
-    }
+    const { routers } = this._options.board;
+    const before = routers.get(id)?.incarnation;
+    await new Promise<void>((resolve) => {
+      const watch = routers.onChange(({ key, after }) => {
+        if (key !== id || after?.incarnation === before) return;
+        watch.dispose();
+        resolve();
+      });
+      end();
+    });
   }
 
   /** Changes a setting and tells the router. */
@@ -121,7 +127,6 @@
   /** Ends all processes and checks their logs for errors that no handler expected. */
   public close(): void {
     this._isClosed = true;
-    for (const wake of this._startWaiters) wake();
     for (const router of this._routers.values()) {
       router.child?.kill('SIGKILL');
       router.callers.close();
@@ -151,25 +156,8 @@
   }
 
   private _writeSettings({ id, ip, retryShare, store }: IRouter): void {
-    const lines = [
-      '[host]',
-      `id = ${id}`,
-      'zone = a',
-      `ip = ${ip}`,
-      `front = ${ip}:${PORTS.front}`,
-      `ready = ${ip}:${PORTS.ready}`,
-      `metrics_port = ${PORTS.metrics}`,
-      '[store]',
-      `address = ${store.address}`,
-      '[limits]',
-      `retry_share = ${retryShare}`,
-      `stop_ms = ${STOP_MS}`,
-      'session_ms = 5000',
-      'exposure_share = 0.15',
-      'contact_ms = 3000',
-      'apply_ms = 2000',
-    ];
-    writeFileSync(this._locate(id, 'ini'), `${lines.join('\n')}\n`);
+    const settings = { id, ip, ports: PORTS, store: store.address, retryShare, stopMs: STOP_MS };
+    writeFileSync(this._locate(id, 'ini'), formatTestSettings(settings));
   }
 
   private _startProcess(router: IRouter): void {
@@ -190,10 +178,6 @@
     child.once('exit', (code, signal) => {
       this._handleExit(router, code, signal);
     });
-    for (const wake of [...this._startWaiters]) {
-      this._startWaiters.delete(wake);
-      wake();
-    }
   }
 
   private _handleExit(router: IRouter, code: number | null, signal: NodeJS.Signals | null): void {
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -1,9 +1,9 @@
 import { mkdirSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
-import { waitFor } from '../bench/Http.js';
 import { createSeededRandom } from '../src/adapters/Random.js';
 import type { Millis } from '../src/common/Types.js';
+import { waitFor } from '../src/standins/HttpTools.js';
 import { startRevisionStoreServer } from '../src/standins/platform/RevisionStoreServer.js';
 import { ANSWER_CHECKS } from './AnswerChecks.js';
 import { CheckController } from './CheckController.js';
--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'node:http';
-import { waitFor } from '../bench/Http.js';
 import type { Millis, RandomSource } from '../src/common/Types.js';
+import { waitFor } from '../src/standins/HttpTools.js';
 import { sendCall } from '../src/standins/platform/CallSender.js';
 import type { SoakBoard } from './SoakBoard.js';
 import { findAccount } from './SoakOperator.js';
--- a/soak/SoakRunner.ts
+++ b/soak/SoakRunner.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
-import { waitFor } from '../bench/Http.js';
 import { toDisposable, type IDisposable } from '../src/common/Lifecycle.js';
 import type { Millis, RandomSource } from '../src/common/Types.js';
+import { waitFor } from '../src/standins/HttpTools.js';
 import type { IRevisionStoreStandIn } from '../src/standins/platform/RevisionStoreServer.js';
 import {
   startRunnerStandIn,
--- a/src/adapters/MetricsPage.ts
+++ b/src/adapters/MetricsPage.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { IMetricsSink, MetricName, MetricTags } from '../common/metrics/Types.js';
+import { startListening } from './Listening.js';
 
 /** Upper bounds of the latency buckets, in milliseconds. */
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1000, 2000, 4000, 8000, 16_000];
@@ -52,10 +53,7 @@
       });
     });
     this._server = server;
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, ip, resolve);
-    });
+    return startListening(server, ip, port);
   }
 
   /** Stops serving. */
--- a/src/adapters/PeerRpc.ts
+++ b/src/adapters/PeerRpc.ts
@@ -6,6 +6,7 @@
 import { Agent, request as sendRequest } from 'undici';
 import type { PeerError, PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 import type { Millis } from '../common/Types.js';
+import { startListening } from './Listening.js';
 
 /** Carries causal order between processes; see the time line. */
 export interface ILamportClock {
@@ -93,10 +94,7 @@
   const server = createServer((request, response) => {
     void handleMessage(options, rpc, request, response);
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.port, options.ip, resolve);
-  });
+  await startListening(server, options.ip, options.port);
   return { port: (server.address() as AddressInfo).port, close: () => closeServer(server) };
 }
 
--- a/src/daemons/EntryHost.test.ts
+++ b/src/daemons/EntryHost.test.ts
@@ -1,6 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
@@ -11,6 +10,7 @@
 import { applyEdit } from '../common/config/ConfigEditor.js';
 import { startEngineServer, type IEngineStandIn } from '../standins/EngineServer.js';
 import { startHostListServer, type IHostListStandIn } from '../standins/HostListServer.js';
+import { findFreePort, waitFor } from '../standins/HttpTools.js';
 import { startKeyValueServer, type IKeyValueStandIn } from '../standins/KeyValueServer.js';
 
 const MAIN = new URL('../cli/Main.js', import.meta.url).pathname;
@@ -72,10 +72,6 @@
     : `${reply.statusCode} ${text.slice(-200)}`;
 }
 
-async function waitFor(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 interface IPlatform {
   store: IKeyValueStandIn;
   hostList: IHostListStandIn;
@@ -124,14 +120,6 @@
   return file;
 }
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 async function waitUntilReady(address: string): Promise<void> {
   while (!(await isReady(address))) await waitFor(50);
 }
--- a/src/daemons/FrontEnd.ts
+++ b/src/daemons/FrontEnd.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import type { ChatChunk } from '../adapters/EngineClient.js';
 import { hashAccountKey } from '../adapters/Random.js';
+import { startListening } from '../adapters/Listening.js';
 import type { Blackboard } from '../common/blackboard/Blackboard.js';
 import type { IRefusal, IRequestEntry } from '../common/blackboard/Types.js';
 import type { IServiceDocument } from '../common/config/Types.js';
@@ -98,10 +99,7 @@
   /** Starts to listen; resolves with the bound port. */
   public async startListening(): Promise<number> {
     const { ip, port } = this._options;
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject);
-      this._server.listen(port, ip, resolve);
-    });
+    await startListening(this._server, ip, port);
     return (this._server.address() as AddressInfo).port;
   }
 
--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -6,8 +6,7 @@
 
 // Guards against a request that reaches a runner changed, without its account, or with the caller's key.
 test('a call is forwarded unchanged, with the headers that the router sets', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   const headers = { tenant: 'forged', 'expect-instance': 'forged', 'x-own': 'kept', 'kv-from': 'forged' };
   const view = await rig.send('/look/a?b=c', headers, { body: 'a body' });
   t.snapshot({ status: view.status, body: view.body.replace(/p-\d/, 'p-N'), isWhole: view.isWhole });
@@ -22,8 +21,7 @@
 
 // Guards against calls that are denied wrongly, and against a promise where a configuration is not known.
 test('calls without a route, key or configuration are refused with the right status', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   const statuses = [
     (await rig.send('/none/1')).status,
     (await rig.send('/look/1', { authorization: 'Token wrong' })).status,
@@ -42,8 +40,7 @@
 
 // Guards against a non-idempotent call that runs twice, or that is promised not to have run when it may have.
 test('a call that must not be repeated is sent elsewhere only when a runner says that it has not run', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   const plain = rig.runners.filter(({ id }) => id.startsWith('p'));
   for (const runner of plain) {
     runner.answer = (_call, response) => {
@@ -64,8 +61,7 @@
 
 // Guards against a failure of one runner that reaches the caller although another runner would answer.
 test('a call that may be repeated is answered by another runner after a failure', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   let failures = 0;
   for (const runner of rig.runners) {
     runner.answer = (call, response) => {
@@ -80,8 +76,7 @@
 
 // Guards against an answer without a length that a reset cut short and that passes for a whole one.
 test('an answer that ends with a reset is not taken for a whole one', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   let isFirst = true;
   for (const runner of rig.runners) {
     runner.answer = (call, response) => {
@@ -104,8 +99,7 @@
 
 // Guards against an answer without a length that gets one here: where its runner broke off it would look whole.
 test('an answer that ends with its connection is handed on in the same way', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   for (const runner of rig.runners) {
     runner.answer = (call, response) => {
       const id = call.headers['attempt-id']?.toString() ?? '';
@@ -120,8 +114,7 @@
 
 // Guards against a route whose time-out is held past while a runner is slow.
 test('a call ends at the time-out of its route', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   for (const runner of rig.runners) runner.answer = () => undefined;
   const startedAt = performance.now();
   const view = await rig.send('/short/1');
@@ -132,8 +125,7 @@
 
 // Guards against pieces that are lost or doubled when a stream goes on at another runner.
 test('a stream that breaks off within an event goes on at another runner after the last whole event', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   let isFirst = true;
   const resumedAfter: (string | undefined)[] = [];
   for (const runner of rig.runners) {
@@ -158,8 +150,7 @@
 
 // Guards against a doubtful answer that reaches the caller, and against a mix of two models' pieces.
 test('an answer that its model doubts is dropped for the largest model', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   const models: (string | undefined)[] = [];
   for (const runner of rig.runners) {
     runner.answer = (call, response) => {
@@ -178,8 +169,7 @@
 
 // Guards against a caller that gets pieces of two models where the second runner doubts what the first began.
 test('a stream that goes on after a failure keeps its model', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   const models: (string | undefined)[] = [];
   for (const runner of rig.runners) {
     runner.answer = (call, response) => {
@@ -198,8 +188,7 @@
 
 // Guards against a refusal by an estimate alone while runners are free, which no later answer would correct.
 test('a call is tried although earlier ones took longer than it may', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   let pauseMs = 200;
   for (const runner of rig.runners) {
     runner.answer = async (call, response) => {
@@ -221,8 +210,7 @@
 
 // Guards against a caller that reads a complete answer although its runner broke off and none can go on.
 test('a stream that no runner finishes does not look complete', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   for (const runner of rig.runners) {
     runner.answer = (call, response) => {
       startStream(call, response);
@@ -237,8 +225,7 @@
 
 // Guards against work for a runner that has said that it leaves, and a configuration that goes back.
 test('a leaving runner and an old configuration take effect and are ignored, respectively', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   const [leaving] = rig.runners.filter(({ id }) => id === 'p-1');
   rig.publish(leaving!, 'ledger', { state: 'draining' });
   rig.store.put('op/config', { ...TEST_CONFIGURATION, version: 3, routes: [] });
@@ -255,8 +242,7 @@
 
 // Guards against requests that are lost while the store is away, and a watch that does not come back.
 test('calls are served while the store is away, and changes are seen after it', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   rig.store.fault = 'refuse';
   await new Promise((resolve) => setTimeout(resolve, 200));
   rig.store.put('op/config', { ...TEST_CONFIGURATION, version: 5 });
@@ -276,8 +262,7 @@
 
 // Guards against a stop that cuts off a request or refuses one that arrives while callers still come.
 test('a stop finishes what runs and keeps serving until the balancer has noticed', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   for (const runner of rig.runners) {
     runner.answer = async (call, response) => {
       await new Promise((resolve) => setTimeout(resolve, 300));
@@ -296,8 +281,7 @@
 
 // Guards against a call that is run and cannot be answered, as the host has ended its connection meanwhile.
 test('a call that follows on an answer from before the stop is answered too', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   const calls: string[] = [];
   for (const runner of rig.runners) {
     runner.answer = async (call, response) => {
@@ -344,8 +328,7 @@
 
 // Guards against a long request that is taken shortly before the kill, on a connection that was busy until then.
 test('a connection that was busy during a stop takes no further call', async (t) => {
-  const rig = await RouterRig.start();
-  await rig.waitUntil(async () => (await rig.readReady()) === 200);
+  const rig = await RouterRig.startReady();
   for (const runner of rig.runners) {
     runner.answer = async (call, response) => {
       startStream(call, response);
--- a/src/daemons/RouterProcess.test.ts
+++ b/src/daemons/RouterProcess.test.ts
@@ -1,43 +1,20 @@
 import { spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import test from 'ava';
+import { findFreePort } from '../standins/HttpTools.js';
 import { startRevisionStoreServer } from '../standins/platform/RevisionStoreServer.js';
 import { TEST_CONFIGURATION } from '../standins/platform/RouterRig.js';
+import { formatTestSettings } from '../standins/platform/RouterSettings.js';
 
 const SCRIPT = fileURLToPath(new URL('../../router/RouterMain.js', import.meta.url));
 
-async function findPort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 function formatSettings(ports: readonly number[], store: string, retryShare: number): string {
-  const [front, ready, metrics] = ports.map(String);
-  return [
-    '[host]',
-    'id = host-1',
-    'zone = a',
-    'ip = 127.0.0.1',
-    `front = 127.0.0.1:${front}`,
-    `ready = 127.0.0.1:${ready}`,
-    `metrics_port = ${metrics}`,
-    '[store]',
-    `address = ${store.replace('http://', '')}`,
-    '[limits]',
-    `retry_share = ${retryShare}`,
-    'stop_ms = 2000',
-    'session_ms = 5000',
-    'exposure_share = 0.15',
-    'contact_ms = 3000',
-    'apply_ms = 2000',
-  ].join('\n');
+  const [front = 0, ready = 0, metrics = 0] = ports;
+  const place = { id: 'host-1', ip: '127.0.0.1', ports: { front, ready, metrics } };
+  return formatTestSettings({ ...place, store: store.replace('http://', ''), retryShare, stopMs: 2000 });
 }
 
 async function waitUntil(isMet: () => boolean | Promise<boolean>): Promise<void> {
@@ -56,7 +33,7 @@
   const settings = join(folder, 'router.ini');
   const store = await startRevisionStoreServer();
   store.put('op/config', TEST_CONFIGURATION);
-  const ports = [await findPort(), await findPort(), await findPort()];
+  const ports = [await findFreePort(), await findFreePort(), await findFreePort()];
   writeFileSync(settings, formatSettings(ports, store.address, 0.9));
   const child = spawn(process.execPath, [SCRIPT, settings], { stdio: ['ignore', 'pipe', 'inherit'] });
   let output = '';
--- a/src/standins/HttpTools.ts
+++ b/src/standins/HttpTools.ts
@@ -1,11 +1,12 @@
 import { createServer, type IncomingMessage, type RequestListener, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { startListening } from '../adapters/Listening.js';
 import type { IStandIn } from './Types.js';
 
 /** Serves requests on a loopback port; port 0 picks a free one. */
 export async function startServer(listener: RequestListener, port = 0): Promise<IStandIn> {
   const server = createServer({ keepAliveTimeout: 60_000 }, listener);
-  await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
+  await startListening(server, '127.0.0.1', port);
   const bound = server.address() as AddressInfo;
   return {
     address: `http://127.0.0.1:${bound.port}`,
@@ -19,6 +20,15 @@
   };
 }
 
+/** Finds a loopback port that is free now. */
+export async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await startListening(server, '127.0.0.1', 0);
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
 /** Reads a whole request body. */
 export async function readBody(request: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -60,6 +60,13 @@
     return rig;
   }
 
+  /** Starts a host with the test configuration and waits until it is ready. */
+  public static async startReady(): Promise<RouterRig> {
+    const rig = await RouterRig.start();
+    await rig.waitUntil(async () => (await rig.readReady()) === 200);
+    return rig;
+  }
+
   /** `ip:port` for callers. */
   public get front(): string {
     return this._front;
--- /dev/null
+++ b/src/standins/platform/RouterSettings.ts
@@ -0,0 +1,33 @@
+/** What differs between the settings of test routers. */
+export interface ITestSettings {
+  id: string;
+  ip: string;
+  ports: { front: number; ready: number; metrics: number };
+  /** `ip:port` of the store. */
+  store: string;
+  retryShare: number;
+  stopMs: number;
+}
+
+/** Formats the settings file of a router process, with the limits of the smallest deployments. */
+export function formatTestSettings({ id, ip, ports, retryShare, stopMs, store }: ITestSettings): string {
+  const lines = [
+    '[host]',
+    `id = ${id}`,
+    'zone = a',
+    `ip = ${ip}`,
+    `front = ${ip}:${ports.front}`,
+    `ready = ${ip}:${ports.ready}`,
+    `metrics_port = ${ports.metrics}`,
+    '[store]',
+    `address = ${store}`,
+    '[limits]',
+    `retry_share = ${retryShare}`,
+    `stop_ms = ${stopMs}`,
+    'session_ms = 5000',
+    'exposure_share = 0.15',
+    'contact_ms = 3000',
+    'apply_ms = 2000',
+  ];
+  return `${lines.join('\n')}\n`;
+}
