Remember load reports of endpoints for four seconds

Cause: on the grown site 61 hosts share 63 endpoints, so that a host hears from an endpoint only every few seconds. A report faded to a third in 1.5 s, and the endpoint then counted as idle; calls that share a prompt went to endpoints with a long queue (a call waited 1.5 s at its runner and streamed until its deadline). Change: a report counts for 1/e after 4 s.

--- a/src/common/policy/Affinity.ts
+++ b/src/common/policy/Affinity.ts
@@ -10,8 +10,11 @@
   hashPoint: (text: string) => number;
 }
 
-/** Age at which a load report counts for 1/e. */
-const REPORT_FADING_MS: Millis = 1500;
+/**
+ * Age at which a load report counts for 1/e. A host in a large fleet hears from an endpoint only every few seconds,
+ * and takes one that it has forgotten for idle.
+ */
+const REPORT_FADING_MS: Millis = 4000;
 
 /** Burden relative to the mean, and beyond it, up to which affinity decides. */
 const MAX_BURDEN_FACTOR = 1.3;
