Read leases without a holder again on hosts that do not stand by

Three hosts stand by for a partition and hear of its owner by their own tries; any other host read the lease once, at its start, before it had a holder, and never again. With up to three hosts each stands by for all partitions, so that only larger fleets showed it. Change: such a host reads the lease once a second until it has a holder. Ruled out: load, since it came with the machine at 6 of 8 cores in use and is gone on the same machine; readiness without known owners, which would send requests to hosts that cannot claim them. The new test fails without the change.

--- a/src/common/coordination/PartitionOwnerController.test.ts
+++ b/src/common/coordination/PartitionOwnerController.test.ts
@@ -114,3 +114,17 @@
   checkOwned(t, fleet);
   t.snapshot({ before, during, after: fleet.describe() });
 });
+
+// Guards against a host that never gets ready: it read the leases before they had holders, and it stands by for
+// none of these partitions, so that nothing told it of the owners that came later.
+test('a host that stands by for no partition learns of owners that come after its start', async (t) => {
+  const fleet = new Fleet();
+  for (let number = 1; number <= 12; number += 1) fleet.add(`host-${number}`);
+  await fleet.clock.advance(12_000);
+  const unknown = [...fleet.members].flatMap(([host, { board }]) =>
+    Array.from({ length: PARTITIONS }, (_, partition) => partition)
+      .filter((partition) => board.partitions.get(partition)?.owner === undefined)
+      .map((partition) => `${host} ${partition}`),
+  );
+  t.deepEqual(unknown, []);
+});
--- a/src/common/coordination/PartitionOwnerController.ts
+++ b/src/common/coordination/PartitionOwnerController.ts
@@ -31,10 +31,15 @@
  */
 const HANDOVER_REPEAT_MS = 300_000;
 
+/** A host that does not stand by for a partition reads its lease again until it has a holder. */
+const OWNER_READ_MS: Millis = 1000;
+
 interface IOwnedPartition {
   owner: FencedOwner;
   log: PartitionLog | undefined;
   handover: IDisposable | undefined;
+  /** Next read of a lease that had no holder. */
+  read: IDisposable | undefined;
   lastHandoverAt: Millis;
 }
 
@@ -57,6 +62,7 @@
       owner: this._createOwner(partition),
       log: undefined,
       handover: undefined,
+      read: undefined,
       lastHandoverAt: Number.NEGATIVE_INFINITY,
     }));
     const { board } = this._options;
@@ -108,8 +114,9 @@
 
   public override dispose(): void {
     super.dispose();
-    this._partitions.forEach(({ owner, handover }, partition) => {
+    this._partitions.forEach(({ owner, handover, read }, partition) => {
       handover?.dispose();
+      read?.dispose();
       owner.dispose();
       this._closeLog(partition);
     });
@@ -135,8 +142,23 @@
 
   private async _readOwner(partition: number): Promise<boolean> {
     const found = await this._options.store.get(Lease.formatKey(formatLeaseName(partition)));
-    if (found.isOk) this._handleHolder(partition, readHolder(found.value));
-    return found.isOk;
+    if (found.isErr) return false;
+    const holder = readHolder(found.value);
+    this._handleHolder(partition, holder);
+    if (holder === undefined) this._scheduleRead(partition);
+    return true;
+  }
+
+  /** Hosts that stand by are told of the holder by their own tries to get the lease. */
+  private _scheduleRead(partition: number): void {
+    const owned = this._partitions[partition];
+    if (!owned || this._isDisposed) return;
+    owned.read?.dispose();
+    owned.read = this._options.clock.schedule(OWNER_READ_MS, () => {
+      if (this._options.board.partitions.get(partition)?.owner !== undefined) return;
+      if (this._rankSelf(partition) === undefined) void this.refreshOwner(partition);
+      else this._scheduleRead(partition);
+    });
   }
 
   private async _startLog(partition: number): Promise<boolean> {
