Log the evidence behind each decision on a rollout

The host that decides on a stage now writes the counts of good and bad answers, the number of hosts that they come from and the elapsed time to its entry of the rollouts panel, and the timeline has them as rollout.decided.

--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -145,10 +145,12 @@
     const localEvidence = this._getLocalEvidence(rollout);
     const remoteEvidence = this._listRemoteEvidence(rollout);
     const isRollbackUnrecorded = rollout.stage === 'rolled-back' && rollout.recordedStage !== 'rolled-back';
+    const oldCounts = sumCounts([localEvidence.oldCounts, ...remoteEvidence.map((entry) => entry.oldCounts)]);
+    const newCounts = sumCounts([localEvidence.newCounts, ...remoteEvidence.map((entry) => entry.newCounts)]);
     const decidedStage = decideRollout({
       rollout,
-      oldCounts: sumCounts([localEvidence.oldCounts, ...remoteEvidence.map(({ oldCounts }) => oldCounts)]),
-      newCounts: sumCounts([localEvidence.newCounts, ...remoteEvidence.map(({ newCounts }) => newCounts)]),
+      oldCounts,
+      newCounts,
       oldInFlight: endpoints
         .filter(({ release }) => release !== rollout.release)
         .reduce((sum, { inFlight }) => sum + inFlight, 0),
@@ -163,6 +165,11 @@
       return;
     }
     this._pendingWrites.add(service);
+    const hostCount = remoteEvidence.length + 1;
+    const elapsedMs = clock.now() - rollout.orderSeenAt;
+    board.rollouts.update(service, {
+      decision: { stage: nextStage, oldCounts, newCounts, hostCount, elapsedMs },
+    });
     const delayMs = nextStage === 'rolled-back' ? 0 : MAX_WRITE_DELAY_MS * random();
     clock.schedule(delayMs, () => void this._writeStage(service, rollout.order, nextStage));
   }
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -129,6 +129,17 @@
   reason?: string;
 }
 
+/** A change of a rollout's stage that this host decided on, with the evidence that it knew then. */
+export interface IRolloutDecision {
+  stage: RolloutStage;
+  oldCounts: IAnswerCounts;
+  newCounts: IAnswerCounts;
+  /** Number of hosts whose counts are included, this host among them. */
+  hostCount: number;
+  /** Time since this host first read the order. */
+  elapsedMs: Millis;
+}
+
 /** A rollout as this host knows it. */
 export interface IRolloutEntry {
   service: string;
@@ -149,6 +160,8 @@
   orderSeenAt: Millis;
   /** When this host first read the current stage. */
   stageSeenAt: Millis;
+  /** Last decision of this host on the rollout. Absent if other hosts decided on every stage. */
+  decision?: IRolloutDecision;
 }
 
 /** Limits that can be changed while the host runs. */
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -1,5 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IAttemptEntry } from '../blackboard/Types.js';
+import type { IRolloutDecision } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import type { TimelineFields } from './Types.js';
@@ -93,14 +94,29 @@
     );
     this._register(
       board.rollouts.onChange(({ before, after }) => {
-        if (!after || before?.stage === after.stage) return;
-        const { order, release, service, stage } = after;
-        record('rollout.stage', { service, release, stage, order });
+        if (!after) return;
+        const { decision, order, release, service, stage } = after;
+        if (before?.stage !== stage) record('rollout.stage', { service, release, stage, order });
+        if (decision && decision !== before?.decision)
+          record('rollout.decided', { service, release, order, ...describeDecision(decision) });
       }),
     );
   }
 }
 
+function describeDecision(decision: IRolloutDecision): TimelineFields {
+  const { elapsedMs, hostCount, newCounts, oldCounts, stage } = decision;
+  return {
+    stage,
+    elapsedMs: Math.round(elapsedMs),
+    hosts: hostCount,
+    newGood: newCounts.good,
+    newBad: newCounts.bad,
+    oldGood: oldCounts.good,
+    oldBad: oldCounts.bad,
+  };
+}
+
 function describeAttempt({ endpoint, id, request, version }: IAttemptEntry): TimelineFields {
   return { request, attempt: id, endpoint, version };
 }
