--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -48,6 +48,8 @@
   private _storeClient!: StoreClient;
   private _runnerClient!: EndpointClient;
   private _callCount = 0;
+  /** Whether another rig owns the store. */
+  private _isPeer = false;
 
   /**
    * Starts a host with the runners `m-1` and `m-2` for models and `p-1` and `p-2` for plain calls. Stores no
@@ -57,9 +59,9 @@
     const rig = new RouterRig();
     rig.store = await startRevisionStoreServer();
     if (configuration !== null) rig.store.put('op/config', configuration);
-    for (const id of ['m-1', 'm-2']) await rig._addRunner(id, MODEL_SERVICE, ['small', 'large']);
-    for (const id of ['p-1', 'p-2']) await rig._addRunner(id, PLAIN_SERVICE, []);
-    await rig._startHost();
+    for (const id of ['m-1', 'm-2']) await rig.addRunner(id, MODEL_SERVICE);
+    for (const id of ['p-1', 'p-2']) await rig.addRunner(id, PLAIN_SERVICE);
+    await rig._startHost('host-1');
     return rig;
   }
 
@@ -70,6 +72,28 @@
     return rig;
   }
 
+  /** Starts another host on the same store. Its `close` leaves the store and the runners running. */
+  public async startPeer(id: string): Promise<RouterRig> {
+    const peer = new RouterRig();
+    peer.store = this.store;
+    peer._isPeer = true;
+    await peer._startHost(id);
+    await peer.waitUntil(async () => (await peer.fetchReadyStatus()) === 200);
+    return peer;
+  }
+
+  /** Starts a runner and announces it, with the given fields of its record. */
+  public async addRunner(
+    id: string,
+    service: string,
+    overrides: Record<string, unknown> = {},
+  ): Promise<IRunnerStandIn> {
+    const runner = await startRunnerStandIn(id);
+    this.runners.push(runner);
+    this.publish(runner, service, overrides);
+    return runner;
+  }
+
   /** `ip:port` where the host takes calls. */
   public get frontAddress(): string {
     return this._frontAddress;
@@ -131,21 +155,15 @@
     this._runnerClient.close();
     this._storeClient.close();
     for (const runner of this.runners) await runner.close();
-    await this.store.close();
-  }
-
-  private async _addRunner(id: string, service: string, models: readonly string[]): Promise<void> {
-    const runner = await startRunnerStandIn(id);
-    this.runners.push(runner);
-    this.publish(runner, service, { models: models.map((name) => ({ name, version: 1 })) });
+    if (!this._isPeer) await this.store.close();
   }
 
-  private async _startHost(): Promise<void> {
+  private async _startHost(id: string): Promise<void> {
     this._storeClient = new StoreClient({ address: this.store.address.replace('http://', '') });
     const addresses = { address: '127.0.0.1:0', readyAddress: '127.0.0.1:0' };
     let frontServer: FrontServer | undefined;
     this.host = new RouterHost({
-      id: 'host-1',
+      id,
       zone: 'a',
       store: createFactStore(this._storeClient),
       createEndpointClient: (decideSilence) => {
