Hold sessions on the old release on every host during a canary stage

Cause: a host chose the release of a session that it had not served by the session's hash alone, although the host of the previous request had run it on the old release. What one host had seen was not known where it decided.

Each host now publishes the sessions that the canary stage would move, when it reads the start of the stage and again when it begins to use the new release. Between the two, for two pauses of the watch and 0.3 s, all sessions stay on the old release. What remains is a session that is first seen and comes to another host within that exchange. It costs at most two writes a host and rollout.

--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -20,6 +20,7 @@
   IRoutingTable,
   IServiceEntry,
   ISessionEntry,
+  ISessionHoldsEntry,
   ICrashSuspectEntry,
   IGossipUpdateEntry,
   IWorkEstimate,
@@ -89,6 +90,8 @@
   public readonly limits = this._createPanel<'in-force', IHostLimits>();
   /** Rollouts of releases, by name of the service. */
   public readonly rollouts = this._createPanel<string, IRolloutEntry>();
+  /** Sessions that stay on the old release during a canary stage, by name of the service. */
+  public readonly sessionHolds = this._createPanel<string, ISessionHoldsEntry>();
   /** Encoded configuration: the latest one offered, and the one in force. */
   public readonly configuration = this._createPanel<'offered' | 'in-force', IConfigurationEntry>();
 
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -4,7 +4,13 @@
 import type { RunCheckResult } from '../request/Types.js';
 import type { Millis, Priority, RanStatus } from '../Types.js';
 export type { HostState } from '../coordination/Updates.js';
-export type { IFactEntry, IStoreConnectionEntry, IHostLimits, IRolloutEntry } from '../fleet/Types.js';
+export type {
+  IFactEntry,
+  IStoreConnectionEntry,
+  IHostLimits,
+  IRolloutEntry,
+  ISessionHoldsEntry,
+} from '../fleet/Types.js';
 export type { IRoutingTable } from '../routes/Types.js';
 
 /**
--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -31,6 +31,14 @@
 const MIN_RETRY_DELAY_MS = 50;
 const MAX_RETRY_DELAY_MS = 800;
 
+/**
+ * Computes the pause after a watch that brought changes. A host reads a change at most this much later than
+ * the store has it.
+ */
+export function computeWatchPause(maxApplyDelayMs: Millis = DEFAULT_APPLY_MS): Millis {
+  return maxApplyDelayMs * WATCH_PAUSE_SHARE;
+}
+
 /**
  * Keeps the `facts` panel equal to the store: lists all facts once, then watches for changes. After a failed
  * call it watches from the last revision again. If the store has compacted the changes since that revision,
@@ -75,7 +83,9 @@
     this._handleStoreReply(watched.value.revision);
     for (const change of watched.value.changes) this._applyChange(change);
     // The next watch reads all changes that are made during the pause in one call.
-    if (watched.value.changes.length > 0) await this._wait(this._computeWatchPause());
+    if (watched.value.changes.length > 0) {
+      await this._wait(computeWatchPause(board.limits.get('in-force')?.maxApplyDelayMs));
+    }
     return watched.value.revision;
   }
 
@@ -126,11 +136,6 @@
     return this._wait(maxDelayMs * (0.5 + 0.5 * this._options.random()));
   }
 
-  private _computeWatchPause(): Millis {
-    const maxApplyDelayMs = this._options.board.limits.get('in-force')?.maxApplyDelayMs ?? DEFAULT_APPLY_MS;
-    return maxApplyDelayMs * WATCH_PAUSE_SHARE;
-  }
-
   private _wait(ms: Millis): Promise<void> {
     return new Promise((resolve) => {
       this._options.clock.schedule(ms, resolve);
--- a/src/common/fleet/PlanController.ts
+++ b/src/common/fleet/PlanController.ts
@@ -4,6 +4,7 @@
 import { listServiceEndpoints } from '../request/Candidates.js';
 import { refuseRequest } from '../request/Refusals.js';
 import type { IClock, Millis } from '../Types.js';
+import { formatSessionKey, isSessionActive } from './Sessions.js';
 import type { ChooseModels, ChooseRelease } from './VersionChoice.js';
 import { formatVersion, parseVersion } from './Versions.js';
 
@@ -15,6 +16,8 @@
   chooseRelease: ChooseRelease;
   /** Hashes a text to a fraction from 0 up to but excluding 1. All hosts must compute the same value. */
   hashToFraction: (text: string) => number;
+  /** Shortens the key of a session as in the published holds. */
+  hashSession: (sessionKey: string) => string;
 }
 
 const NO_ENDPOINT_RETRY_AFTER_MS: Millis = 300;
@@ -36,7 +39,9 @@
     );
     this._register(
       _options.board.attempts.onChange(({ before, after }) => {
-        if (after?.phase === 'sent' && before?.phase === 'planned') this._recordSessionRelease(after.request);
+        const request = after && _options.board.requests.get(after.request);
+        if (request && after.phase === 'sent' && before?.phase === 'planned')
+          this._recordSessionRelease(request);
       }),
     );
   }
@@ -55,16 +60,18 @@
   }
 
   private _chooseRelease(request: IRequestEntry): string | undefined {
-    const { board, chooseRelease, clock, hashToFraction } = this._options;
-    const session = request.session === undefined ? undefined : board.sessions.get(formatSessionKey(request));
-    const isSessionActive =
-      session !== undefined && clock.now() - session.pinnedAt < readSessionRetentionMs(board);
+    const { board, chooseRelease, clock, hashSession, hashToFraction } = this._options;
+    const now = clock.now();
+    const sessionKey = formatSessionKey({ ...request, session: request.session ?? request.id });
+    const session = request.session === undefined ? undefined : board.sessions.get(sessionKey);
+    const holds = request.session === undefined ? undefined : board.sessionHolds.get(request.service);
     return chooseRelease({
       rollout: board.rollouts.get(request.service),
       endpoints: listServiceEndpoints(board, request.service),
-      lastRelease: isSessionActive ? session.version : undefined,
-      hashFraction: hashToFraction(`${request.service}/${request.session ?? request.id}`),
-      now: clock.now(),
+      lastRelease: session && isSessionActive(board, session, now) ? session.version : undefined,
+      isHeld: holds?.sessions.has(hashSession(sessionKey)) ?? false,
+      hashFraction: hashToFraction(sessionKey),
+      now,
     });
   }
 
@@ -87,11 +94,10 @@
     };
   }
 
-  private _recordSessionRelease(requestId: string): void {
+  private _recordSessionRelease(request: IRequestEntry): void {
     const { board, clock } = this._options;
-    const request = board.requests.get(requestId);
-    const release = parseVersion(request?.version ?? '')?.release;
-    if (!request || release === undefined || request.session === undefined) return;
+    const release = parseVersion(request.version ?? '')?.release;
+    if (release === undefined || request.session === undefined) return;
     const key = formatSessionKey(request);
     // Deleted first, so that the panel lists sessions from the least to the most recently used.
     // _deleteExpiredSessions stops at the first session that has not expired.
@@ -102,19 +108,9 @@
 
   private _deleteExpiredSessions(): void {
     const { board, clock } = this._options;
-    const retentionMs = readSessionRetentionMs(board);
-    for (const { key, pinnedAt } of board.sessions.list()) {
-      if (clock.now() - pinnedAt < retentionMs) return;
-      board.sessions.delete(key);
+    for (const session of board.sessions.list()) {
+      if (isSessionActive(board, session, clock.now())) return;
+      board.sessions.delete(session.key);
     }
   }
 }
-
-/** Reads the time after the last request of a session for which the session keeps its release. */
-function readSessionRetentionMs(board: Blackboard): Millis {
-  return board.limits.get('in-force')?.sessionRetentionMs ?? 0;
-}
-
-function formatSessionKey({ service, session }: IRequestEntry): string {
-  return `${service}/${session ?? ''}`;
-}
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -56,6 +56,22 @@
   newCounts: IAnswerCounts;
 }
 
+/** Sessions that one host has served on the old release and that stay there during a canary stage. */
+export interface ISessionHolds {
+  service: string;
+  host: string;
+  order: number;
+  /** Hashes of the sessions' keys. */
+  sessions: readonly string[];
+}
+
+/** Sessions of a service that stay on the old release during the canary stage, as all hosts published them. */
+export interface ISessionHoldsEntry {
+  service: string;
+  /** Hashes of the sessions' keys. */
+  sessions: ReadonlySet<string>;
+}
+
 /** A request that was in flight at an endpoint when the endpoint crashed. */
 export interface ICrashReport {
   fingerprint: string;
@@ -72,6 +88,7 @@
   | { kind: 'rollout-order'; order: IRolloutOrder }
   | { kind: 'rollout-record'; record: IRolloutRecord }
   | { kind: 'rollout-evidence'; evidence: IRolloutEvidence }
+  | { kind: 'session-holds'; holds: ISessionHolds }
   | { kind: 'crash-reports'; reports: readonly ICrashReport[] }
   | { kind: 'unreadable'; reason: string };
 
@@ -114,6 +131,8 @@
   /** Replaces the crash reports of a host. */
   writeCrashReports: (host: string, reports: readonly ICrashReport[]) => Promise<Result<number, StoreError>>;
   writeRolloutEvidence: (evidence: IRolloutEvidence) => Promise<Result<number, StoreError>>;
+  /** Replaces the sessions that a host holds on the old release of a service. */
+  writeSessionHolds: (holds: ISessionHolds) => Promise<Result<number, StoreError>>;
 }
 
 /** State of this host's connection to the store. */
--- a/src/common/fleet/VersionChoice.ts
+++ b/src/common/fleet/VersionChoice.ts
@@ -22,6 +22,8 @@
   endpoints: readonly Readonly<IEndpointEntry>[];
   /** Release of the session's last request; `undefined` if it has none within the last `sessionRetentionMs`. */
   lastRelease: string | undefined;
+  /** Whether another host has published that the session runs on the old release. */
+  isHeld: boolean;
   /** Hash of the session, or of a request without a session, as a fraction from 0 up to but excluding 1. */
   hashFraction: number;
   now: Millis;
@@ -41,6 +43,11 @@
 export interface IReleaseOptions {
   /** Reads the share of new sessions that use the new release in the stage `canary`. */
   readCanaryShare: () => number;
+  /**
+   * Reads the time from the start of the stage `canary` for which all sessions stay on the old release, so
+   * that hosts can exchange which sessions to hold there. Default 0.
+   */
+  readCanaryDelayMs?: () => Millis;
   /**
    * Time from the start of the stage `full` over which the remaining sessions move to the new release, so
    * that the caches of its endpoints fill one after another. Default 4000.
@@ -53,22 +60,33 @@
  * first. In the stage `canary`, a session keeps the release that it has; in `full`, sessions move to the new
  * release. If no endpoint of the chosen release accepts work, another release is used.
  */
-export function createChooseRelease({ rampMs = 4000, readCanaryShare }: IReleaseOptions): ChooseRelease {
+export function createChooseRelease({
+  rampMs = 4000,
+  readCanaryDelayMs = () => 0,
+  readCanaryShare,
+}: IReleaseOptions): ChooseRelease {
   return (view) => {
     const availableEndpoints = view.endpoints.filter(isAcceptingWork);
     const availableReleases = new Set(availableEndpoints.map(({ release }) => release ?? ''));
-    const preferred = choosePreferredRelease(view, availableReleases, readCanaryShare(), rampMs);
+    const schedule = { canaryShare: readCanaryShare(), canaryDelayMs: readCanaryDelayMs(), rampMs };
+    const preferred = choosePreferredRelease(view, availableReleases, schedule);
     return preferred !== undefined && availableReleases.has(preferred)
       ? preferred
       : chooseFallbackRelease(view, availableReleases);
   };
 }
 
+/** When and for which share of the sessions the new release is used. */
+interface IReleaseSchedule {
+  canaryShare: number;
+  canaryDelayMs: Millis;
+  rampMs: Millis;
+}
+
 function choosePreferredRelease(
-  { endpoints, lastRelease, now, hashFraction, rollout }: IReleaseView,
+  { endpoints, hashFraction, isHeld, lastRelease, now, rollout }: IReleaseView,
   availableReleases: ReadonlySet<string>,
-  canaryShare: number,
-  rampMs: Millis,
+  { canaryDelayMs, canaryShare, rampMs }: IReleaseSchedule,
 ): string | undefined {
   const oldRelease = endpoints.find(({ release }) => release !== rollout?.release)?.release;
   if (!rollout) return oldRelease;
@@ -81,9 +99,11 @@
     }
     case 'succeeded':
       return rollout.release;
-    case 'canary':
+    case 'canary': {
       if (lastRelease !== undefined && availableReleases.has(lastRelease)) return lastRelease;
-      return hashFraction < canaryShare ? rollout.release : oldRelease;
+      const isUndecided = isHeld || now - rollout.stageSeenAt < canaryDelayMs;
+      return hashFraction < canaryShare && !isUndecided ? rollout.release : oldRelease;
+    }
     default:
       return oldRelease;
   }
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -9,6 +9,7 @@
 import { FleetRolloutController } from '../common/fleet/FleetRolloutController.js';
 import { PlanController } from '../common/fleet/PlanController.js';
 import { chooseSmallestThenLargest, createChooseRelease } from '../common/fleet/VersionChoice.js';
+import { computeHoldExchangeMs, SessionHoldController } from '../common/fleet/SessionHoldController.js';
 import { RoutingTableController } from '../common/fleet/RoutingTableController.js';
 import type { IFactStore, IHostLimits } from '../common/fleet/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
@@ -132,6 +133,8 @@
 
 /** Number of hexadecimal digits of a hash that are mapped to a fraction from 0 up to but excluding 1. */
 const HASH_DIGITS = 8;
+/** Number of hexadecimal digits by which hosts identify a session to one another. */
+const SESSION_HASH_DIGITS = 12;
 const HASH_RANGE = 16 ** HASH_DIGITS;
 
 /**
@@ -207,6 +210,8 @@
     return this._board.limits.get('in-force') ?? this._options.limits;
   }
 
+  private readonly _readCanaryShare = (): number => CANARY_SAFETY_FACTOR * this._limits.maxExposureShare;
+
   private readonly _isReady = (): boolean =>
     this._board.routing.has('in-force') && this._board.lifecycle.get('host')?.phase === 'serving';
 
@@ -243,9 +248,20 @@
         ...common,
         chooseModels: chooseSmallestThenLargest,
         chooseRelease: createChooseRelease({
-          readCanaryShare: () => CANARY_SAFETY_FACTOR * this._limits.maxExposureShare,
+          readCanaryShare: this._readCanaryShare,
+          readCanaryDelayMs: () => computeHoldExchangeMs(this._limits.maxApplyDelayMs),
         }),
         hashToFraction,
+        hashSession,
+      }),
+    );
+    this._register(
+      new SessionHoldController({
+        ...common,
+        host: id,
+        store,
+        isCanarySession: (sessionKey) => hashToFraction(sessionKey) < this._readCanaryShare(),
+        hashSession,
       }),
     );
   }
@@ -337,6 +353,10 @@
   return parseInt(hashTexts(text).slice(0, HASH_DIGITS), 16) / HASH_RANGE;
 }
 
+function hashSession(sessionKey: string): string {
+  return hashTexts(sessionKey).slice(0, SESSION_HASH_DIGITS);
+}
+
 /**
  * Tells whether new calls are refused. This is the case from the phase `closing` on: the load balancer has
  * noticed the stop by then, and a call can arrive only on a connection that had a call in progress.
--- a/src/daemons/RouterRollout.test.ts
+++ b/src/daemons/RouterRollout.test.ts
@@ -36,6 +36,7 @@
   sendStreamAnswers(canaryRunner);
   rig.store.put('op/rollout/drafts', { service: 'drafts', target: 'v2', durationS: 60 });
   await peer.waitUntil(async () => {
+    await new Promise((resolve) => setTimeout(resolve, 50));
     await sendStream(peer, newSessions.pop() ?? '');
     return canaryRunner.calls.length > 0;
   });
