Count the retention of a session from the end of its last request

Cause: the session was recorded when the request was sent, and the record expired while the request still ran. It is recorded again when the request ends. The new test failed before with 'drafts/auto@v2'.

--- /dev/null
+++ b/src/common/fleet/PlanController.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava';
+import { createTestEndpoint, createTestRequest } from '../../testing/EntryFixtures.js';
+import { ManualClock } from '../../testing/ManualClock.js';
+import { Blackboard } from '../blackboard/Blackboard.js';
+import { planAttempt } from '../request/AttemptPlan.js';
+import { PlanController } from './PlanController.js';
+import { createChooseRelease, chooseSmallestThenLargest } from './VersionChoice.js';
+
+test('a session keeps its release when its request ran longer than the retention time', async (t) => {
+  const clock = new ManualClock();
+  const board = new Blackboard();
+  new PlanController({
+    board,
+    clock,
+    chooseModels: chooseSmallestThenLargest,
+    chooseRelease: createChooseRelease({ readCanaryShare: () => 1 }),
+    hashToFraction: () => 0,
+    hashSession: (key) => key,
+  });
+  board.limits.set('in-force', {
+    maxRetryShare: 1,
+    sessionRetentionMs: 5000,
+    maxExposureShare: 0.15,
+    shutdownTimeoutMs: 2000,
+    storeContactMs: 3000,
+    maxApplyDelayMs: 2000,
+  });
+  for (const release of ['v1', 'v2']) board.endpoints.set(release, createTestEndpoint(release, { release }));
+  const request = createTestRequest('first', { session: 's', version: 'drafts/small@v1' });
+  board.requests.set('first', request);
+  planAttempt(board, {
+    id: 'attempt',
+    role: 'primary',
+    request,
+    endpoint: 'v1',
+    expectedTokens: 1,
+    lengthClass: 'short',
+    now: clock.now(),
+  });
+  board.attempts.update('attempt', { phase: 'sent' });
+  await clock.advance(8000);
+  board.requests.update('first', { phase: 'answered' });
+  board.rollouts.set('drafts', {
+    service: 'drafts',
+    release: 'v2',
+    stage: 'canary',
+    recordedStage: 'canary',
+    order: 1,
+    recordRevision: 1,
+    durationMs: 20_000,
+    orderSeenAt: 0,
+    stageSeenAt: 0,
+  });
+  await clock.advance(3000);
+  board.requests.set('next', createTestRequest('next', { session: 's', phase: 'received' }));
+  board.requests.update('next', { phase: 'admitted' });
+  t.is(board.requests.get('next')?.version, 'drafts/auto@v1');
+});
--- a/src/common/fleet/PlanController.ts
+++ b/src/common/fleet/PlanController.ts
@@ -35,6 +35,10 @@
         if (!after || after.phase === before?.phase) return;
         if (after.phase === 'admitted' || after.phase === 'claimed') this._planRequest(after);
         if (after.phase === 'answered') this._options.board.requests.update(after.id, { phase: 'billed' });
+        // A session keeps its release for a time after the end of its last request, not after the start.
+        const hasRun = after.attemptCount > 0;
+        if (hasRun && (after.phase === 'billed' || after.phase === 'refused'))
+          this._recordSessionRelease(after);
       }),
     );
     this._register(
