Count the good answers of all hosts in the evidence of a rollout

A host now also reports when its counts have grown by half and four answers. The new test rolled back before ('0 s canary', '1 s rolled-back'): of 90 hosts only the 30 with a bad answer counted.

--- a/src/common/fleet/FleetRolloutController.test.ts
+++ b/src/common/fleet/FleetRolloutController.test.ts
@@ -159,6 +159,21 @@
   t.snapshot(store.acceptedRecords);
 });
 
+// Guards against judging a release by the answers of those hosts only that have seen a bad one.
+test('a good release is not rolled back because hosts without bad answers are missing from the total', async (t) => {
+  const clock = new ManualClock();
+  const store = new InMemoryFactStore(clock);
+  const hosts = Array.from({ length: 90 }, (_, index) => createHost(clock, store, `host-${index}`));
+  store.publishOrder(24_000);
+  await clock.advance(1000);
+  for (const [index, host] of hosts.entries()) {
+    for (let count = 0; count < 20; count += 1) host.finishAttempt('v1', count > 0);
+    for (let count = 0; count < 5; count += 1) host.finishAttempt('v2', count > 0 || index % 3 > 0);
+  }
+  await clock.advance(2000);
+  t.deepEqual(store.acceptedRecords, ['0 s canary']);
+});
+
 // Guards against using a bad release again because the rollback could not be written to the store.
 test('a rollback stays in force while the store is down and is recorded once it is back', async (t) => {
   const clock = new ManualClock();
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -39,13 +39,20 @@
 /** Shortest time between two writes of a host's evidence on one rollout. */
 const MIN_EVIDENCE_INTERVAL_MS: Millis = 500;
 
+/**
+ * A host without new bad answers reports its counts again once they have grown by this factor and this number.
+ * Without the good answers of all hosts, the share of bad answers would be overstated.
+ */
+const REPORT_GROWTH_FACTOR = 1.5;
+const REPORT_GROWTH_MARGIN = 4;
+
 /** Answers that this host has counted for the rollout of one order. */
 interface ILocalEvidence {
   order: number;
   oldCounts: IAnswerCounts;
   newCounts: IAnswerCounts;
-  /** Bad answers of the new release in the last report. */
-  reportedBadCount: number;
+  /** Answers of the new release in the last report. */
+  reportedCounts: IAnswerCounts;
   reportedAt: Millis;
 }
 
@@ -222,11 +229,11 @@
     const { clock, host, store } = this._options;
     const isActive = rollout.stage === 'canary' || rollout.stage === 'full';
     const isReportDue = clock.now() - localEvidence.reportedAt >= MIN_EVIDENCE_INTERVAL_MS;
-    if (!isActive || !isReportDue || localEvidence.newCounts.bad === localEvidence.reportedBadCount) return;
+    const { newCounts, oldCounts, order, reportedCounts } = localEvidence;
+    if (!isActive || !isReportDue || !hasReportableChange(newCounts, reportedCounts)) return;
     localEvidence.reportedAt = clock.now();
-    localEvidence.reportedBadCount = localEvidence.newCounts.bad;
-    const { newCounts, oldCounts, order } = localEvidence;
-    // A failed write is not retried: after the next bad answer the counts are reported again.
+    localEvidence.reportedCounts = { ...newCounts };
+    // A failed write is not retried: the counts are reported again when they have changed.
     await store.writeRolloutEvidence({ service: rollout.service, host, order, oldCounts, newCounts });
   }
 
@@ -237,7 +244,7 @@
       order,
       oldCounts: { good: 0, bad: 0 },
       newCounts: { good: 0, bad: 0 },
-      reportedBadCount: 0,
+      reportedCounts: { good: 0, bad: 0 },
       reportedAt: -Infinity,
     };
     this._localEvidence.set(service, initial);
@@ -257,6 +264,12 @@
   }
 }
 
+function hasReportableChange(counts: IAnswerCounts, reported: IAnswerCounts): boolean {
+  const total = counts.good + counts.bad;
+  const reportedTotal = reported.good + reported.bad;
+  return counts.bad !== reported.bad || total >= REPORT_GROWTH_FACTOR * reportedTotal + REPORT_GROWTH_MARGIN;
+}
+
 function isUnfinished({ recordedStage }: IRolloutEntry): boolean {
   return recordedStage !== 'succeeded' && recordedStage !== 'rolled-back';
 }
