Judge a release by route and symptom, against answers of all hosts

Cause: one symptom was looked at, the mean pace of answers that had ended, against a baseline that each host learned alone. On a small site no host had eight samples for each route and model before the rollout, a slow answer ended after the second half had begun, and failures on one route were hidden by another whose endpoints fail anyway. A lightly loaded canary endpoint that answered four times slower was still as quick as the busy endpoints of the old release.

RolloutEvidenceController counts failures, late first outputs and the pace of the first tokens by route as soon as they are known, and waits that are already too long before any answer. Hosts exchange their baselines at the start of the canary stage and when these have doubled. Durations are compared at the same load, and at light load with the quickest tenth of the old answers. findWorseSymptom judges each route and all together, and needs two endpoints with bad answers unless there are many. Answers of endpoints that announce that they are still warming up are not judged for speed.

--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -17,6 +17,7 @@
   IQualityEntry,
   IRequestEntry,
   IRolloutEntry,
+  IRolloutEvidence,
   IRoutingTable,
   IServiceEntry,
   ISessionEntry,
@@ -90,6 +91,8 @@
   public readonly limits = this._createPanel<'in-force', IHostLimits>();
   /** Rollouts of releases, by name of the service. */
   public readonly rollouts = this._createPanel<string, IRolloutEntry>();
+  /** This host's evidence on the releases of rollouts, by name of the service. */
+  public readonly rolloutEvidence = this._createPanel<string, IRolloutEvidence>();
   /** Sessions that stay on the old release during a canary stage, by name of the service. */
   public readonly sessionHolds = this._createPanel<string, ISessionHoldsEntry>();
   /** Encoded configuration: the latest one offered, and the one in force. */
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -9,6 +9,7 @@
   IStoreConnectionEntry,
   IHostLimits,
   IRolloutEntry,
+  IRolloutEvidence,
   ISessionHoldsEntry,
 } from '../fleet/Types.js';
 export type { IRoutingTable } from '../routes/Types.js';
@@ -277,6 +278,8 @@
   endedAt: Millis | undefined;
   /** Number of tokens received. Written when the attempt ends. */
   tokens: number;
+  /** Time between two tokens, measured once at the beginning of the output. */
+  paceMs?: Millis;
   /** The model's confidence in its answer, 0 to 1. Known when the response begins. */
   confidence?: number;
   /**
@@ -360,6 +363,8 @@
   release?: string;
   /** Number of requests that the endpoint can run at the same time. */
   slots?: number;
+  /** Time until which the endpoint is slow after its start. */
+  warmAt?: Millis;
   /** Identifies the start of the endpoint's process; a later start has a higher number. Default 0. */
   incarnation?: number;
 }
--- a/src/common/fleet/EndpointRegistryController.test.ts
+++ b/src/common/fleet/EndpointRegistryController.test.ts
@@ -14,6 +14,7 @@
   isLeaving: false,
   models: ['small'],
   startedAt: 1,
+  warmUpMs: 0,
 };
 
 function createFixture(connection: Partial<IStoreConnectionEntry> = {}) {
--- a/src/common/fleet/EndpointRegistryController.ts
+++ b/src/common/fleet/EndpointRegistryController.ts
@@ -87,7 +87,7 @@
 }
 
 function createEndpointEntry(announcement: IEndpointAnnouncement, now: Millis): IEndpointEntry {
-  const { address, id, models, release, service, slots, startedAt, zone } = announcement;
+  const { address, id, models, release, service, slots, startedAt, warmUpMs, zone } = announcement;
   const versions =
     models.length === 0
       ? [formatVersion({ service, model: undefined, release })]
@@ -103,6 +103,7 @@
     versions,
     ...INITIAL_ENDPOINT_FIELDS,
     inFlightLimit: slots,
+    warmAt: now + warmUpMs,
     incarnation: startedAt,
     release,
     slots,
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -1,13 +1,11 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { IAttemptEntry } from '../blackboard/Types.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { DecideReleaseRollout } from '../policy/ReleaseRollouts.js';
+import { findWorseSymptom } from '../policy/ReleaseVerdict.js';
 import { isAcceptingWork, listServiceEndpoints } from '../request/Candidates.js';
 import type { IClock, Millis, RandomSource } from '../Types.js';
-import { AnswerClassifier } from './AnswerClassifier.js';
 import type {
   FleetFact,
-  IAnswerCounts,
   IFactStore,
   IRolloutEntry,
   IRolloutEvidence,
@@ -15,7 +13,6 @@
   IRolloutRecord,
   RolloutStage,
 } from './Types.js';
-import { parseVersion } from './Versions.js';
 
 /** Options of the fleet rollout controller. */
 export interface IFleetRolloutOptions {
@@ -24,7 +21,7 @@
   random: RandomSource;
   /** Id of this host. */
   host: string;
-  store: Pick<IFactStore, 'readRolloutRecord' | 'writeRolloutRecord' | 'writeRolloutEvidence'>;
+  store: Pick<IFactStore, 'readRolloutRecord' | 'writeRolloutRecord'>;
   decideRollout: DecideReleaseRollout;
 }
 
@@ -36,35 +33,12 @@
  */
 const MAX_WRITE_DELAY_MS: Millis = 250;
 
-/** Shortest time between two writes of a host's evidence on one rollout. */
-const MIN_EVIDENCE_INTERVAL_MS: Millis = 500;
-
-/**
- * A host without new bad answers reports its counts again once they have grown by this factor and this number.
- * Without the good answers of all hosts, the share of bad answers would be overstated.
- */
-const REPORT_GROWTH_FACTOR = 1.5;
-const REPORT_GROWTH_MARGIN = 4;
-
-/** Answers that this host has counted for the rollout of one order. */
-interface ILocalEvidence {
-  order: number;
-  oldCounts: IAnswerCounts;
-  newCounts: IAnswerCounts;
-  /** Answers of the new release in the last report. */
-  reportedCounts: IAnswerCounts;
-  reportedAt: Millis;
-}
-
 /**
  * Keeps the `rollouts` panel up to date and advances rollouts to their next stages. Any host may write the
  * next stage. The record is written by compare-and-swap, so that only one write succeeds and no leader is
  * needed.
  */
 export class FleetRolloutController extends Disposable {
-  private readonly _answerQuality = new AnswerClassifier();
-  /** Evidence of this host by service. */
-  private readonly _localEvidence = new Map<string, ILocalEvidence>();
   /** Services for which the write of a stage is scheduled or in progress. */
   private readonly _pendingWrites = new Set<string>();
   private _checkTimer: IDisposable | undefined;
@@ -78,11 +52,6 @@
         else if (before?.fact.kind === 'rollout-order') board.rollouts.delete(before.fact.order.service);
       }),
     );
-    this._register(
-      board.attempts.onChange(({ before, after }) => {
-        if (after && before?.phase !== after.phase) this._countAnswer(after);
-      }),
-    );
   }
 
   public override dispose(): void {
@@ -149,33 +118,30 @@
     const { service } = rollout;
     if (this._pendingWrites.has(service)) return;
     const endpoints = listServiceEndpoints(board, service);
-    const localEvidence = this._getLocalEvidence(rollout);
-    const remoteEvidence = this._listRemoteEvidence(rollout);
+    const evidence = this._listEvidence(rollout);
+    const oldCounts = evidence.flatMap((entry) => entry.oldCounts);
+    const newCounts = evidence.flatMap((entry) => entry.newCounts);
+    const newEndpointCount = endpoints.filter(
+      (endpoint) => endpoint.release === rollout.release && isAcceptingWork(endpoint),
+    ).length;
+    const verdict = findWorseSymptom({ newCounts, oldCounts, newEndpointCount });
     const isRollbackUnrecorded = rollout.stage === 'rolled-back' && rollout.recordedStage !== 'rolled-back';
-    const oldCounts = sumCounts([localEvidence.oldCounts, ...remoteEvidence.map((entry) => entry.oldCounts)]);
-    const newCounts = sumCounts([localEvidence.newCounts, ...remoteEvidence.map((entry) => entry.newCounts)]);
     const decidedStage = decideRollout({
       rollout,
-      oldCounts,
-      newCounts,
+      verdict,
       oldInFlight: endpoints
         .filter(({ release }) => release !== rollout.release)
         .reduce((sum, { inFlight }) => sum + inFlight, 0),
-      newEndpointCount: endpoints.filter(
-        (endpoint) => endpoint.release === rollout.release && isAcceptingWork(endpoint),
-      ).length,
+      newEndpointCount,
       now: clock.now(),
     });
     const nextStage = isRollbackUnrecorded ? 'rolled-back' : decidedStage;
-    if (nextStage === undefined) {
-      void this._reportEvidence(rollout, localEvidence);
-      return;
-    }
+    if (nextStage === undefined) return;
     this._pendingWrites.add(service);
-    const hostCount = remoteEvidence.length + 1;
+    const hostCount = evidence.length;
     const elapsedMs = clock.now() - rollout.orderSeenAt;
     board.rollouts.update(service, {
-      decision: { stage: nextStage, oldCounts, newCounts, hostCount, elapsedMs },
+      decision: { stage: nextStage, verdict, oldCounts, newCounts, hostCount, elapsedMs },
     });
     const delayMs = nextStage === 'rolled-back' ? 0 : MAX_WRITE_DELAY_MS * random();
     clock.schedule(delayMs, () => void this._writeStage(service, rollout.order, nextStage));
@@ -210,66 +176,21 @@
     }
   }
 
-  private _countAnswer(attempt: IAttemptEntry): void {
-    const { board } = this._options;
-    if (attempt.phase !== 'finished' && attempt.phase !== 'failed') return;
-    const parts = parseVersion(attempt.version ?? '');
-    const request = board.requests.get(attempt.request);
-    if (!parts || !request) return;
-    const rollout = board.rollouts.get(parts.service);
-    const isOldRelease = parts.release !== rollout?.release;
-    const verdict = this._answerQuality.classify(request, attempt, isOldRelease);
-    if (!rollout || verdict === 'none') return;
-    const localEvidence = this._getLocalEvidence(rollout);
-    const counts = isOldRelease ? localEvidence.oldCounts : localEvidence.newCounts;
-    counts[verdict] += 1;
-  }
-
-  private async _reportEvidence(rollout: IRolloutEntry, localEvidence: ILocalEvidence): Promise<void> {
-    const { clock, host, store } = this._options;
-    const isActive = rollout.stage === 'canary' || rollout.stage === 'full';
-    const isReportDue = clock.now() - localEvidence.reportedAt >= MIN_EVIDENCE_INTERVAL_MS;
-    const { newCounts, oldCounts, order, reportedCounts } = localEvidence;
-    if (!isActive || !isReportDue || !hasReportableChange(newCounts, reportedCounts)) return;
-    localEvidence.reportedAt = clock.now();
-    localEvidence.reportedCounts = { ...newCounts };
-    // A failed write is not retried: the counts are reported again when they have changed.
-    await store.writeRolloutEvidence({ service: rollout.service, host, order, oldCounts, newCounts });
-  }
-
-  private _getLocalEvidence({ order, service }: IRolloutEntry): ILocalEvidence {
-    const known = this._localEvidence.get(service);
-    if (known?.order === order) return known;
-    const initial: ILocalEvidence = {
-      order,
-      oldCounts: { good: 0, bad: 0 },
-      newCounts: { good: 0, bad: 0 },
-      reportedCounts: { good: 0, bad: 0 },
-      reportedAt: -Infinity,
-    };
-    this._localEvidence.set(service, initial);
-    return initial;
-  }
-
-  private _listRemoteEvidence({ order, service }: IRolloutEntry): IRolloutEvidence[] {
+  /** Lists the evidence of this host and what the others have reported. */
+  private _listEvidence({ order, service }: IRolloutEntry): IRolloutEvidence[] {
     const { board, host } = this._options;
-    const remoteEvidence: IRolloutEvidence[] = [];
+    const own = board.rolloutEvidence.get(service);
+    const found: IRolloutEvidence[] = own?.order === order ? [own] : [];
     for (const { fact } of board.facts.list()) {
       if (fact.kind !== 'rollout-evidence') continue;
       const { evidence } = fact;
       if (evidence.service === service && evidence.order === order && evidence.host !== host)
-        remoteEvidence.push(evidence);
+        found.push(evidence);
     }
-    return remoteEvidence;
+    return found;
   }
 }
 
-function hasReportableChange(counts: IAnswerCounts, reported: IAnswerCounts): boolean {
-  const total = counts.good + counts.bad;
-  const reportedTotal = reported.good + reported.bad;
-  return counts.bad !== reported.bad || total >= REPORT_GROWTH_FACTOR * reportedTotal + REPORT_GROWTH_MARGIN;
-}
-
 function isUnfinished({ recordedStage }: IRolloutEntry): boolean {
   return recordedStage !== 'succeeded' && recordedStage !== 'rolled-back';
 }
@@ -282,10 +203,3 @@
   if (from === 'succeeded') return false;
   return STAGE_ORDER.indexOf(from) < STAGE_ORDER.indexOf(to);
 }
-
-function sumCounts(counts: readonly IAnswerCounts[]): IAnswerCounts {
-  return {
-    good: counts.reduce((sum, { good }) => sum + good, 0),
-    bad: counts.reduce((sum, { bad }) => sum + bad, 0),
-  };
-}
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -16,6 +16,8 @@
   models: readonly string[];
   /** Start of the process. A later start under the same id has a greater value. */
   startedAt: number;
+  /** How much longer the endpoint is slow after its start. */
+  warmUpMs: Millis;
 }
 
 /** The operator's order to move a service to another release. */
@@ -41,10 +43,20 @@
   order: number;
 }
 
-/** Numbers of good and bad answers of one release. */
-export interface IAnswerCounts {
+/** Way in which the duration of an answer shows that its release is worse. */
+export type LatencySymptom = 'late-start' | 'slow-pace';
+
+/** Way in which an answer shows that its release is worse. */
+export type Symptom = 'failure' | LatencySymptom;
+
+/** Numbers of answers of one release on one route, judged by one symptom. */
+export interface ISymptomCounts {
+  symptom: Symptom;
+  route: string;
   good: number;
   bad: number;
+  /** Ids of up to two endpoints that gave bad answers. */
+  badEndpoints: readonly string[];
 }
 
 /** Answers of the old and the new release that one host has counted during a rollout. */
@@ -52,8 +64,33 @@
   service: string;
   host: string;
   order: number;
-  oldCounts: IAnswerCounts;
-  newCounts: IAnswerCounts;
+  oldCounts: readonly ISymptomCounts[];
+  newCounts: readonly ISymptomCounts[];
+}
+
+/** Distribution of a duration: pairs of a bucket and its number of samples. */
+export interface IBaselineEntry {
+  key: string;
+  buckets: readonly (readonly [bucket: number, count: number])[];
+}
+
+/** Durations of the old release that one host had measured when a rollout began. */
+export interface IReleaseBaseline {
+  service: string;
+  host: string;
+  order: number;
+  entries: readonly IBaselineEntry[];
+}
+
+/** Symptom by which a release is significantly worse than the old ones. */
+export interface IReleaseVerdict {
+  symptom: Symptom;
+  /** `undefined` if all routes together show it. */
+  route: string | undefined;
+  bad: number;
+  total: number;
+  /** Rate of bad answers that the release may have. */
+  allowedRate: number;
 }
 
 /** Sessions that one host has served on the old release and that stay there during a canary stage. */
@@ -88,6 +125,7 @@
   | { kind: 'rollout-order'; order: IRolloutOrder }
   | { kind: 'rollout-record'; record: IRolloutRecord }
   | { kind: 'rollout-evidence'; evidence: IRolloutEvidence }
+  | { kind: 'release-baseline'; baseline: IReleaseBaseline }
   | { kind: 'session-holds'; holds: ISessionHolds }
   | { kind: 'crash-reports'; reports: readonly ICrashReport[] }
   | { kind: 'unreadable'; reason: string };
@@ -131,6 +169,8 @@
   /** Replaces the crash reports of a host. */
   writeCrashReports: (host: string, reports: readonly ICrashReport[]) => Promise<Result<number, StoreError>>;
   writeRolloutEvidence: (evidence: IRolloutEvidence) => Promise<Result<number, StoreError>>;
+  /** Replaces the durations that a host has measured of the old release of a service. */
+  writeReleaseBaseline: (baseline: IReleaseBaseline) => Promise<Result<number, StoreError>>;
   /** Replaces the sessions that a host holds on the old release of a service. */
   writeSessionHolds: (holds: ISessionHolds) => Promise<Result<number, StoreError>>;
 }
@@ -151,8 +191,10 @@
 /** A change of a rollout's stage that this host decided on, with the evidence that it knew then. */
 export interface IRolloutDecision {
   stage: RolloutStage;
-  oldCounts: IAnswerCounts;
-  newCounts: IAnswerCounts;
+  /** Why the release is rolled back; `undefined` for other stages. */
+  verdict: IReleaseVerdict | undefined;
+  oldCounts: readonly ISymptomCounts[];
+  newCounts: readonly ISymptomCounts[];
   /** Number of hosts whose counts are included, this host among them. */
   hostCount: number;
   /** Time since this host first read the order. */
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -38,6 +38,12 @@
   'leaving',
 ]);
 
+/**
+ * Number of tokens by which the pace of an answer is measured. A few show it early; the rest of a long answer
+ * may take many seconds.
+ */
+const PACE_TOKENS = 5;
+
 /** Weight of the newest sample in smoothed latencies. */
 const LATENCY_WEIGHT = 0.2;
 
@@ -154,6 +160,7 @@
   private _firstTokenAt: Millis | undefined;
   private _lastTokenAt: Millis | undefined;
   private _hasEnded = false;
+  private _hasPace = false;
   private _isLong: boolean;
   private readonly _usualTokens: number | undefined;
 
@@ -200,6 +207,7 @@
     if (this._firstTokenAt === undefined) this._handleFirstToken(this._lastTokenAt);
     this._tokens += part.tokens;
     this._meter.countTokens(this._attempt.endpoint, part.tokens);
+    if (!this._hasPace && this._tokens >= PACE_TOKENS) this._recordPace();
     if (!this._isLong && classifyLength(this._tokens, this._usualTokens) === 'long') this._markLong();
     if (this._isWinner()) this._options.deliverChunk(this._request.id, part.data);
   }
@@ -212,6 +220,7 @@
     this._hasEnded = true;
     if (this._firstTokenAt === undefined) this._meter.endWait(this._attempt.endpoint, this._attempt.id);
     else this._meter.endStream(this._attempt.endpoint);
+    if (!this._hasPace) this._recordPace();
     if (isSuccess) this._firstTokenAt ??= this._options.clock.now();
     this._options.board.attempts.update(this._attempt.id, { tokens: this._tokens });
   }
@@ -233,6 +242,13 @@
     });
   }
 
+  private _recordPace(): void {
+    const { tokenMs } = this;
+    if (tokenMs === undefined) return;
+    this._hasPace = true;
+    this._options.board.attempts.update(this._attempt.id, { paceMs: tokenMs });
+  }
+
   /**
    * Counts the attempt as long work at its endpoint once its output is far longer than usual, so that the
    * limit on long work keeps the remaining slots free for short work.
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IAttemptEntry } from '../blackboard/Types.js';
-import type { IRolloutDecision } from '../fleet/Types.js';
+import type { IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import type { TimelineFields } from './Types.js';
@@ -105,18 +105,33 @@
 }
 
 function describeDecision(decision: IRolloutDecision): TimelineFields {
-  const { elapsedMs, hostCount, newCounts, oldCounts, stage } = decision;
+  const { elapsedMs, hostCount, newCounts, oldCounts, stage, verdict } = decision;
   return {
     stage,
     elapsedMs: Math.round(elapsedMs),
     hosts: hostCount,
-    newGood: newCounts.good,
-    newBad: newCounts.bad,
-    oldGood: oldCounts.good,
-    oldBad: oldCounts.bad,
+    symptom: verdict?.symptom,
+    route: verdict?.route,
+    bad: verdict?.bad,
+    total: verdict?.total,
+    allowedRate: verdict && Number(verdict.allowedRate.toFixed(3)),
+    newBad: formatCounts(newCounts),
+    oldBad: formatCounts(oldCounts),
   };
 }
 
+/** Formats the bad answers of all answers by symptom, such as `failure 1/20, late-start 3/20`. */
+function formatCounts(counts: readonly ISymptomCounts[]): string {
+  const symptoms = [...new Set(counts.map(({ symptom }) => symptom))];
+  return symptoms
+    .map((symptom) => {
+      const entries = counts.filter((entry) => entry.symptom === symptom);
+      const bad = entries.reduce((sum, entry) => sum + entry.bad, 0);
+      return `${symptom} ${bad}/${entries.reduce((sum, { good }) => sum + good, bad)}`;
+    })
+    .join(', ');
+}
+
 function describeAttempt({ endpoint, id, request, version }: IAttemptEntry): TimelineFields {
   return { request, attempt: id, endpoint, version };
 }
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -7,6 +7,7 @@
 import { EndpointRegistryController } from '../common/fleet/EndpointRegistryController.js';
 import { FactSyncController } from '../common/fleet/FactSyncController.js';
 import { FleetRolloutController } from '../common/fleet/FleetRolloutController.js';
+import { RolloutEvidenceController } from '../common/fleet/RolloutEvidenceController.js';
 import { PlanController } from '../common/fleet/PlanController.js';
 import { chooseSmallestThenLargest, createChooseRelease } from '../common/fleet/VersionChoice.js';
 import { computeHoldExchangeMs, SessionHoldController } from '../common/fleet/SessionHoldController.js';
@@ -234,6 +235,7 @@
     const common = { board: this._board, clock: systemClock };
     this._register(new RoutingTableController(this._board));
     this._register(new EndpointRegistryController(common));
+    this._register(new RolloutEvidenceController({ ...common, host: id, store }));
     this._register(
       new FleetRolloutController({
         ...common,
