Let only the elapsed time finish a rollout

What callers saw: requests in flight on the old release could be cut off when a rollout succeeded early, as the platform stops the old endpoints at once. Found by asking where else what one host has seen decides for all.

Cause: any host without attempts on the old release of its own wrote succeeded after 85 % of the duration; on a grown site there is always such a host. It now succeeds at 93 % on every host.

The new test failed before with '21 s succeeded'.

--- a/src/common/fleet/FleetRolloutController.test.ts
+++ b/src/common/fleet/FleetRolloutController.test.ts
@@ -36,6 +36,17 @@
   t.snapshot(store.acceptedRecords);
 });
 
+// Guards against an idle host that ends the old endpoints while other hosts have requests in flight there.
+test('a host without requests on the old release does not end a rollout for the others', async (t) => {
+  const clock = new ManualClock();
+  const store = new InMemoryFactStore(clock);
+  const [busy] = ['host-1', 'host-2'].map((id) => createRolloutTestHost(clock, store, id));
+  busy?.startAttempt('v1');
+  store.publishOrder(24_000);
+  await clock.advance(21_500);
+  t.deepEqual(store.acceptedRecords, ['0 s canary', '13 s full']);
+});
+
 // Guards against judging a release by the answers of those hosts only that have seen a bad one.
 test('a good release is not rolled back because hosts without bad answers are missing from the total', async (t) => {
   const clock = new ManualClock();
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -129,9 +129,6 @@
     const decidedStage = decideRollout({
       rollout,
       verdict,
-      oldInFlight: endpoints
-        .filter(({ release }) => release !== rollout.release)
-        .reduce((sum, { inFlight }) => sum + inFlight, 0),
       newEndpointCount,
       now: clock.now(),
     });
--- a/src/common/policy/ReleaseRollouts.ts
+++ b/src/common/policy/ReleaseRollouts.ts
@@ -6,8 +6,6 @@
   rollout: IRolloutEntry;
   /** Symptom by which the new release is worse than the old ones; `undefined` if none is known. */
   verdict: IReleaseVerdict | undefined;
-  /** Attempts of this host in flight on the old releases. */
-  oldInFlight: number;
   /** Number of endpoints of the new release that take work. */
   newEndpointCount: number;
   now: Millis;
@@ -23,16 +21,10 @@
 const FULL_AT_SHARE = 0.53;
 
 /**
- * Share of the duration after which a rollout may succeed. The rest is reserved for the case that the store
- * is slow or unavailable.
+ * Share of the duration after which a rollout succeeds. The old endpoints end then, so requests still in
+ * flight there have had the time since the last ones moved. The rest is reserved for a slow store.
  */
-const SUCCESS_AT_SHARE = 0.85;
-
-/**
- * Share of the duration after which a rollout succeeds even if attempts on the old releases are still in
- * flight.
- */
-const FORCED_SUCCESS_AT_SHARE = 0.93;
+const SUCCESS_AT_SHARE = 0.93;
 
 /** Shortest time at the `full` stage. A release that fails under load shows it within this time. */
 const MIN_FULL_MS: Millis = 5000;
@@ -42,7 +34,7 @@
  * with its elapsed time, so that it succeeds before its duration has passed.
  */
 export const decideReleaseRollout: DecideReleaseRollout = (view) => {
-  const { newEndpointCount, now, oldInFlight, rollout } = view;
+  const { newEndpointCount, now, rollout } = view;
   const { durationMs, orderSeenAt, stage, stageSeenAt } = rollout;
   if (stage === 'succeeded' || stage === 'rolled-back') return undefined;
   if (view.verdict) return 'rolled-back';
@@ -50,6 +42,5 @@
   const elapsedShare = (now - orderSeenAt) / durationMs;
   if (stage === 'canary') return elapsedShare >= FULL_AT_SHARE && newEndpointCount > 0 ? 'full' : undefined;
   if (now - stageSeenAt < MIN_FULL_MS || newEndpointCount === 0) return undefined;
-  const mayFinish = elapsedShare >= SUCCESS_AT_SHARE && oldInFlight === 0;
-  return mayFinish || elapsedShare >= FORCED_SUCCESS_AT_SHARE ? 'succeeded' : undefined;
+  return elapsedShare >= SUCCESS_AT_SHARE ? 'succeeded' : undefined;
 };
