Bound the exposure to a new release by the schedule of its rollout

Cause: the second half of a rollout moved all sessions within 4 s after 53 % of the duration and stayed there until 93 %, whatever exposure is allowed. The canary share did not depend on the size of the service, so on large services it moved far more sessions than the evidence needed.

computeRolloutSchedule places the ramp as late and makes it as long as the allowed exposure permits, up to 3 % of the duration and 0.6 s before its end. The canary share is what one endpoint of the old release serves, at most 0.4 of the allowed exposure. It is stored in the rollout's record, so that all hosts move the same sessions.

--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -1,6 +1,7 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { DecideReleaseRollout } from '../policy/ReleaseRollouts.js';
+import { computeCanaryShare, computeRolloutSchedule } from '../policy/RolloutSchedule.js';
 import { findWorseSymptom } from '../policy/ReleaseVerdict.js';
 import { isAcceptingWork, listServiceEndpoints } from '../request/Candidates.js';
 import type { IClock, Millis, RandomSource } from '../Types.js';
@@ -33,6 +34,9 @@
  */
 const MAX_WRITE_DELAY_MS: Millis = 250;
 
+/** Exposure that is allowed while no limits are in force. */
+const DEFAULT_EXPOSURE_SHARE = 0.1;
+
 /**
  * Keeps the `rollouts` panel up to date and advances rollouts to their next stages. Any host may write the
  * next stage. The record is written by compare-and-swap, so that only one write succeeds and no leader is
@@ -87,6 +91,7 @@
       recordedStage: undefined,
       order: orderRevision,
       recordRevision,
+      canaryShare: 0,
       durationMs,
       orderSeenAt: now,
       stageSeenAt: now,
@@ -109,6 +114,7 @@
     board.rollouts.update(record.service, {
       recordRevision: revision,
       recordedStage: isCurrentOrder ? record.stage : undefined,
+      ...(isCurrentOrder ? { canaryShare: record.canaryShare } : {}),
       ...(isNewStage || hasSucceeded ? { stage: record.stage, stageSeenAt: clock.now() } : {}),
     });
   }
@@ -126,8 +132,11 @@
     ).length;
     const verdict = findWorseSymptom({ newCounts, oldCounts, newEndpointCount });
     const isRollbackUnrecorded = rollout.stage === 'rolled-back' && rollout.recordedStage !== 'rolled-back';
+    const { canaryShare, durationMs } = rollout;
+    const maxExposureShare = readMaxExposureShare(board);
     const decidedStage = decideRollout({
       rollout,
+      schedule: computeRolloutSchedule({ canaryShare, durationMs, maxExposureShare }),
       verdict,
       newEndpointCount,
       now: clock.now(),
@@ -154,7 +163,8 @@
       await this._refreshRecord(service);
       const current = board.rollouts.get(service);
       if (current?.order === orderRevision && isTransitionAllowed(current.recordedStage, stage)) {
-        const record = { service, release: rollout.release, stage, order: orderRevision };
+        const canaryShare = current.canaryShare > 0 ? current.canaryShare : this._computeCanaryShare(current);
+        const record = { service, release: rollout.release, stage, order: orderRevision, canaryShare };
         const written = await store.writeRolloutRecord(record, current.recordRevision);
         if (written.isOk) this._handleRecord(record, written.value);
       }
@@ -173,6 +183,15 @@
     }
   }
 
+  private _computeCanaryShare({ release, service }: IRolloutEntry): number {
+    const { board } = this._options;
+    const oldEndpoints = listServiceEndpoints(board, service).filter(
+      (endpoint) => endpoint.release !== release && isAcceptingWork(endpoint),
+    );
+    const maxExposureShare = readMaxExposureShare(board);
+    return computeCanaryShare({ maxExposureShare, oldEndpointCount: oldEndpoints.length });
+  }
+
   /** Lists the evidence of this host and what the others have reported. */
   private _listEvidence({ order, service }: IRolloutEntry): IRolloutEvidence[] {
     const { board, host } = this._options;
@@ -188,6 +207,10 @@
   }
 }
 
+function readMaxExposureShare(board: Blackboard): number {
+  return board.limits.get('in-force')?.maxExposureShare ?? DEFAULT_EXPOSURE_SHARE;
+}
+
 function isUnfinished({ recordedStage }: IRolloutEntry): boolean {
   return recordedStage !== 'succeeded' && recordedStage !== 'rolled-back';
 }
--- a/src/common/fleet/SessionHoldController.ts
+++ b/src/common/fleet/SessionHoldController.ts
@@ -13,8 +13,8 @@
   /** Id of this host. */
   host: string;
   store: Pick<IFactStore, 'writeSessionHolds'>;
-  /** Tells whether the canary stage moves a session that no host knows to the new release. */
-  isCanarySession: (sessionKey: string) => boolean;
+  /** Hashes the key of a session to a fraction from 0 up to but excluding 1, as the choice of a release does. */
+  hashToFraction: (sessionKey: string) => number;
   /** Shortens the key of a session for the store. All hosts must compute the same value. */
   hashSession: (sessionKey: string) => string;
 }
@@ -81,9 +81,9 @@
     return sessions;
   }
 
-  /** Lists the sessions on the old release that have ended recently or have requests in progress. */
-  private _listSessionsToHold({ release, service }: IRolloutEntry): string[] {
-    const { board, clock, hashSession, isCanarySession } = this._options;
+  /** Lists the sessions on the old release, recent or with requests in progress, that would move. */
+  private _listSessionsToHold({ canaryShare, release, service }: IRolloutEntry): string[] {
+    const { board, clock, hashSession, hashToFraction } = this._options;
     const keys = new Set<string>();
     for (const { key, version } of listActiveSessions(board, clock.now())) {
       if (version !== release && key.startsWith(`${service}/`)) keys.add(key);
@@ -94,7 +94,7 @@
       if (isOnOldRelease && request.session !== undefined && request.attemptCount > 0)
         keys.add(formatSessionKey(request));
     }
-    return [...keys].filter(isCanarySession).map(hashSession);
+    return [...keys].filter((key) => hashToFraction(key) < canaryShare).map(hashSession);
   }
 
   private _applyHolds({ order, service, sessions }: ISessionHolds): void {
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -29,7 +29,7 @@
 }
 
 /**
- * Stage of a rollout. In `canary`, a fixed share of the new sessions uses the new release and every other
+ * Stage of a rollout. In `canary`, a small share of the new sessions uses the new release and every other
  * session keeps its release. In `full`, all sessions move to the new release. The other two are final.
  */
 export type RolloutStage = 'canary' | 'full' | 'succeeded' | 'rolled-back';
@@ -41,6 +41,11 @@
   stage: RolloutStage;
   /** Store revision of the order that the record belongs to. */
   order: number;
+  /**
+   * Share of the sessions that use the new release in the stage `canary`. It is stored so that all hosts move
+   * the same sessions, whatever endpoints each of them knows.
+   */
+  canaryShare: number;
 }
 
 /** Way in which the duration of an answer shows that its release is worse. */
@@ -216,6 +221,8 @@
   order: number;
   /** Store revision of the service's rollout record; 0 if there is none yet. */
   recordRevision: number;
+  /** Share of the sessions that use the new release in the stage `canary`; 0 until the order has a record. */
+  canaryShare: number;
   durationMs: Millis;
   /** When this host first read the order. */
   orderSeenAt: Millis;
--- a/src/common/fleet/VersionChoice.ts
+++ b/src/common/fleet/VersionChoice.ts
@@ -1,4 +1,5 @@
 import type { IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
+import { computeRolloutSchedule } from '../policy/RolloutSchedule.js';
 import { isAcceptingWork } from '../request/Candidates.js';
 import type { IModelSpec } from '../routes/Types.js';
 import type { Millis } from '../Types.js';
@@ -41,74 +42,71 @@
 
 /** Options of the choice of a release. */
 export interface IReleaseOptions {
-  /** Reads the share of new sessions that use the new release in the stage `canary`. */
-  readCanaryShare: () => number;
+  /** Reads the largest share of a service's requests that may reach a bad release during a rollout. */
+  readMaxExposureShare: () => number;
   /**
    * Reads the time from the start of the stage `canary` for which all sessions stay on the old release, so
    * that hosts can exchange which sessions to hold there. Default 0.
    */
   readCanaryDelayMs?: () => Millis;
-  /**
-   * Time from the start of the stage `full` over which the remaining sessions move to the new release, so
-   * that the caches of its endpoints fill one after another. Default 4000.
-   */
-  rampMs?: Millis;
 }
 
 /**
  * Creates the choice of a release. Without a rollout, it is the release of the endpoint that was registered
  * first. In the stage `canary`, a session keeps the release that it has; in `full`, sessions move to the new
- * release. If no endpoint of the chosen release accepts work, another release is used.
+ * release, one after another, so that the caches of its endpoints fill. If no endpoint of the chosen release
+ * accepts work, another release is used.
  */
 export function createChooseRelease({
-  rampMs = 4000,
   readCanaryDelayMs = () => 0,
-  readCanaryShare,
+  readMaxExposureShare,
 }: IReleaseOptions): ChooseRelease {
   return (view) => {
     const availableEndpoints = view.endpoints.filter(isAcceptingWork);
     const availableReleases = new Set(availableEndpoints.map(({ release }) => release ?? ''));
-    const schedule = { canaryShare: readCanaryShare(), canaryDelayMs: readCanaryDelayMs(), rampMs };
-    const preferred = choosePreferredRelease(view, availableReleases, schedule);
+    const limits = { canaryDelayMs: readCanaryDelayMs(), maxExposureShare: readMaxExposureShare() };
+    const preferred = choosePreferredRelease(view, availableReleases, limits);
     return preferred !== undefined && availableReleases.has(preferred)
       ? preferred
       : chooseFallbackRelease(view, availableReleases);
   };
 }
 
-/** When and for which share of the sessions the new release is used. */
-interface IReleaseSchedule {
-  canaryShare: number;
-  canaryDelayMs: Millis;
-  rampMs: Millis;
-}
-
 function choosePreferredRelease(
-  { endpoints, hashFraction, isHeld, lastRelease, now, rollout }: IReleaseView,
+  view: IReleaseView,
   availableReleases: ReadonlySet<string>,
-  { canaryDelayMs, canaryShare, rampMs }: IReleaseSchedule,
+  { canaryDelayMs, maxExposureShare }: { canaryDelayMs: Millis; maxExposureShare: number },
 ): string | undefined {
+  const { endpoints, hashFraction, isHeld, lastRelease, now, rollout } = view;
   const oldRelease = endpoints.find(({ release }) => release !== rollout?.release)?.release;
   if (!rollout) return oldRelease;
   switch (rollout.stage) {
-    case 'full': {
+    case 'full':
       if (lastRelease === rollout.release) return lastRelease;
-      const newReleaseShare =
-        canaryShare + (1 - canaryShare) * Math.min(1, (now - rollout.stageSeenAt) / rampMs);
-      return hashFraction < newReleaseShare ? rollout.release : oldRelease;
-    }
+      return hashFraction < computeReleaseShare(rollout, maxExposureShare, now)
+        ? rollout.release
+        : oldRelease;
     case 'succeeded':
       return rollout.release;
     case 'canary': {
       if (lastRelease !== undefined && availableReleases.has(lastRelease)) return lastRelease;
       const isUndecided = isHeld || now - rollout.stageSeenAt < canaryDelayMs;
-      return hashFraction < canaryShare && !isUndecided ? rollout.release : oldRelease;
+      return hashFraction < rollout.canaryShare && !isUndecided ? rollout.release : oldRelease;
     }
     default:
       return oldRelease;
   }
 }
 
+/** Computes the share of the sessions that use the new release in the stage `full`. */
+function computeReleaseShare(rollout: IRolloutEntry, maxExposureShare: number, now: Millis): number {
+  const { canaryShare, durationMs, orderSeenAt, stageSeenAt } = rollout;
+  const { rampEndMs, rampStartMs } = computeRolloutSchedule({ canaryShare, durationMs, maxExposureShare });
+  const rampStartedAt = Math.min(stageSeenAt, orderSeenAt + rampStartMs);
+  const progress = (now - rampStartedAt) / (rampEndMs - rampStartMs);
+  return canaryShare + (1 - canaryShare) * Math.min(1, Math.max(0, progress));
+}
+
 /** Chooses the release of the rollout only if no endpoint of another release accepts work. */
 function chooseFallbackRelease(
   { rollout }: IReleaseView,
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -108,9 +108,6 @@
  */
 const RETRY_BUDGET_CAPACITY = 6;
 
-/** Share of `maxExposureShare` that the canary stage of a rollout uses. */
-const CANARY_SAFETY_FACTOR = 0.6;
-
 /** Time until the load balancer notices that a host is not ready: two readiness checks, one second apart. */
 const BALANCER_DELAY_MS: Millis = 2500;
 
@@ -211,8 +208,6 @@
     return this._board.limits.get('in-force') ?? this._options.limits;
   }
 
-  private readonly _readCanaryShare = (): number => CANARY_SAFETY_FACTOR * this._limits.maxExposureShare;
-
   private readonly _isReady = (): boolean =>
     this._board.routing.has('in-force') && this._board.lifecycle.get('host')?.phase === 'serving';
 
@@ -250,7 +245,7 @@
         ...common,
         chooseModels: chooseSmallestThenLargest,
         chooseRelease: createChooseRelease({
-          readCanaryShare: this._readCanaryShare,
+          readMaxExposureShare: () => this._limits.maxExposureShare,
           readCanaryDelayMs: () => computeHoldExchangeMs(this._limits.maxApplyDelayMs),
         }),
         hashToFraction,
@@ -262,7 +257,7 @@
         ...common,
         host: id,
         store,
-        isCanarySession: (sessionKey) => hashToFraction(sessionKey) < this._readCanaryShare(),
+        hashToFraction,
         hashSession,
       }),
     );
