--- a/src/daemons/EndlessResponses.test.ts
+++ b/src/daemons/EndlessResponses.test.ts
@@ -4,7 +4,7 @@
 import { StoreClient } from '../../platform/StoreClient.js';
 import { startServer } from '../standins/HttpTools.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
-import { startStream } from '../standins/platform/ScriptedRunner.js';
+import { sendEvents, startStream, type AnswerRunnerCall } from '../standins/platform/ScriptedRunner.js';
 
 /** Sends the same bytes without end until the connection is closed. Returns a function that tells how many. */
 function sendEndlessly(response: ServerResponse, bytes: Buffer): () => number {
@@ -20,6 +20,60 @@
   return () => sent;
 }
 
+/** Runs a stream whose first runner answers badly, and the others well. */
+async function sendToBadRunner(answerBadly: AnswerRunnerCall) {
+  const rig = await RouterRig.startReady();
+  let isFirst = true;
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      if (isFirst) {
+        isFirst = false;
+        return answerBadly(call, response);
+      }
+      startStream(call, response);
+      sendEvents(response, 1, 2);
+      response.end();
+    };
+  }
+  const startedAt = Date.now();
+  const { body, isComplete, status } = await rig.send('/stream/1', { model: '*' });
+  const isQuick = Date.now() - startedAt < 2000;
+  const errors = rig.events
+    .filter(({ kind }) => kind === 'attempt.error')
+    .map(({ fields }) => [fields.error, fields.message]);
+  await rig.close();
+  return { status, isComplete, isQuick, body, errors };
+}
+
+test('a stream of comments without end is given up and answered by another runner', async (t) => {
+  let countSent = (): number => 0;
+  const outcome = await sendToBadRunner((call, response) => {
+    startStream(call, response);
+    countSent = sendEndlessly(response, Buffer.from(`: ${'x'.repeat(16_000)}\n\n`));
+  });
+  t.true(countSent() < 32_000_000, `${countSent()} bytes`);
+  t.snapshot(outcome);
+});
+
+test('a stream that never ends an event is given up and answered by another runner', async (t) => {
+  let countSent = (): number => 0;
+  const outcome = await sendToBadRunner((call, response) => {
+    startStream(call, response);
+    countSent = sendEndlessly(response, Buffer.from(`data: ${'x'.repeat(16_000)}\n`));
+  });
+  t.true(countSent() < 32_000_000, `${countSent()} bytes`);
+  t.snapshot(outcome);
+});
+
+test('informational responses without end are given up and answered by another runner', async (t) => {
+  let timer: NodeJS.Timeout | undefined;
+  const outcome = await sendToBadRunner((_call, response) => {
+    timer = setInterval(() => response.socket?.write('HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n'), 5);
+  });
+  clearInterval(timer);
+  t.snapshot(outcome);
+});
+
 test('a reply of the store without end is an error before it fills the memory', async (t) => {
   let countSent = (): number => 0;
   const server = await startServer((_request, response) => {
