Count a rollout from the earliest time its order can have been written

Cause: the times of a rollout counted from when a host read the order.

The store connection entry now says since when the changes of a reply can have been made: since the reply before it, unless the watch had to wait. The schedule counts from there and allows for the uncertainty in the exposure. The new test failed before: the stage was still full at 24.0 s.

--- a/src/common/fleet/EndpointRegistryController.test.ts
+++ b/src/common/fleet/EndpointRegistryController.test.ts
@@ -25,6 +25,7 @@
     changedAt: 0,
     revision: 1,
     losses: 0,
+    changesSince: 0,
     ...connection,
   });
   new EndpointRegistryController({ board, clock });
--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -28,6 +28,9 @@
  */
 const WATCH_PAUSE_SHARE = 1 / 3;
 
+/** Duration of a watch from which on its changes are new. A shorter one has found them waiting. */
+const MIN_WATCH_WAIT_MS: Millis = 50;
+
 const MIN_RETRY_DELAY_MS = 50;
 const MAX_RETRY_DELAY_MS = 800;
 
@@ -46,6 +49,7 @@
  */
 export class FactSyncController extends Disposable {
   private _consecutiveFailures = 0;
+  private _lastReplyAt: Millis = 0;
 
   constructor(private readonly _options: IFactSyncOptions) {
     super();
@@ -66,13 +70,14 @@
       this._handleStoreError(listed.error);
       return undefined;
     }
+    this._handleStoreReply(listed.value.revision, this._options.clock.now());
     this._replaceFacts(listed.value);
-    this._handleStoreReply(listed.value.revision);
     return listed.value.revision;
   }
 
   private async _watchFacts(revision: number): Promise<number | undefined> {
-    const { board, store } = this._options;
+    const { board, clock, store } = this._options;
+    const startedAt = clock.now();
     const storeContactMs = board.limits.get('in-force')?.storeContactMs ?? DEFAULT_CONTACT_MS;
     const watched = await store.watchFacts(revision, storeContactMs - WATCH_TIMEOUT_MARGIN_MS);
     if (watched.isErr) {
@@ -80,7 +85,9 @@
       return revision;
     }
     if (watched.value.kind === 'compacted') return undefined;
-    this._handleStoreReply(watched.value.revision);
+    // A watch that had to wait ends with the change; another brings changes made since the reply before.
+    const hasWaited = clock.now() - startedAt >= MIN_WATCH_WAIT_MS;
+    this._handleStoreReply(watched.value.revision, hasWaited ? clock.now() : this._lastReplyAt);
     for (const change of watched.value.changes) this._applyChange(change);
     // The next watch reads all changes that are made during the pause in one call.
     if (watched.value.changes.length > 0) {
@@ -106,14 +113,22 @@
     else facts.set(change.key, { key: change.key, revision: change.revision, fact: change.fact });
   }
 
-  private _handleStoreReply(revision: number): void {
+  private _handleStoreReply(revision: number, changesSince: Millis): void {
     const { board, clock } = this._options;
+    const now = clock.now();
     this._consecutiveFailures = 0;
+    this._lastReplyAt = now;
     const known = board.storeConnection.get('store');
-    if (known?.state === 'connected') board.storeConnection.update('store', { revision });
+    if (known?.state === 'connected') board.storeConnection.update('store', { revision, changesSince });
     else {
       const losses = known?.losses ?? 0;
-      board.storeConnection.set('store', { state: 'connected', changedAt: clock.now(), revision, losses });
+      board.storeConnection.set('store', {
+        state: 'connected',
+        changedAt: now,
+        revision,
+        losses,
+        changesSince,
+      });
     }
   }
 
@@ -127,6 +142,7 @@
       changedAt: clock.now(),
       revision: known?.revision ?? 0,
       losses: (known?.losses ?? 0) + 1,
+      changesSince: known?.changesSince ?? clock.now(),
       reason: error.kind === 'conflict' ? error.kind : error.message,
     });
   }
--- a/src/common/fleet/FleetRolloutController.test.ts
+++ b/src/common/fleet/FleetRolloutController.test.ts
@@ -47,6 +47,19 @@
   t.deepEqual(store.acceptedRecords, ['0 s canary', '22 s full']);
 });
 
+// Guards against missing the deadline of the operator, which counts from the write of the order.
+test('a rollout succeeds in time although the order was read late, in the pause between two watches', async (t) => {
+  const clock = new ManualClock();
+  const store = new InMemoryFactStore(clock);
+  const host = createRolloutTestHost(clock, store, 'host-1');
+  const connection = { state: 'connected' as const, changedAt: 0, revision: 1, losses: 0, changesSince: 0 };
+  host.board.storeConnection.set('store', connection);
+  await clock.advance(600);
+  store.publishOrder(24_000);
+  await clock.advance(23_400);
+  t.is(host.board.rollouts.get('drafts')?.stage, 'succeeded');
+});
+
 // Guards against judging a release by the answers of those hosts only that have seen a bad one.
 test('a good release is not rolled back because hosts without bad answers are missing from the total', async (t) => {
   const clock = new ManualClock();
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -3,6 +3,7 @@
 import type { DecideReleaseRollout } from '../policy/ReleaseRollouts.js';
 import { computeCanaryShare, computeRolloutSchedule } from '../policy/RolloutSchedule.js';
 import { findWorseSymptom } from '../policy/ReleaseVerdict.js';
+import { computeWatchPause } from './FactSyncController.js';
 import { isAcceptingWork, listServiceEndpoints } from '../request/Candidates.js';
 import type { IClock, Millis, RandomSource } from '../Types.js';
 import type {
@@ -94,6 +95,7 @@
       canaryShare: 0,
       durationMs,
       orderSeenAt: now,
+      orderedAt: this._estimateOrderTime(),
       stageSeenAt: now,
     });
     this._scheduleCheck();
@@ -132,11 +134,10 @@
     ).length;
     const verdict = findWorseSymptom({ newCounts, oldCounts, newEndpointCount });
     const isRollbackUnrecorded = rollout.stage === 'rolled-back' && rollout.recordedStage !== 'rolled-back';
-    const { canaryShare, durationMs } = rollout;
     const maxExposureShare = readMaxExposureShare(board);
     const decidedStage = decideRollout({
       rollout,
-      schedule: computeRolloutSchedule({ canaryShare, durationMs, maxExposureShare }),
+      schedule: computeRolloutSchedule({ ...rollout, maxExposureShare }),
       verdict,
       newEndpointCount,
       now: clock.now(),
@@ -145,7 +146,7 @@
     if (nextStage === undefined) return;
     this._pendingWrites.add(service);
     const hostCount = evidence.length;
-    const elapsedMs = clock.now() - rollout.orderSeenAt;
+    const elapsedMs = clock.now() - rollout.orderedAt;
     board.rollouts.update(service, {
       decision: { stage: nextStage, verdict, oldCounts, newCounts, hostCount, elapsedMs },
     });
@@ -183,6 +184,14 @@
     }
   }
 
+  /** Estimates the earliest time at which an order can have been written that this host reads now. */
+  private _estimateOrderTime(): Millis {
+    const { board, clock } = this._options;
+    const now = clock.now();
+    const maxLagMs = computeWatchPause(board.limits.get('in-force')?.maxApplyDelayMs);
+    return Math.max(now - maxLagMs, board.storeConnection.get('store')?.changesSince ?? now);
+  }
+
   private _computeCanaryShare({ release, service }: IRolloutEntry): number {
     const { board } = this._options;
     const oldEndpoints = listServiceEndpoints(board, service).filter(
--- a/src/common/fleet/PlanController.test.ts
+++ b/src/common/fleet/PlanController.test.ts
@@ -50,6 +50,7 @@
     canaryShare: 1,
     durationMs: 20_000,
     orderSeenAt: 0,
+    orderedAt: 0,
     stageSeenAt: 0,
   });
   await clock.advance(3000);
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -189,6 +189,8 @@
   revision: number;
   /** How often the connection has been lost. */
   losses: number;
+  /** Earliest time at which the changes in the store's last reply can have been made. */
+  changesSince: Millis;
   /** Error of the call at which the connection was lost; absent while connected. */
   reason?: string;
 }
@@ -202,7 +204,7 @@
   newCounts: readonly ISymptomCounts[];
   /** Number of hosts whose counts are included, this host among them. */
   hostCount: number;
-  /** Time since this host first read the order. */
+  /** Time since the order was written, at most. */
   elapsedMs: Millis;
 }
 
@@ -226,6 +228,8 @@
   durationMs: Millis;
   /** When this host first read the order. */
   orderSeenAt: Millis;
+  /** Earliest time at which the order can have been written. The times of the rollout count from it. */
+  orderedAt: Millis;
   /** When this host first read the current stage. */
   stageSeenAt: Millis;
   /** Last decision of this host on the rollout. Absent if other hosts decided on every stage. */
--- a/src/common/fleet/VersionChoice.test.ts
+++ b/src/common/fleet/VersionChoice.test.ts
@@ -13,6 +13,7 @@
   canaryShare: 0.05,
   durationMs: 20_000,
   orderSeenAt: 0,
+  orderedAt: 0,
   stageSeenAt: 0,
 };
 
--- a/src/common/fleet/VersionChoice.ts
+++ b/src/common/fleet/VersionChoice.ts
@@ -100,9 +100,9 @@
 
 /** Computes the share of the sessions that use the new release in the stage `full`. */
 function computeReleaseShare(rollout: IRolloutEntry, maxExposureShare: number, now: Millis): number {
-  const { canaryShare, durationMs, orderSeenAt, stageSeenAt } = rollout;
-  const { rampEndMs, rampStartMs } = computeRolloutSchedule({ canaryShare, durationMs, maxExposureShare });
-  const rampStartedAt = Math.min(stageSeenAt, orderSeenAt + rampStartMs);
+  const { canaryShare, orderedAt, stageSeenAt } = rollout;
+  const { rampEndMs, rampStartMs } = computeRolloutSchedule({ ...rollout, maxExposureShare });
+  const rampStartedAt = Math.min(stageSeenAt, orderedAt + rampStartMs);
   const progress = (now - rampStartedAt) / (rampEndMs - rampStartMs);
   return canaryShare + (1 - canaryShare) * Math.min(1, Math.max(0, progress));
 }
--- a/src/common/policy/ReleaseRollouts.ts
+++ b/src/common/policy/ReleaseRollouts.ts
@@ -25,11 +25,11 @@
  */
 export const decideReleaseRollout: DecideReleaseRollout = (view) => {
   const { newEndpointCount, now, rollout } = view;
-  const { orderSeenAt, stage, stageSeenAt } = rollout;
+  const { orderedAt, stage, stageSeenAt } = rollout;
   if (stage === 'succeeded' || stage === 'rolled-back') return undefined;
   if (view.verdict) return 'rolled-back';
   if (stage === 'ordered') return 'canary';
-  const elapsedMs = now - orderSeenAt;
+  const elapsedMs = now - orderedAt;
   const { rampEndMs, rampStartMs, successAtMs } = view.schedule;
   if (newEndpointCount === 0) return undefined;
   if (stage === 'canary') return elapsedMs >= rampStartMs ? 'full' : undefined;
--- a/src/common/policy/RolloutSchedule.test.ts
+++ b/src/common/policy/RolloutSchedule.test.ts
@@ -2,6 +2,8 @@
 import fc from 'fast-check';
 import { computeCanaryShare, computeRolloutSchedule } from './RolloutSchedule.js';
 
+const ORDER_TIME = { orderedAt: 0, orderSeenAt: 0 };
+
 // Guards against a release without visible faults that gets more than the allowed share before it is kept.
 test('a rollout without a verdict gives the new release no more than the allowed share of the requests', (t) => {
   fc.assert(
@@ -11,7 +13,7 @@
       fc.integer({ min: 1, max: 600 }),
       (durationMs, maxExposureShare, oldEndpointCount) => {
         const canaryShare = computeCanaryShare({ maxExposureShare, oldEndpointCount });
-        const view = { canaryShare, durationMs, maxExposureShare };
+        const view = { ...ORDER_TIME, canaryShare, durationMs, maxExposureShare };
         const { rampEndMs, rampStartMs, successAtMs } = computeRolloutSchedule(view);
         const rampMs = rampEndMs - rampStartMs;
         const exposedMs =
@@ -24,8 +26,21 @@
     ),
   );
   t.snapshot({
-    fewEndpoints: computeRolloutSchedule({ durationMs: 15_000, canaryShare: 0.06, maxExposureShare: 0.15 }),
+    fewEndpoints: computeRolloutSchedule({
+      ...ORDER_TIME,
+      durationMs: 15_000,
+      canaryShare: 0.06,
+      maxExposureShare: 0.15,
+    }),
+    orderReadLate: computeRolloutSchedule({
+      orderedAt: -600,
+      orderSeenAt: 0,
+      durationMs: 15_000,
+      canaryShare: 0.06,
+      maxExposureShare: 0.15,
+    }),
     manyEndpoints: computeRolloutSchedule({
+      ...ORDER_TIME,
       durationMs: 24_000,
       canaryShare: computeCanaryShare({ maxExposureShare: 0.0975, oldEndpointCount: 63 }),
       maxExposureShare: 0.0975,
--- a/src/common/policy/RolloutSchedule.ts
+++ b/src/common/policy/RolloutSchedule.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '../Types.js';
 
-/** Times of a rollout, from the order on. */
+/** Times of a rollout, from `orderedAt` on. */
 export interface IRolloutSchedule {
   /** When the remaining sessions begin to move to the new release. */
   rampStartMs: Millis;
@@ -13,6 +13,9 @@
 /** What a schedule depends on. */
 export interface IScheduleView {
   durationMs: Millis;
+  /** Earliest and latest time at which the order can have been written. */
+  orderedAt: Millis;
+  orderSeenAt: Millis;
   /** Share of the sessions that use the new release in the stage `canary`. */
   canaryShare: number;
   /** Largest share of a service's requests that may reach a bad release during a rollout. */
@@ -24,7 +27,7 @@
 
 /** Time that is reserved between the success and the end of the duration, in case the store is slow. */
 const MIN_RESERVE_MS: Millis = 600;
-const RESERVE_SHARE = 0.03;
+const RESERVE_SHARE = 0.02;
 
 /** Time between the end of the ramp and the success, in which most requests on the old release end. */
 const SETTLE_SHARE = 0.015;
@@ -56,18 +59,23 @@
  * requests of the whole duration. A release that fails only under a load that it has not had yet cannot be
  * told from a good one before, so the bound must hold without a verdict.
  * @example
- * computeRolloutSchedule({ durationMs: 20_000, canaryShare: 0.04, maxExposureShare: 0.15 });
- * // { rampStartMs: 16_841, rampEndMs: 19_100, successAtMs: 19_400 }
+ * const orderTime = { orderedAt: 0, orderSeenAt: 0 };
+ * computeRolloutSchedule({ ...orderTime, durationMs: 20_000, canaryShare: 0.04, maxExposureShare: 0.15 });
+ * // { rampStartMs: 16_269, rampEndMs: 19_100, successAtMs: 19_400 }
  */
 export function computeRolloutSchedule({
   canaryShare,
   durationMs,
   maxExposureShare,
+  orderedAt,
+  orderSeenAt,
 }: IScheduleView): IRolloutSchedule {
   const reserveShare = Math.max(RESERVE_SHARE, MIN_RESERVE_MS / durationMs);
   const rampEndShare = Math.max(0, 1 - reserveShare - SETTLE_SHARE);
   // After the ramp all requests go to the new release, before it the canary share, and in it the mean of both.
-  const exposureLeft = maxExposureShare - (1 - rampEndShare) - canaryShare * rampEndShare;
+  // If the order was written later than assumed, all of this comes earlier in the duration.
+  const uncertainShare = (orderSeenAt - orderedAt) / durationMs;
+  const exposureLeft = maxExposureShare - (1 - rampEndShare) - uncertainShare - canaryShare * rampEndShare;
   const rampShare = exposureLeft / ((1 - canaryShare) / 2);
   const boundedRampShare = Math.min(MAX_RAMP_SHARE, Math.max(MIN_RAMP_SHARE, rampShare));
   return {
