--- a/src/common/policy/ReleaseVerdict.test.ts
+++ b/src/common/policy/ReleaseVerdict.test.ts
@@ -51,6 +51,14 @@
       createCounts('late-start', 'a', [5, 0]),
       createCounts('late-start', 'b', [5, 0]),
     ]),
+    slowRelease: find(
+      [createCounts('late-start', 'post', [18, 13])],
+      [createCounts('late-start', 'post', [13, 217])],
+    ),
+    fillingCaches: find(
+      [createCounts('late-start', 'a', [40, 186])],
+      [createCounts('late-start', 'a', [75, 529])],
+    ),
     oneEndpoint: find([createCounts('failure', 'post', [5, 60], ['e-1'])], oldFailures),
   });
 });
--- a/src/common/policy/ReleaseVerdict.ts
+++ b/src/common/policy/ReleaseVerdict.ts
@@ -27,16 +27,23 @@
 
 /**
  * Share of bad answers that any release may have, by symptom. Durations are judged by a high quantile of the
- * old release, so a part of the good answers exceeds it, more while caches fill.
+ * old release, so a part of the good answers exceeds it.
  */
 const TOLERATED_RATES: Readonly<Record<Symptom, number>> = {
   failure: 0.01,
-  'late-start': 0.3,
-  'slow-pace': 0.3,
+  'late-start': 0.2,
+  'slow-pace': 0.2,
 };
 
-/** Multiple of the old releases' rate of bad answers that a new release may have without being judged worse. */
-const ALLOWED_RATE_FACTOR = 1.5;
+/**
+ * Multiple of the old releases' rate of bad answers that a new release may have without being judged worse. A
+ * good release has more long answers than the old ones while its caches fill.
+ */
+const ALLOWED_RATE_FACTORS: Readonly<Record<Symptom, number>> = {
+  failure: 1.5,
+  'late-start': 2.5,
+  'slow-pace': 2.5,
+};
 
 /** Upper bound on the allowed rate, so that a release that fails almost always is judged worse. */
 const MAX_ALLOWED_RATE = 0.9;
@@ -146,5 +153,8 @@
 
 function computeAllowedRate(symptom: Symptom, { bad, good }: IAnswerCounts): number {
   const oldRate = (bad + PRIOR_FAILURE_RATE) / (good + bad + 1);
-  return Math.min(MAX_ALLOWED_RATE, Math.max(TOLERATED_RATES[symptom], ALLOWED_RATE_FACTOR * oldRate));
+  return Math.min(
+    MAX_ALLOWED_RATE,
+    Math.max(TOLERATED_RATES[symptom], ALLOWED_RATE_FACTORS[symptom] * oldRate),
+  );
 }
