Move requests that run again off a release that a rollout has ended

Cause: the platform stops the endpoints of the old release at the success. The streams that ran there failed and were retried at other endpoints of the same release, which were stopped too, until no attempt was left: 26.72 s silent, 26.78 and 26.83 s connection refused at two others. In the same way a request that had failed on a bad release went back to it after the rollback.

A request that is queued again now takes the release in force, with the same model, and resumes its stream there. The new test failed before with 'drafts/large@v1' after the success.

--- a/src/common/fleet/PlanController.test.ts
+++ b/src/common/fleet/PlanController.test.ts
@@ -4,9 +4,25 @@
 import { Blackboard } from '../blackboard/Blackboard.js';
 import { planAttempt } from '../request/AttemptPlan.js';
 import { PlanController } from './PlanController.js';
+import type { IRolloutEntry } from './Types.js';
 import { createChooseRelease, chooseSmallestThenLargest } from './VersionChoice.js';
 
-test('a session keeps its release when its request ran longer than the retention time', async (t) => {
+const ROLLOUT: IRolloutEntry = {
+  service: 'drafts',
+  release: 'v2',
+  stage: 'canary',
+  recordedStage: 'canary',
+  order: 1,
+  recordRevision: 1,
+  canaryShare: 1,
+  durationMs: 20_000,
+  orderSeenAt: 0,
+  orderedAt: 0,
+  stageSeenAt: 0,
+};
+
+/** Creates a host with a plan controller and one endpoint of each of the releases `v1` and `v2`. */
+function createFixture() {
   const clock = new ManualClock();
   const board = new Blackboard();
   new PlanController({
@@ -26,6 +42,28 @@
     maxApplyDelayMs: 2000,
   });
   for (const release of ['v1', 'v2']) board.endpoints.set(release, createTestEndpoint(release, { release }));
+  return { board, clock };
+}
+
+test('a request that runs again leaves a release whose endpoints a rollout has ended', (t) => {
+  const { board } = createFixture();
+  const retry = (stage: IRolloutEntry['stage'], version: string): unknown => {
+    board.rollouts.set('drafts', { ...ROLLOUT, stage });
+    const plan = { steps: [version] as const, isExploration: false, eligibleRollouts: [] };
+    board.requests.set('r', createTestRequest('r', { phase: 'running', version, plan, resumeAfter: '3' }));
+    board.requests.update('r', { phase: 'queued' });
+    const request = board.requests.get('r');
+    return [request?.version, request?.plan?.steps];
+  };
+  t.snapshot({
+    afterSuccess: retry('succeeded', 'drafts/large@v1'),
+    afterRollback: retry('rolled-back', 'drafts/large@v2'),
+    inCanary: retry('canary', 'drafts/large@v1'),
+  });
+});
+
+test('a session keeps its release when its request ran longer than the retention time', async (t) => {
+  const { board, clock } = createFixture();
   const request = createTestRequest('first', { session: 's', version: 'drafts/small@v1' });
   board.requests.set('first', request);
   planAttempt(board, {
@@ -40,19 +78,7 @@
   board.attempts.update('attempt', { phase: 'sent' });
   await clock.advance(8000);
   board.requests.update('first', { phase: 'answered' });
-  board.rollouts.set('drafts', {
-    service: 'drafts',
-    release: 'v2',
-    stage: 'canary',
-    recordedStage: 'canary',
-    order: 1,
-    recordRevision: 1,
-    canaryShare: 1,
-    durationMs: 20_000,
-    orderSeenAt: 0,
-    orderedAt: 0,
-    stageSeenAt: 0,
-  });
+  board.rollouts.set('drafts', ROLLOUT);
   await clock.advance(3000);
   board.requests.set('next', createTestRequest('next', { session: 's', phase: 'received' }));
   board.requests.update('next', { phase: 'admitted' });
--- a/src/common/fleet/PlanController.ts
+++ b/src/common/fleet/PlanController.ts
@@ -1,5 +1,5 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { IRequestEntry } from '../blackboard/Types.js';
+import type { IRequestEntry, IVersionPlan } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import { listServiceEndpoints } from '../request/Candidates.js';
 import { refuseRequest } from '../request/Refusals.js';
@@ -34,6 +34,7 @@
       _options.board.requests.onChange(({ before, after }) => {
         if (!after || after.phase === before?.phase) return;
         if (after.phase === 'admitted' || after.phase === 'claimed') this._planRequest(after);
+        if (after.phase === 'queued' && before?.phase === 'running') this._replaceEndedRelease(after);
         if (after.phase === 'answered') this._options.board.requests.update(after.id, { phase: 'billed' });
         // A session keeps its release for a time after the end of its last request, not after the start.
         const hasRun = after.attemptCount > 0;
@@ -63,6 +64,27 @@
     board.requests.update(request.id, { phase: 'queued', ...version });
   }
 
+  /**
+   * Moves a request that runs again to another release if a rollout has ended its own. The platform stops the
+   * endpoints of the old release at the success of a rollout and those of the new one after a rollback.
+   */
+  private _replaceEndedRelease(request: IRequestEntry): void {
+    const { board } = this._options;
+    const { plan, service, version = '' } = request;
+    const current = parseVersion(version)?.release;
+    const rollout = board.rollouts.get(service);
+    if (!rollout || current === undefined) return;
+    const isNewRelease = current === rollout.release;
+    const hasEnded = isNewRelease ? rollout.stage === 'rolled-back' : rollout.stage === 'succeeded';
+    const release = hasEnded ? this._chooseRelease(request) : undefined;
+    if (release === undefined || release === current) return;
+    const steps = plan && mapSteps(plan.steps, (step) => replaceRelease(step, release));
+    board.requests.update(request.id, {
+      version: replaceRelease(version, release),
+      ...(plan && steps ? { plan: { ...plan, steps } } : {}),
+    });
+  }
+
   private _chooseRelease(request: IRequestEntry): string | undefined {
     const { board, chooseRelease, clock, hashSession, hashToFraction } = this._options;
     const now = clock.now();
@@ -118,3 +140,15 @@
     }
   }
 }
+
+function replaceRelease(version: string, release: string): string {
+  const parts = parseVersion(version);
+  return parts ? formatVersion({ ...parts, release }) : version;
+}
+
+function mapSteps(
+  [first, ...others]: IVersionPlan['steps'],
+  replaceStep: (step: string) => string,
+): IVersionPlan['steps'] {
+  return [replaceStep(first), ...others.map(replaceStep)];
+}
