Do not advance the rollout of a suspected release

Cause: a verdict was either certain or nothing, so a release that was very likely bad got all requests on schedule. A verdict is now suspected from a probability of 2 % on. The rollout then keeps its stage until the release is cleared or rolled back; rollout.suspected logs it. An overdue rollout costs less than a bad release that is kept.

--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -143,6 +143,9 @@
       now: clock.now(),
     });
     const nextStage = isRollbackUnrecorded ? 'rolled-back' : decidedStage;
+    if (verdict?.symptom !== rollout.suspicion?.symptom) {
+      board.rollouts.update(service, { suspicion: verdict });
+    }
     if (nextStage === undefined) return;
     this._pendingWrites.add(service);
     const hostCount = evidence.length;
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -87,8 +87,12 @@
   entries: readonly IBaselineEntry[];
 }
 
-/** Symptom by which a release is significantly worse than the old ones. */
+/**
+ * Symptom by which a release is worse than the old ones. A release that is only `suspected` is neither rolled
+ * back nor given more requests.
+ */
 export interface IReleaseVerdict {
+  certainty: 'suspected' | 'certain';
   symptom: Symptom;
   /** `undefined` if all routes together show it. */
   route: string | undefined;
@@ -232,6 +236,8 @@
   orderedAt: Millis;
   /** When this host first read the current stage. */
   stageSeenAt: Millis;
+  /** Verdict for which the rollout does not advance. Absent if there is none. */
+  suspicion?: IReleaseVerdict | undefined;
   /** Last decision of this host on the rollout. Absent if other hosts decided on every stage. */
   decision?: IRolloutDecision;
 }
--- a/src/common/policy/ReleaseRollouts.ts
+++ b/src/common/policy/ReleaseRollouts.ts
@@ -6,7 +6,7 @@
 export interface IReleaseRolloutView {
   rollout: IRolloutEntry;
   schedule: IRolloutSchedule;
-  /** Symptom by which the new release is worse than the old ones; `undefined` if none is known. */
+  /** Symptom by which the new release is, or may be, worse than the old ones; `undefined` if none is known. */
   verdict: IReleaseVerdict | undefined;
   /** Number of endpoints of the new release that take work. */
   newEndpointCount: number;
@@ -21,14 +21,15 @@
 
 /**
  * Rolls back a release that is worse than the old ones. Otherwise advances the rollout at the times of its
- * schedule.
+ * schedule, or later if the release is suspected: an overdue rollout costs less than a bad release that is kept.
  */
 export const decideReleaseRollout: DecideReleaseRollout = (view) => {
   const { newEndpointCount, now, rollout } = view;
   const { orderedAt, stage, stageSeenAt } = rollout;
   if (stage === 'succeeded' || stage === 'rolled-back') return undefined;
-  if (view.verdict) return 'rolled-back';
+  if (view.verdict?.certainty === 'certain') return 'rolled-back';
   if (stage === 'ordered') return 'canary';
+  if (view.verdict) return undefined;
   const elapsedMs = now - orderedAt;
   const { rampEndMs, rampStartMs, successAtMs } = view.schedule;
   if (newEndpointCount === 0) return undefined;
--- a/src/common/policy/ReleaseVerdict.test.ts
+++ b/src/common/policy/ReleaseVerdict.test.ts
@@ -55,6 +55,10 @@
       [createCounts('late-start', 'post', [18, 13])],
       [createCounts('late-start', 'post', [13, 217])],
     ),
+    fewSlowAnswers: find(
+      [createCounts('late-start', 'post', [5, 3])],
+      [createCounts('late-start', 'post', [13, 217])],
+    ),
     fillingCaches: find(
       [createCounts('late-start', 'a', [40, 186])],
       [createCounts('late-start', 'a', [75, 529])],
--- a/src/common/policy/ReleaseVerdict.ts
+++ b/src/common/policy/ReleaseVerdict.ts
@@ -15,14 +15,16 @@
 }
 
 /**
- * A release is judged worse if a good one would give as many bad answers with a lower probability than this.
+ * A release is worse if a good one would give as many bad answers with a lower probability than the first, and
+ * suspected of it with a lower probability than the second.
  */
-const SIGNIFICANCE_LEVEL = 1e-4;
+const WORSE_PROBABILITY = 1e-4;
+const SUSPECTED_PROBABILITY = 0.02;
 
-/** Smallest number of bad answers with which a release can be judged worse. */
+/** Smallest number of bad answers that count against a release. */
 const MIN_BAD_ANSWERS = 3;
 
-/** Smallest number of bad answers with which a release can be judged worse if one of several endpoints gave them all. */
+/** Smallest number of bad answers that count against a release if one of several endpoints gave them all. */
 const MIN_BAD_ANSWERS_OF_ONE_ENDPOINT = 8;
 
 /**
@@ -52,13 +54,13 @@
 const PRIOR_FAILURE_RATE = 0.01;
 
 /**
- * Finds a symptom by which the new release is significantly worse than the old ones, on one route or on all
- * routes together. A fault on one route may be hidden by the answers of the others, and each route alone may
+ * Finds a symptom by which the new release is worse than the old ones or suspected of it, on one route or on
+ * all routes together. A fault on one route may be hidden by the answers of the others, and each route alone may
  * have too few answers.
  * @example
  * const failures = { symptom: 'failure', route: 'chat', good: 4, bad: 6, badEndpoints: ['e-1', 'e-2'] } as const;
  * findWorseSymptom({ newCounts: [failures], oldCounts: [], newEndpointCount: 2 });
- * // { symptom: 'failure', route: 'chat', bad: 6, total: 10, allowedRate: 0.015 }
+ * // { certainty: 'certain', symptom: 'failure', route: 'chat', bad: 6, total: 10, allowedRate: 0.015 }
  */
 export function findWorseSymptom({
   newCounts,
@@ -71,16 +73,15 @@
     ...routeGroups,
     ...symptoms.map((symptom) => combineGroups(routeGroups.filter((group) => group.symptom === symptom))),
   ];
-  const worst = groups.find((group) => isWorse(group, newEndpointCount));
-  if (!worst) return undefined;
-  const { allowedRate, bad, route, symptom, total } = worst;
-  return { symptom, route, bad, total, allowedRate };
+  const verdicts = groups.map((group) => decideVerdict(group, newEndpointCount));
+  return verdicts.find((verdict) => verdict?.certainty === 'certain') ?? verdicts.find(Boolean);
 }
 
 /** Tells whether the new release fails significantly more often than the old releases. */
 export function isSignificantlyWorse(newCounts: IAnswerCounts, oldCounts: IAnswerCounts): boolean {
   const total = newCounts.good + newCounts.bad;
-  return isRateExceeded(newCounts.bad, total, computeAllowedRate('failure', oldCounts));
+  const allowedRate = computeAllowedRate('failure', oldCounts);
+  return computeProbability(newCounts.bad, total, allowedRate) < WORSE_PROBABILITY;
 }
 
 /** Computes the binomial probability of at least `bad` failures among `total` answers at a failure rate. */
@@ -95,7 +96,7 @@
 }
 
 /** Answers of the new release with the rate of bad ones that they may have. */
-interface IJudgedGroup extends IReleaseVerdict {
+interface IJudgedGroup extends Omit<IReleaseVerdict, 'certainty'> {
   badEndpoints: ReadonlySet<string>;
 }
 
@@ -141,14 +142,21 @@
   };
 }
 
-function isWorse({ allowedRate, bad, badEndpoints, total }: IJudgedGroup, newEndpointCount: number): boolean {
+function decideVerdict(
+  { badEndpoints, ...group }: IJudgedGroup,
+  newEndpointCount: number,
+): IReleaseVerdict | undefined {
+  const { allowedRate, bad, total } = group;
+  const probability = computeProbability(bad, total, allowedRate);
+  if (probability >= SUSPECTED_PROBABILITY) return undefined;
   const isOneOfSeveral = badEndpoints.size < Math.min(2, newEndpointCount);
-  if (isOneOfSeveral && bad < MIN_BAD_ANSWERS_OF_ONE_ENDPOINT) return false;
-  return isRateExceeded(bad, total, allowedRate);
+  if (isOneOfSeveral && bad < MIN_BAD_ANSWERS_OF_ONE_ENDPOINT) return undefined;
+  return { certainty: probability < WORSE_PROBABILITY ? 'certain' : 'suspected', ...group };
 }
 
-function isRateExceeded(bad: number, total: number, allowedRate: number): boolean {
-  return bad >= MIN_BAD_ANSWERS && computeBinomialTail(bad, total, allowedRate) < SIGNIFICANCE_LEVEL;
+/** Computes the probability that a release with the allowed rate gives at least this many bad answers. */
+function computeProbability(bad: number, total: number, allowedRate: number): number {
+  return bad < MIN_BAD_ANSWERS ? 1 : computeBinomialTail(bad, total, allowedRate);
 }
 
 function computeAllowedRate(symptom: Symptom, { bad, good }: IAnswerCounts): number {
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -97,6 +97,9 @@
         if (!after) return;
         const { decision, order, release, service, stage } = after;
         if (before?.stage !== stage) record('rollout.stage', { service, release, stage, order });
+        const { suspicion } = after;
+        if (suspicion && suspicion.symptom !== before?.suspicion?.symptom)
+          record('rollout.suspected', { service, release, order, ...suspicion });
         if (decision && decision !== before?.decision)
           record('rollout.decided', { service, release, order, ...describeDecision(decision) });
       }),
