Allow for the uncertainty of a short history in a verdict

Cause: the old release's failures were counted only during the rollout, so a route with few requests had a handful of old answers, and their rate was taken as exact. Failures are now counted from the start of the host, and the rate of a route is estimated as if it had one more bad and one more good answer.

The test of the significance goes through findWorseSymptom now, as the function that it called had no other user; its values stay. The case shortHistory (3 of 8 against 1 of 12) was true before.

--- a/src/common/fleet/RolloutEvidenceController.ts
+++ b/src/common/fleet/RolloutEvidenceController.ts
@@ -41,6 +41,9 @@
 /** Number of endpoints with bad answers that are named. Two show that the fault is not in one endpoint. */
 const MAX_BAD_ENDPOINTS = 2;
 
+/** Number of answers of a route at which its history is halved, so that old answers lose their weight. */
+const MAX_HISTORY_ANSWERS = 400;
+
 /** The evidence of this host on one rollout, and what other hosts have of it. */
 interface ICollectedEvidence {
   order: number;
@@ -59,6 +62,8 @@
  */
 export class RolloutEvidenceController extends Disposable {
   private readonly _judge = new LatencyJudge();
+  /** Failures of the release in force before a rollout, by service. */
+  private readonly _failureHistory = new Map<string, ISymptomCounts[]>();
   /** By service. */
   private readonly _collected = new Map<string, ICollectedEvidence>();
   /** Attempts whose wait was judged before it was over. */
@@ -195,8 +200,12 @@
   private _count(attempt: IAttemptEntry, symptom: Symptom, isBad: boolean): void {
     const { board, host } = this._options;
     const found = this._findRolloutOf(attempt);
-    const route = board.requests.get(attempt.request)?.route ?? '';
-    if (!found || !isActive(found.rollout)) return;
+    const request = board.requests.get(attempt.request);
+    const route = request?.route ?? '';
+    if (!found || !isActive(found.rollout)) {
+      if (symptom === 'failure' && request) this._countHistory(request.service, route, isBad);
+      return;
+    }
     const { order, service } = found.rollout;
     const collected = this._getCollected(found.rollout);
     const counts = found.isNewRelease ? collected.newCounts : collected.oldCounts;
@@ -205,6 +214,15 @@
     board.rolloutEvidence.set(service, { service, host, order, newCounts, oldCounts });
   }
 
+  private _countHistory(service: string, route: string, isBad: boolean): void {
+    const history = this._failureHistory.get(service) ?? [];
+    this._failureHistory.set(service, history);
+    const entry = countAnswer(history, { symptom: 'failure', route, endpoint: '', isBad });
+    if (entry.good + entry.bad < MAX_HISTORY_ANSWERS) return;
+    entry.good /= 2;
+    entry.bad /= 2;
+  }
+
   private _findRolloutOf({
     version,
   }: IAttemptEntry): { rollout: IRolloutEntry; isNewRelease: boolean } | undefined {
@@ -233,7 +251,7 @@
     if (known?.order === order) return known;
     const initial: ICollectedEvidence = {
       order,
-      oldCounts: [],
+      oldCounts: (this._failureHistory.get(service) ?? []).map((entry) => ({ ...entry })),
       newCounts: [],
       reportedBad: 0,
       reportedTotal: 0,
@@ -256,7 +274,7 @@
 function countAnswer(
   counts: ISymptomCounts[],
   { endpoint, isBad, route, symptom }: { symptom: Symptom; route: string; endpoint: string; isBad: boolean },
-): void {
+): ISymptomCounts {
   let entry = counts.find((known) => known.symptom === symptom && known.route === route);
   if (!entry) {
     entry = { symptom, route, good: 0, bad: 0, badEndpoints: [] };
@@ -265,6 +283,7 @@
   entry[isBad ? 'bad' : 'good'] += 1;
   const isNamed = entry.badEndpoints.includes(endpoint) || entry.badEndpoints.length >= MAX_BAD_ENDPOINTS;
   if (isBad && !isNamed) entry.badEndpoints = [...entry.badEndpoints, endpoint];
+  return entry;
 }
 
 function sumCounts(counts: readonly ISymptomCounts[]): { bad: number; total: number } {
--- a/src/common/policy/ReleaseVerdict.test.ts
+++ b/src/common/policy/ReleaseVerdict.test.ts
@@ -1,7 +1,19 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type { ISymptomCounts, Symptom } from '../fleet/Types.js';
-import { computeBinomialTail, findWorseSymptom, isSignificantlyWorse } from './ReleaseVerdict.js';
+import { computeBinomialTail, findWorseSymptom } from './ReleaseVerdict.js';
+
+/** Tells whether a release of one endpoint and one route is rolled back for its failures. */
+function isSignificantlyWorse(
+  newCounts: { good: number; bad: number },
+  oldCounts: typeof newCounts,
+): boolean {
+  const describe = (counts: typeof newCounts): ISymptomCounts[] => [
+    { symptom: 'failure', route: 'a', badEndpoints: ['e-1'], ...counts },
+  ];
+  const view = { newCounts: describe(newCounts), oldCounts: describe(oldCounts), newEndpointCount: 1 };
+  return findWorseSymptom(view)?.certainty === 'certain';
+}
 
 // Guards against rolling back a release because of a handful of ordinary failures.
 test('a release is judged worse only if the old failure rate does not explain its failures', (t) => {
@@ -9,6 +21,7 @@
     twoBad: isSignificantlyWorse({ good: 0, bad: 2 }, { good: 100, bad: 0 }),
     threeOfFive: isSignificantlyWorse({ good: 2, bad: 3 }, { good: 100, bad: 0 }),
     sameRate: isSignificantlyWorse({ good: 40, bad: 6 }, { good: 400, bad: 60 }),
+    shortHistory: isSignificantlyWorse({ good: 5, bad: 3 }, { good: 11, bad: 1 }),
     noHistory: isSignificantlyWorse({ good: 1, bad: 4 }, { good: 0, bad: 0 }),
   });
 });
--- a/src/common/policy/ReleaseVerdict.ts
+++ b/src/common/policy/ReleaseVerdict.ts
@@ -50,7 +50,7 @@
 /** Upper bound on the allowed rate, so that a release that fails almost always is judged worse. */
 const MAX_ALLOWED_RATE = 0.9;
 
-/** Weight of the assumed failure rate in an estimate, in answers. */
+/** Rate of bad answers that is assumed of an old release without any answers. */
 const PRIOR_FAILURE_RATE = 0.01;
 
 /**
@@ -77,13 +77,6 @@
   return verdicts.find((verdict) => verdict?.certainty === 'certain') ?? verdicts.find(Boolean);
 }
 
-/** Tells whether the new release fails significantly more often than the old releases. */
-export function isSignificantlyWorse(newCounts: IAnswerCounts, oldCounts: IAnswerCounts): boolean {
-  const total = newCounts.good + newCounts.bad;
-  const allowedRate = computeAllowedRate('failure', oldCounts);
-  return computeProbability(newCounts.bad, total, allowedRate) < WORSE_PROBABILITY;
-}
-
 /** Computes the binomial probability of at least `bad` failures among `total` answers at a failure rate. */
 export function computeBinomialTail(bad: number, total: number, rate: number): number {
   let term = (1 - rate) ** total;
@@ -159,10 +152,12 @@
   return bad < MIN_BAD_ANSWERS ? 1 : computeBinomialTail(bad, total, allowedRate);
 }
 
-function computeAllowedRate(symptom: Symptom, { bad, good }: IAnswerCounts): number {
-  const oldRate = (bad + PRIOR_FAILURE_RATE) / (good + bad + 1);
-  return Math.min(
-    MAX_ALLOWED_RATE,
-    Math.max(TOLERATED_RATES[symptom], ALLOWED_RATE_FACTORS[symptom] * oldRate),
-  );
+function computeAllowedRate(symptom: Symptom, oldCounts: IAnswerCounts): number {
+  const oldRate = ALLOWED_RATE_FACTORS[symptom] * estimateRate(oldCounts);
+  return Math.min(MAX_ALLOWED_RATE, Math.max(TOLERATED_RATES[symptom], oldRate));
+}
+
+/** Estimates a rate of bad answers. A few good answers do not show that it is low. */
+function estimateRate({ bad, good }: IAnswerCounts): number {
+  return good + bad === 0 ? PRIOR_FAILURE_RATE : (bad + 1) / (good + bad + 2);
 }
