Use the allowed number of requests besides the share in a rollout

Cause: the bound on the exposure was the share alone. The operator also allows a number of requests, which is more than the share for a service with ten requests a second, so the ramp was far shorter than it could be and gave no evidence. For a large service the whole share left no margin.

Hosts publish their rate of attempts with their baselines, and a rollout uses 0.9 of the share and 0.2 of the number (setting exposure_slack).

--- a/src/common/fleet/FactSyncController.test.ts
+++ b/src/common/fleet/FactSyncController.test.ts
@@ -95,6 +95,7 @@
     maxRetryShare: 0.9,
     sessionRetentionMs: 5000,
     maxExposureShare: 0.1,
+    exposureSlack: 0,
     shutdownTimeoutMs: 8000,
   };
   board.limits.set('in-force', { ...limits, storeContactMs: 4000, maxApplyDelayMs: 3000 });
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -1,7 +1,11 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { DecideReleaseRollout } from '../policy/ReleaseRollouts.js';
-import { computeCanaryShare, computeRolloutSchedule } from '../policy/RolloutSchedule.js';
+import {
+  computeCanaryShare,
+  computeMaxExposureShare,
+  computeRolloutSchedule,
+} from '../policy/RolloutSchedule.js';
 import { findWorseSymptom } from '../policy/ReleaseVerdict.js';
 import { computeWatchPause } from './FactSyncController.js';
 import { isAcceptingWork, listServiceEndpoints } from '../request/Candidates.js';
@@ -93,6 +97,7 @@
       order: orderRevision,
       recordRevision,
       canaryShare: 0,
+      maxExposureShare: readMaxExposureShare(board),
       durationMs,
       orderSeenAt: now,
       orderedAt: this._estimateOrderTime(),
@@ -134,10 +139,9 @@
     ).length;
     const verdict = findWorseSymptom({ newCounts, oldCounts, newEndpointCount });
     const isRollbackUnrecorded = rollout.stage === 'rolled-back' && rollout.recordedStage !== 'rolled-back';
-    const maxExposureShare = readMaxExposureShare(board);
     const decidedStage = decideRollout({
       rollout,
-      schedule: computeRolloutSchedule({ ...rollout, maxExposureShare }),
+      schedule: computeRolloutSchedule(this._applyExposureSlack(rollout)),
       verdict,
       newEndpointCount,
       now: clock.now(),
@@ -195,6 +199,25 @@
     return Math.max(now - maxLagMs, board.storeConnection.get('store')?.changesSince ?? now);
   }
 
+  /** Adds the slack to the allowed exposure once hosts have published their rates of requests. */
+  private _applyExposureSlack(rollout: IRolloutEntry): IRolloutEntry {
+    const { board } = this._options;
+    let attemptsPerS = 0;
+    for (const { fact } of board.facts.list()) {
+      if (fact.kind !== 'release-baseline' || fact.baseline.service !== rollout.service) continue;
+      if (fact.baseline.order === rollout.order) attemptsPerS += fact.baseline.attemptsPerS;
+    }
+    const maxExposureShare = computeMaxExposureShare({
+      exposureShare: readMaxExposureShare(board),
+      exposureSlack: board.limits.get('in-force')?.exposureSlack ?? 0,
+      attemptsPerS,
+      durationMs: rollout.durationMs,
+    });
+    if (maxExposureShare !== rollout.maxExposureShare)
+      board.rollouts.update(rollout.service, { maxExposureShare });
+    return { ...rollout, maxExposureShare };
+  }
+
   private _computeCanaryShare({ release, service }: IRolloutEntry): number {
     const { board } = this._options;
     const oldEndpoints = listServiceEndpoints(board, service).filter(
--- a/src/common/fleet/RolloutEvidenceController.ts
+++ b/src/common/fleet/RolloutEvidenceController.ts
@@ -11,6 +11,7 @@
   LatencySymptom,
   Symptom,
 } from './Types.js';
+import { RateMeter } from './RateMeter.js';
 import { parseVersion } from './Versions.js';
 
 /** Options of the rollout evidence controller. */
@@ -62,6 +63,8 @@
  */
 export class RolloutEvidenceController extends Disposable {
   private readonly _judge = new LatencyJudge();
+  /** Rates of attempts, by service. */
+  private readonly _rates = new Map<string, RateMeter>();
   /** Failures of the release in force before a rollout, by service. */
   private readonly _failureHistory = new Map<string, ISymptomCounts[]>();
   /** By service. */
@@ -107,11 +110,12 @@
   }
 
   private _publishBaseline({ order, service }: IRolloutEntry): void {
-    const { host, store } = this._options;
+    const { clock, host, store } = this._options;
     this._publishedSampleCount = this._judge.ownSampleCount;
     // A failed write is not retried: the other hosts then judge by fewer samples.
     const entries = this._judge.listOwnEntries(service);
-    void store.writeReleaseBaseline({ service, host, order, entries });
+    const attemptsPerS = this._rates.get(service)?.computeRate(clock.now()) ?? 0;
+    void store.writeReleaseBaseline({ service, host, order, attemptsPerS, entries });
   }
 
   private _publishBaselineIfGrown(rollout: IRolloutEntry): void {
@@ -152,12 +156,21 @@
     if (before.paceMs === undefined && after.paceMs !== undefined)
       this._classifyDuration(after, 'slow-pace', after.paceMs);
     if (before.phase === after.phase) return;
+    if (after.phase === 'sent') this._countSent(after);
     if (after.phase === 'finished' || after.isAnswerDiscarded) this._count(after, 'failure', false);
     // A failure of the connection or the machine allows no conclusion about the release.
     const isFailure = after.error?.kind === 'failed' || after.error?.kind === 'malformed';
     if (after.phase === 'failed' && isFailure) this._count(after, 'failure', true);
   }
 
+  private _countSent({ version }: IAttemptEntry): void {
+    const service = parseVersion(version ?? '')?.service;
+    if (service === undefined) return;
+    const rate = this._rates.get(service) ?? new RateMeter();
+    this._rates.set(service, rate);
+    rate.countEvent(this._options.clock.now());
+  }
+
   private _classifyWait(attempt: IAttemptEntry): void {
     if (this._judgedWaits.has(attempt.id)) return;
     this._classifyDuration(attempt, 'late-start', this._options.clock.now() - attempt.plannedAt);
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -79,20 +79,23 @@
   buckets: readonly (readonly [bucket: number, count: number])[];
 }
 
-/** Durations of the old release that one host had measured when a rollout began. */
+/** What one host had measured of a service when a rollout began, or later in its stage `canary`. */
 export interface IReleaseBaseline {
   service: string;
   host: string;
   order: number;
+  /** Attempts that the host sends in a second, of all releases. */
+  attemptsPerS: number;
+  /** Durations of the old release. */
   entries: readonly IBaselineEntry[];
 }
 
-/**
- * Symptom by which a release is worse than the old ones. A release that is only `suspected` is neither rolled
- * back nor given more requests.
- */
+/** A release that is only `suspected` is neither rolled back nor given more requests. */
+export type VerdictCertainty = 'suspected' | 'certain';
+
+/** Symptom by which a release is worse than the old ones. */
 export interface IReleaseVerdict {
-  certainty: 'suspected' | 'certain';
+  certainty: VerdictCertainty;
   symptom: Symptom;
   /** `undefined` if all routes together show it. */
   route: string | undefined;
@@ -229,6 +232,10 @@
   recordRevision: number;
   /** Share of the sessions that use the new release in the stage `canary`; 0 until the order has a record. */
   canaryShare: number;
+  /**
+   * Largest share of the requests that may reach the release, with the slack at the fleet's rate of requests.
+   */
+  maxExposureShare: number;
   durationMs: Millis;
   /** When this host first read the order. */
   orderSeenAt: Millis;
@@ -250,6 +257,8 @@
   sessionRetentionMs: Millis;
   /** Largest share of a service's requests that may reach a bad release during a rollout. */
   maxExposureShare: number;
+  /** Requests beyond that share that a bad release may get during a rollout. */
+  exposureSlack: number;
   /** Time that the process has for its shutdown before it is killed. */
   shutdownTimeoutMs: Millis;
   /** Time of uninterrupted contact with the store after which time limits such as `maxApplyDelayMs` bind a host. */
--- a/src/common/fleet/VersionChoice.ts
+++ b/src/common/fleet/VersionChoice.ts
@@ -42,8 +42,6 @@
 
 /** Options of the choice of a release. */
 export interface IReleaseOptions {
-  /** Reads the largest share of a service's requests that may reach a bad release during a rollout. */
-  readMaxExposureShare: () => number;
   /**
    * Reads the time from the start of the stage `canary` for which all sessions stay on the old release, so
    * that hosts can exchange which sessions to hold there. Default 0.
@@ -57,15 +55,11 @@
  * release, one after another, so that the caches of its endpoints fill. If no endpoint of the chosen release
  * accepts work, another release is used.
  */
-export function createChooseRelease({
-  readCanaryDelayMs = () => 0,
-  readMaxExposureShare,
-}: IReleaseOptions): ChooseRelease {
+export function createChooseRelease({ readCanaryDelayMs = () => 0 }: IReleaseOptions = {}): ChooseRelease {
   return (view) => {
     const availableEndpoints = view.endpoints.filter(isAcceptingWork);
     const availableReleases = new Set(availableEndpoints.map(({ release }) => release ?? ''));
-    const limits = { canaryDelayMs: readCanaryDelayMs(), maxExposureShare: readMaxExposureShare() };
-    const preferred = choosePreferredRelease(view, availableReleases, limits);
+    const preferred = choosePreferredRelease(view, availableReleases, readCanaryDelayMs());
     return preferred !== undefined && availableReleases.has(preferred)
       ? preferred
       : chooseFallbackRelease(view, availableReleases);
@@ -75,7 +69,7 @@
 function choosePreferredRelease(
   view: IReleaseView,
   availableReleases: ReadonlySet<string>,
-  { canaryDelayMs, maxExposureShare }: { canaryDelayMs: Millis; maxExposureShare: number },
+  canaryDelayMs: Millis,
 ): string | undefined {
   const { endpoints, hashFraction, isHeld, lastRelease, now, rollout } = view;
   const oldRelease = endpoints.find(({ release }) => release !== rollout?.release)?.release;
@@ -83,9 +77,7 @@
   switch (rollout.stage) {
     case 'full':
       if (lastRelease === rollout.release) return lastRelease;
-      return hashFraction < computeReleaseShare(rollout, maxExposureShare, now)
-        ? rollout.release
-        : oldRelease;
+      return hashFraction < computeReleaseShare(rollout, now) ? rollout.release : oldRelease;
     case 'succeeded':
       return rollout.release;
     case 'canary': {
@@ -99,9 +91,9 @@
 }
 
 /** Computes the share of the sessions that use the new release in the stage `full`. */
-function computeReleaseShare(rollout: IRolloutEntry, maxExposureShare: number, now: Millis): number {
+function computeReleaseShare(rollout: IRolloutEntry, now: Millis): number {
   const { canaryShare, orderedAt, stageSeenAt } = rollout;
-  const { rampEndMs, rampStartMs } = computeRolloutSchedule({ ...rollout, maxExposureShare });
+  const { rampEndMs, rampStartMs } = computeRolloutSchedule(rollout);
   const rampStartedAt = Math.min(stageSeenAt, orderedAt + rampStartMs);
   const progress = (now - rampStartedAt) / (rampEndMs - rampStartMs);
   return canaryShare + (1 - canaryShare) * Math.min(1, Math.max(0, progress));
--- a/src/common/policy/ReleaseRollouts.test.ts
+++ b/src/common/policy/ReleaseRollouts.test.ts
@@ -16,6 +16,7 @@
       order: 1,
       recordRevision: 1,
       canaryShare: 0.05,
+      maxExposureShare: 0.15,
       durationMs: 15_000,
       orderSeenAt: 0,
       orderedAt: 0,
--- a/src/common/policy/ReleaseVerdict.ts
+++ b/src/common/policy/ReleaseVerdict.ts
@@ -1,4 +1,4 @@
-import type { ISymptomCounts, IReleaseVerdict, Symptom } from '../fleet/Types.js';
+import type { IReleaseVerdict, ISymptomCounts, Symptom, VerdictCertainty } from '../fleet/Types.js';
 
 /** Evidence on a release, from all hosts that have reported it. */
 export interface IReleaseEvidenceView {
@@ -14,39 +14,42 @@
   bad: number;
 }
 
-/**
- * A release is worse if a good one would give as many bad answers with a lower probability than the first, and
- * suspected of it with a lower probability than the second.
- */
-const WORSE_PROBABILITY = 1e-4;
-const SUSPECTED_PROBABILITY = 0.02;
+/** When a release counts as worse, or as suspected of it. */
+interface ICriteria {
+  /** Probability with which a good release may give as many bad answers by chance. */
+  probability: number;
+  /** Smallest number of bad answers that count against a release. */
+  minBadAnswers: number;
+  /**
+   * Share of bad answers that any release may have, by symptom. Durations are judged by a high quantile of the
+   * old release, so a part of the good answers exceeds it.
+   */
+  toleratedRates: Readonly<Record<Symptom, number>>;
+  /**
+   * Multiples of the old releases' rate of bad answers that a new release may have, by symptom. A good release
+   * has more long answers than the old ones while its caches fill.
+   */
+  rateFactors: Readonly<Record<Symptom, number>>;
+}
 
-/** Smallest number of bad answers that count against a release. */
-const MIN_BAD_ANSWERS = 3;
+const CRITERIA: Readonly<Record<VerdictCertainty, ICriteria>> = {
+  certain: {
+    probability: 1e-4,
+    minBadAnswers: 3,
+    toleratedRates: { failure: 0.01, 'late-start': 0.2, 'slow-pace': 0.2 },
+    rateFactors: { failure: 1.5, 'late-start': 2.5, 'slow-pace': 2.5 },
+  },
+  suspected: {
+    probability: 0.02,
+    minBadAnswers: 5,
+    toleratedRates: { failure: 0.01, 'late-start': 0.15, 'slow-pace': 0.15 },
+    rateFactors: { failure: 1.5, 'late-start': 1.5, 'slow-pace': 1.5 },
+  },
+};
 
 /** Smallest number of bad answers that count against a release if one of several endpoints gave them all. */
 const MIN_BAD_ANSWERS_OF_ONE_ENDPOINT = 8;
 
-/**
- * Share of bad answers that any release may have, by symptom. Durations are judged by a high quantile of the
- * old release, so a part of the good answers exceeds it.
- */
-const TOLERATED_RATES: Readonly<Record<Symptom, number>> = {
-  failure: 0.01,
-  'late-start': 0.2,
-  'slow-pace': 0.2,
-};
-
-/**
- * Multiple of the old releases' rate of bad answers that a new release may have without being judged worse. A
- * good release has more long answers than the old ones while its caches fill.
- */
-const ALLOWED_RATE_FACTORS: Readonly<Record<Symptom, number>> = {
-  failure: 1.5,
-  'late-start': 2.5,
-  'slow-pace': 2.5,
-};
-
 /** Upper bound on the allowed rate, so that a release that fails almost always is judged worse. */
 const MAX_ALLOWED_RATE = 0.9;
 
@@ -62,19 +65,25 @@
  * findWorseSymptom({ newCounts: [failures], oldCounts: [], newEndpointCount: 2 });
  * // { certainty: 'certain', symptom: 'failure', route: 'chat', bad: 6, total: 10, allowedRate: 0.015 }
  */
-export function findWorseSymptom({
-  newCounts,
-  newEndpointCount,
-  oldCounts,
-}: IReleaseEvidenceView): IReleaseVerdict | undefined {
-  const routeGroups = combineByRoute(newCounts).map((group) => computeGroup(group, oldCounts));
+export function findWorseSymptom(view: IReleaseEvidenceView): IReleaseVerdict | undefined {
+  return findByCriteria('certain', view) ?? findByCriteria('suspected', view);
+}
+
+function findByCriteria(
+  certainty: VerdictCertainty,
+  { newCounts, newEndpointCount, oldCounts }: IReleaseEvidenceView,
+): IReleaseVerdict | undefined {
+  const criteria = CRITERIA[certainty];
+  const routeGroups = combineByRoute(newCounts).map((counts) => computeGroup(counts, oldCounts, criteria));
   const symptoms = [...new Set(routeGroups.map(({ symptom }) => symptom))];
   const groups = [
     ...routeGroups,
     ...symptoms.map((symptom) => combineGroups(routeGroups.filter((group) => group.symptom === symptom))),
   ];
-  const verdicts = groups.map((group) => decideVerdict(group, newEndpointCount));
-  return verdicts.find((verdict) => verdict?.certainty === 'certain') ?? verdicts.find(Boolean);
+  const worst = groups.find((group) => isExceeded(group, newEndpointCount, criteria));
+  if (!worst) return undefined;
+  const { allowedRate, bad, route, symptom, total } = worst;
+  return { certainty, symptom, route, bad, total, allowedRate };
 }
 
 /** Computes the binomial probability of at least `bad` failures among `total` answers at a failure rate. */
@@ -112,12 +121,17 @@
 function computeGroup(
   { bad, badEndpoints, good, route, symptom }: ISymptomCounts,
   oldCounts: readonly ISymptomCounts[],
+  { rateFactors, toleratedRates }: ICriteria,
 ): IJudgedGroup {
   const old = oldCounts.filter((entry) => entry.symptom === symptom && entry.route === route);
-  const allowedRate = computeAllowedRate(symptom, {
+  const oldRate = estimateRate({
     good: old.reduce((sum, entry) => sum + entry.good, 0),
     bad: old.reduce((sum, entry) => sum + entry.bad, 0),
   });
+  const allowedRate = Math.min(
+    MAX_ALLOWED_RATE,
+    Math.max(toleratedRates[symptom], rateFactors[symptom] * oldRate),
+  );
   return { symptom, route, bad, total: good + bad, allowedRate, badEndpoints: new Set(badEndpoints) };
 }
 
@@ -135,26 +149,14 @@
   };
 }
 
-function decideVerdict(
-  { badEndpoints, ...group }: IJudgedGroup,
+function isExceeded(
+  { allowedRate, bad, badEndpoints, total }: IJudgedGroup,
   newEndpointCount: number,
-): IReleaseVerdict | undefined {
-  const { allowedRate, bad, total } = group;
-  const probability = computeProbability(bad, total, allowedRate);
-  if (probability >= SUSPECTED_PROBABILITY) return undefined;
+  { minBadAnswers, probability }: ICriteria,
+): boolean {
   const isOneOfSeveral = badEndpoints.size < Math.min(2, newEndpointCount);
-  if (isOneOfSeveral && bad < MIN_BAD_ANSWERS_OF_ONE_ENDPOINT) return undefined;
-  return { certainty: probability < WORSE_PROBABILITY ? 'certain' : 'suspected', ...group };
-}
-
-/** Computes the probability that a release with the allowed rate gives at least this many bad answers. */
-function computeProbability(bad: number, total: number, allowedRate: number): number {
-  return bad < MIN_BAD_ANSWERS ? 1 : computeBinomialTail(bad, total, allowedRate);
-}
-
-function computeAllowedRate(symptom: Symptom, oldCounts: IAnswerCounts): number {
-  const oldRate = ALLOWED_RATE_FACTORS[symptom] * estimateRate(oldCounts);
-  return Math.min(MAX_ALLOWED_RATE, Math.max(TOLERATED_RATES[symptom], oldRate));
+  const requiredBadAnswers = isOneOfSeveral ? MIN_BAD_ANSWERS_OF_ONE_ENDPOINT : minBadAnswers;
+  return bad >= requiredBadAnswers && computeBinomialTail(bad, total, allowedRate) < probability;
 }
 
 /** Estimates a rate of bad answers. A few good answers do not show that it is low. */
--- a/src/common/policy/RolloutSchedule.test.ts
+++ b/src/common/policy/RolloutSchedule.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { computeCanaryShare, computeRolloutSchedule } from './RolloutSchedule.js';
+import { computeCanaryShare, computeMaxExposureShare, computeRolloutSchedule } from './RolloutSchedule.js';
 
 const ORDER_TIME = { orderedAt: 0, orderSeenAt: 0 };
 
@@ -26,6 +26,12 @@
     ),
   );
   t.snapshot({
+    allowedOfFewRequests: computeMaxExposureShare({
+      exposureShare: 0.15,
+      exposureSlack: 30,
+      attemptsPerS: 9.4,
+      durationMs: 15_000,
+    }).toFixed(3),
     fewEndpoints: computeRolloutSchedule({
       ...ORDER_TIME,
       durationMs: 15_000,
--- a/src/common/policy/RolloutSchedule.ts
+++ b/src/common/policy/RolloutSchedule.ts
@@ -54,6 +54,40 @@
   return Math.min(1 / Math.max(1, oldEndpointCount), MAX_CANARY_PART * maxExposureShare);
 }
 
+/**
+ * Parts of the allowed share and of the slack that are used. The rate of requests may rise towards the end of
+ * a rollout, when the new release gets most of them, or fall below the rate at its beginning.
+ */
+const USED_SHARE_PART = 0.9;
+const USED_SLACK_PART = 0.2;
+
+/** Upper bound on the exposure with slack, so that a rarely used service has a canary stage too. */
+const MAX_EXPOSURE_SHARE_WITH_SLACK = 0.4;
+
+/**
+ * Computes the largest share of the requests of a rollout that may reach the release, if a number of requests
+ * is allowed beyond a share. For a service with few requests the number counts more than the share.
+ * @example
+ * computeMaxExposureShare({ exposureShare: 0.1, exposureSlack: 30, attemptsPerS: 5, durationMs: 20_000 }); // 0.15
+ */
+export function computeMaxExposureShare({
+  attemptsPerS,
+  durationMs,
+  exposureShare,
+  exposureSlack,
+}: {
+  exposureShare: number;
+  exposureSlack: number;
+  attemptsPerS: number;
+  durationMs: Millis;
+}): number {
+  const attempts = (attemptsPerS * durationMs) / 1000;
+  const usedShare = USED_SHARE_PART * exposureShare;
+  if (attempts === 0) return usedShare;
+  const shareWithSlack = usedShare + (USED_SLACK_PART * exposureSlack) / attempts;
+  return Math.max(usedShare, Math.min(MAX_EXPOSURE_SHARE_WITH_SLACK, shareWithSlack));
+}
+
 /**
  * Computes when the sessions move, such that the new release gets no more than the allowed share of the
  * requests of the whole duration. A release that fails only under a load that it has not had yet cannot be
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -245,7 +245,6 @@
         ...common,
         chooseModels: chooseSmallestThenLargest,
         chooseRelease: createChooseRelease({
-          readMaxExposureShare: () => this._limits.maxExposureShare,
           readCanaryDelayMs: () => computeHoldExchangeMs(this._limits.maxApplyDelayMs),
         }),
         hashToFraction,
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -185,6 +185,7 @@
     maxRetryShare: limits.retry_share,
     sessionRetentionMs: limits.session_ms,
     maxExposureShare: limits.exposure_share,
+    exposureSlack: limits.exposure_slack,
     shutdownTimeoutMs: limits.stop_ms,
     storeContactMs: limits.contact_ms,
     maxApplyDelayMs: limits.apply_ms,
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -183,6 +183,7 @@
         maxRetryShare: 0.9,
         sessionRetentionMs: 5000,
         maxExposureShare: 0.15,
+        exposureSlack: 0,
         shutdownTimeoutMs: 2000,
         storeContactMs: 3000,
         maxApplyDelayMs: 2000,
