Publish the baseline of a host again only after it has grown

What the store would see: a host without requests wrote its baseline four times a second during a canary stage, found while reading the code.

Cause: twice nothing is nothing, so the number of durations always counted as doubled. It now has to grow by four besides. The counts by symptom move to a file of their own.

--- a/src/common/fleet/RolloutEvidenceController.test.ts
+++ b/src/common/fleet/RolloutEvidenceController.test.ts
@@ -65,3 +65,12 @@
   await clock.advance(2000);
   t.deepEqual(store.acceptedRecords, ['0 s canary']);
 });
+
+test('a host without requests publishes its baseline once a rollout', async (t) => {
+  const clock = new ManualClock();
+  const store = new InMemoryFactStore(clock);
+  createRolloutTestHost(clock, store, 'host-1');
+  store.publishOrder(24_000);
+  await clock.advance(10_000);
+  t.is(store.baselineWriteCount, 1);
+});
--- a/src/common/fleet/RolloutEvidenceController.ts
+++ b/src/common/fleet/RolloutEvidenceController.ts
@@ -3,15 +3,9 @@
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
 import { classifyLoad, LatencyJudge, type ILatencySample } from './LatencyJudge.js';
-import type {
-  IFactStore,
-  IRolloutEntry,
-  IRolloutEvidence,
-  ISymptomCounts,
-  LatencySymptom,
-  Symptom,
-} from './Types.js';
+import type { IFactStore, IRolloutEntry, ISymptomCounts, LatencySymptom, Symptom } from './Types.js';
 import { RateMeter } from './RateMeter.js';
+import { copyEvidence, countAnswer, sumCounts } from './SymptomCounts.js';
 import { parseVersion } from './Versions.js';
 
 /** Options of the rollout evidence controller. */
@@ -36,11 +30,12 @@
 const REPORT_GROWTH_FACTOR = 1.5;
 const REPORT_GROWTH_MARGIN = 4;
 
-/** Growth of the number of durations measured at which a host publishes them again during a canary stage. */
+/**
+ * A host publishes its durations again during a canary stage once their number has grown by this factor and this
+ * number.
+ */
 const BASELINE_GROWTH_FACTOR = 2;
-
-/** Number of endpoints with bad answers that are named. Two show that the fault is not in one endpoint. */
-const MAX_BAD_ENDPOINTS = 2;
+const BASELINE_GROWTH_MARGIN = 4;
 
 /** Number of answers of a route at which its history is halved, so that old answers lose their weight. */
 const MAX_HISTORY_ANSWERS = 400;
@@ -119,8 +114,8 @@
   }
 
   private _publishBaselineIfGrown(rollout: IRolloutEntry): void {
-    const isGrown = this._judge.ownSampleCount >= BASELINE_GROWTH_FACTOR * this._publishedSampleCount;
-    if (rollout.stage === 'canary' && isGrown) this._publishBaseline(rollout);
+    const nextCount = BASELINE_GROWTH_FACTOR * this._publishedSampleCount + BASELINE_GROWTH_MARGIN;
+    if (rollout.stage === 'canary' && this._judge.ownSampleCount >= nextCount) this._publishBaseline(rollout);
   }
 
   private _scheduleCheck(): void {
@@ -283,34 +278,3 @@
 function hasBegunAnswer({ confidence, firstTokenAt, phase }: IAttemptEntry): boolean {
   return confidence !== undefined || firstTokenAt !== undefined || phase === 'finished';
 }
-
-function countAnswer(
-  counts: ISymptomCounts[],
-  { endpoint, isBad, route, symptom }: { symptom: Symptom; route: string; endpoint: string; isBad: boolean },
-): ISymptomCounts {
-  let entry = counts.find((known) => known.symptom === symptom && known.route === route);
-  if (!entry) {
-    entry = { symptom, route, good: 0, bad: 0, badEndpoints: [] };
-    counts.push(entry);
-  }
-  entry[isBad ? 'bad' : 'good'] += 1;
-  const isNamed = entry.badEndpoints.includes(endpoint) || entry.badEndpoints.length >= MAX_BAD_ENDPOINTS;
-  if (isBad && !isNamed) entry.badEndpoints = [...entry.badEndpoints, endpoint];
-  return entry;
-}
-
-function sumCounts(counts: readonly ISymptomCounts[]): { bad: number; total: number } {
-  return {
-    bad: counts.reduce((sum, { bad }) => sum + bad, 0),
-    total: counts.reduce((sum, { bad, good }) => sum + bad + good, 0),
-  };
-}
-
-/** Copies evidence whose counts go on changing while it is written. */
-function copyEvidence({ newCounts, oldCounts, ...evidence }: IRolloutEvidence): IRolloutEvidence {
-  return {
-    ...evidence,
-    newCounts: newCounts.map((entry) => ({ ...entry })),
-    oldCounts: oldCounts.map((entry) => ({ ...entry })),
-  };
-}
--- a/src/testing/RolloutHosts.ts
+++ b/src/testing/RolloutHosts.ts
@@ -13,6 +13,8 @@
 export class InMemoryFactStore {
   public readonly acceptedRecords: string[] = [];
   public isDown = false;
+  /** Number of writes of baselines. */
+  public baselineWriteCount = 0;
   /** Number of writes of rollout records, including rejected ones. */
   public recordWriteCount = 0;
   /** Time after which hosts read a written rollout record. */
@@ -62,6 +64,7 @@
 
   public readonly writeReleaseBaseline: IFactStore['writeReleaseBaseline'] = (baseline) => {
     this._revision += 1;
+    this.baselineWriteCount += 1;
     const key = `baseline/${baseline.host}`;
     const fact = { kind: 'release-baseline' as const, baseline };
     for (const board of this._boards) board.facts.set(key, { key, revision: this._revision, fact });
