Choose the release again for requests that fail late in a rollout

Cause: the platform stops the old endpoints as soon as the success is written, and a host reads it up to a pause of its watch later.

In the stage full a request that runs again now takes the release that its session has by then. In the second half sessions may move, so this breaks no promise.

--- a/src/common/fleet/PlanController.test.ts
+++ b/src/common/fleet/PlanController.test.ts
@@ -14,7 +14,7 @@
   recordedStage: 'canary',
   order: 1,
   recordRevision: 1,
-  canaryShare: 1,
+  canaryShare: 0.5,
   maxExposureShare: 1,
   durationMs: 20_000,
   orderSeenAt: 0,
@@ -59,6 +59,7 @@
   };
   t.snapshot({
     afterSuccess: retry('succeeded', 'drafts/large@v1'),
+    beforeSuccessIsRead: retry('full', 'drafts/large@v1'),
     afterRollback: retry('rolled-back', 'drafts/large@v2'),
     inCanary: retry('canary', 'drafts/large@v1'),
   });
--- a/src/common/fleet/PlanController.ts
+++ b/src/common/fleet/PlanController.ts
@@ -65,8 +65,9 @@
   }
 
   /**
-   * Moves a request that runs again to another release if a rollout has ended its own. The platform stops the
-   * endpoints of the old release at the success of a rollout and those of the new one after a rollback.
+   * Chooses the release again for a request that runs again, if a rollout may have ended its own. The platform
+   * stops the endpoints of the new release after a rollback, and those of the old one at the success, which this
+   * host reads only later.
    */
   private _replaceEndedRelease(request: IRequestEntry): void {
     const { board } = this._options;
@@ -75,8 +76,9 @@
     const rollout = board.rollouts.get(service);
     if (!rollout || current === undefined) return;
     const isNewRelease = current === rollout.release;
-    const hasEnded = isNewRelease ? rollout.stage === 'rolled-back' : rollout.stage === 'succeeded';
-    const release = hasEnded ? this._chooseRelease(request) : undefined;
+    const isFullOrOver = rollout.stage === 'full' || rollout.stage === 'succeeded';
+    const mayHaveEnded = isNewRelease ? rollout.stage === 'rolled-back' : isFullOrOver;
+    const release = mayHaveEnded ? this._chooseRelease(request) : undefined;
     if (release === undefined || release === current) return;
     const steps = plan && mapSteps(plan.steps, (step) => replaceRelease(step, release));
     board.requests.update(request.id, {
