Correct the times in the example of computeRolloutSchedule

The example showed the start of a ramp that the function does not return (16,269 ms instead of 16,317 ms); seen while reading the diff. Only the comment changes.

--- a/src/common/policy/RolloutSchedule.ts
+++ b/src/common/policy/RolloutSchedule.ts
@@ -95,7 +95,7 @@
  * @example
  * const orderTime = { orderedAt: 0, orderSeenAt: 0 };
  * computeRolloutSchedule({ ...orderTime, durationMs: 20_000, canaryShare: 0.04, maxExposureShare: 0.15 });
- * // { rampStartMs: 16_269, rampEndMs: 19_100, successAtMs: 19_400 }
+ * // { rampStartMs: 16_317, rampEndMs: 19_100, successAtMs: 19_400 }
  */
 export function computeRolloutSchedule({
   canaryShare,
