--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -83,6 +83,11 @@
        * same endpoint, which has it in its cache.
        */
       prefixHashes: readonly string[];
+      /**
+       * Ids of those parts of the prompt that other requests can share. The last part of a prompt belongs to one
+       * request or session and is not listed. Absent if the front end does not know the parts.
+       */
+      sharedParts?: readonly string[];
       body: unknown;
     }
   | {
--- a/src/common/fleet/CrashSuspectController.test.ts
+++ b/src/common/fleet/CrashSuspectController.test.ts
@@ -5,6 +5,7 @@
 import { Blackboard } from '../blackboard/Blackboard.js';
 import { planAttempt } from '../request/AttemptPlan.js';
 import type { RunCheckResult } from '../request/Types.js';
+import { CrashDetector } from './CrashDetector.js';
 import { CrashSuspectController } from './CrashSuspectController.js';
 import type { ICrashReport, IFactStore } from './Types.js';
 
@@ -32,12 +33,13 @@
   for (const [index, board] of boards.entries()) {
     for (const id of ['e-1', 'e-2', 'e-3']) board.endpoints.set(id, createTestEndpoint(id));
     const checkRun = (): Promise<RunCheckResult> => Promise.resolve(checkResult);
+    const { onCrash } = new CrashDetector({ board, clock, checkRun });
     new CrashSuspectController({
       board,
       clock,
       host: `host-${index}`,
       store: { writeCrashReports },
-      checkRun,
+      onCrash,
     });
   }
   let count = 0;
--- a/src/common/fleet/CrashSuspectController.ts
+++ b/src/common/fleet/CrashSuspectController.ts
@@ -1,9 +1,10 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { IAttemptEntry, IEndpointEntry } from '../blackboard/Types.js';
+import type { Event } from '../Event.js';
 import { Disposable } from '../Lifecycle.js';
-import type { CheckRun, DecideAdmission, DecideRetry, IAttemptCall } from '../request/Types.js';
+import type { DecideAdmission, DecideRetry } from '../request/Types.js';
 import { withBlockedRefusal, withBlockedRetry } from '../request/Suspects.js';
 import type { IClock, Millis } from '../Types.js';
+import type { IDetectedCrash } from './CrashDetector.js';
 import type { ICrashReport, IFactStore } from './Types.js';
 
 /** Options of the crash suspect controller. */
@@ -13,10 +14,8 @@
   /** Id of this host. */
   host: string;
   store: Pick<IFactStore, 'writeCrashReports'>;
-  /**
-   * Asks an endpoint for an attempt. A broken connection is a crash only if the endpoint cannot be reached.
-   */
-  checkRun: CheckRun;
+  /** Crashes that this host detects. */
+  onCrash: Event<IDetectedCrash>;
 }
 
 /**
@@ -28,21 +27,9 @@
 /** Time for which a crash counts against the requests that were in flight at it. */
 const CRASH_RETENTION_MS: Millis = 120_000;
 
-/**
- * Attempts that broke at most this long before an endpoint is found unreachable were in flight at its crash.
- */
-const SAME_CRASH_WINDOW_MS: Millis = 500;
-
 /** Largest number of crash reports that a host publishes. */
 const MAX_PUBLISHED_REPORTS = 64;
 
-/** An attempt whose connection broke while the endpoint may have been running it. */
-interface IBrokenAttempt {
-  fingerprint: string;
-  endpoint: string;
-  brokenAt: Millis;
-}
-
 /**
  * Detects requests that crash the endpoints that run them. Each host publishes in the store which requests
  * were in flight at a crash. All hosts block a request that was in flight at several crashes.
@@ -50,14 +37,13 @@
 export class CrashSuspectController extends Disposable {
   /** For each fingerprint, the ids of the crashes that this host knows, and when it learned of them. */
   private readonly _crashesByFingerprint = new Map<string, Map<string, Millis>>();
-  private readonly _brokenAttempts: IBrokenAttempt[] = [];
 
   constructor(private readonly _options: ICrashSuspectOptions) {
     super();
     const { board } = _options;
     this._register(
-      board.attempts.onChange(({ before, after }) => {
-        if (after?.phase === 'failed' && before?.phase !== 'failed') this._handleFailedAttempt(after);
+      _options.onCrash((crash) => {
+        this._handleCrash(crash);
       }),
     );
     this._register(
@@ -78,35 +64,13 @@
     return withBlockedRetry(this._options.board, decide);
   }
 
-  private _handleFailedAttempt(attempt: IAttemptEntry): void {
-    const { board, clock } = this._options;
-    const request = board.requests.get(attempt.request);
-    const endpoint = board.endpoints.get(attempt.endpoint);
-    const isConnectionError = attempt.error?.kind === 'crashed' || attempt.error?.kind === 'connect-failed';
-    if (!request || !endpoint || !isConnectionError) return;
-    const now = clock.now();
-    if (attempt.error?.kind === 'crashed') {
-      this._brokenAttempts.push({ fingerprint: request.fingerprint, endpoint: endpoint.id, brokenAt: now });
-      while (this._brokenAttempts[0] && now - this._brokenAttempts[0].brokenAt > SAME_CRASH_WINDOW_MS)
-        this._brokenAttempts.shift();
-    }
-    void this._verifyCrash(endpoint, { attempt, request, endpoint, signal: new AbortController().signal });
-  }
-
-  private async _verifyCrash(endpoint: IEndpointEntry, call: IAttemptCall): Promise<void> {
-    const { checkRun, clock } = this._options;
-    const crashId = formatCrashId(endpoint);
-    const fingerprints = new Set(
-      this._brokenAttempts
-        .filter((broken) => broken.endpoint === endpoint.id)
-        .map((broken) => broken.fingerprint),
+  private _handleCrash({ attempts, id }: IDetectedCrash): void {
+    const broken = attempts.filter(({ end }) => end === 'broken');
+    const newFingerprints = [...new Set(broken.map(({ fingerprint }) => fingerprint))].filter(
+      (fingerprint) => !this._crashesByFingerprint.get(fingerprint)?.has(id),
     );
-    if (fingerprints.size === 0 || (await checkRun(call, 0)) !== 'unreachable') return;
-    const newFingerprints = [...fingerprints].filter(
-      (fingerprint) => !this._crashesByFingerprint.get(fingerprint)?.has(crashId),
-    );
-    for (const fingerprint of newFingerprints) this._recordCrash({ fingerprint, crash: crashId });
-    if (newFingerprints.length > 0) await this._publishCrashes(clock.now());
+    for (const fingerprint of newFingerprints) this._recordCrash({ fingerprint, crash: id });
+    if (newFingerprints.length > 0) void this._publishCrashes(this._options.clock.now());
   }
 
   private _recordCrash({ crash, fingerprint }: ICrashReport): void {
@@ -149,8 +113,3 @@
     }
   }
 }
-
-/** Formats the id of an endpoint's crash. The incarnation tells crashes of a restarted endpoint apart. */
-function formatCrashId({ id, incarnation }: IEndpointEntry): string {
-  return `${id}@${incarnation ?? 0}`;
-}
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -3,6 +3,7 @@
 import { Blackboard } from '../common/blackboard/Blackboard.js';
 import type { IRefusal } from '../common/blackboard/Types.js';
 import { DrainController } from '../common/coordination/DrainController.js';
+import { CrashDetector } from '../common/fleet/CrashDetector.js';
 import { CrashSuspectController } from '../common/fleet/CrashSuspectController.js';
 import { EndpointRegistryController } from '../common/fleet/EndpointRegistryController.js';
 import { FactSyncController } from '../common/fleet/FactSyncController.js';
@@ -277,7 +278,8 @@
     const { checkRun, runAttempt } = createEndpointClient(
       createDecideSilence({ hasBudget: retryBudgets.hasAttempt }),
     );
-    const suspects = this._register(new CrashSuspectController({ ...common, host: id, store, checkRun }));
+    const { onCrash } = this._registerCrashDetector(checkRun);
+    const suspects = this._register(new CrashSuspectController({ ...common, host: id, store, onCrash }));
     const isDraining = (): boolean => hasStoppedAccepting(board);
     const takeRateShare = (): boolean => true;
     this._register(
@@ -325,6 +327,26 @@
     this._register(new DeadlineController(common));
     this._register(new CleanUpController(board));
   }
+
+  /** Detects crashes of endpoints, and records the parts of the prompts that were in flight without output. */
+  private _registerCrashDetector(checkRun: CheckRun): CrashDetector {
+    const detector = this._register(new CrashDetector({ board: this._board, clock: systemClock, checkRun }));
+    this._register(
+      detector.onCrash(({ attempts, endpoint, id }) => {
+        const withoutOutput = attempts.filter(({ hasOutput }) => !hasOutput);
+        const prompts = withoutOutput.map(
+          ({ request, sharedParts }) => `${request}=${sharedParts.join('+')}`,
+        );
+        this._timeline.record('endpoint.crashed', {
+          endpoint,
+          crash: id,
+          attempts: attempts.length,
+          withoutOutput: prompts.join(' '),
+        });
+      }),
+    );
+    return detector;
+  }
 }
 
 /**
