--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -4,6 +4,7 @@
   IAttemptEntry,
   IConfigurationEntry,
   IContactEntry,
+  ICrashEntry,
   IEndpointEntry,
   IFactEntry,
   IStoreConnectionEntry,
@@ -13,6 +14,7 @@
   ILifecycleEntry,
   IListedHost,
   IPartitionEntry,
+  IPromptBlockEntry,
   IPromptPrefixEntry,
   IQualityEntry,
   IRequestEntry,
@@ -65,6 +67,10 @@
   public readonly sessions = this._createPanel<string, ISessionEntry>();
   /** Requests that may have crashed endpoints, by fingerprint. */
   public readonly crashSuspects = this._createPanel<string, ICrashSuspectEntry>();
+  /** Recent crashes of endpoints that some part of a prompt may have caused, by crash id. */
+  public readonly crashes = this._createPanel<string, ICrashEntry>();
+  /** Parts of prompts whose requests are refused, by service and parts. */
+  public readonly promptBlocks = this._createPanel<string, IPromptBlockEntry>();
   /** Bills that could not be appended to the journal yet, by id. */
   public readonly heldBills = this._createPanel<string, IHeldBillEntry>();
   /** Where prompt prefixes were sent last, by version and hash. */
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -5,9 +5,11 @@
 import type { Millis, Priority, RanStatus } from '../Types.js';
 export type { HostState } from '../coordination/Updates.js';
 export type {
+  ICrashEntry,
   IFactEntry,
   IStoreConnectionEntry,
   IHostLimits,
+  IPromptBlockEntry,
   IRolloutEntry,
   IRolloutEvidence,
   ISessionHoldsEntry,
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -130,6 +130,75 @@
   crash: string;
 }
 
+/** A crash of an endpoint, as the hosts that had attempts in flight at it report it. */
+export interface ICrashRecord {
+  /** Id and start of the endpoint. Reports of one crash by several hosts have the same id. */
+  id: string;
+  service: string;
+  /** Time of day of the host that reported the crash, in Unix milliseconds. */
+  crashedAt: number;
+  /** For each attempt without output, the parts of its prompt that other requests can share. */
+  prompts: readonly (readonly string[])[];
+}
+
+/** A part of prompts of which an answer has begun since some crashes, so that it did not cause them. */
+export interface IPartClearance {
+  part: string;
+  /** Ids of the crashes. */
+  crashes: readonly string[];
+}
+
+/** What one host knows of the parts of prompts that were in flight at crashes. */
+export interface ICrashEvidenceReport {
+  host: string;
+  crashes: readonly ICrashRecord[];
+  clearances: readonly IPartClearance[];
+}
+
+/** Parts of prompts that are tried again although they are blocked. */
+export interface IPromptTrial {
+  service: string;
+  parts: readonly string[];
+  /** Number of requests that have been allowed to run as a trial. */
+  count: number;
+  /** Time of day of the host that runs the last trial, in Unix milliseconds. */
+  startedAt: number;
+}
+
+/** A crash with those prompts that may have caused it. Parts that are cleared are not listed. */
+export interface ICrashEvidence {
+  id: string;
+  crashedAt: number;
+  prompts: readonly (readonly string[])[];
+}
+
+/** Parts that explain crashes, and the ids of these. */
+export interface ICrashingParts {
+  parts: readonly string[];
+  crashes: readonly string[];
+}
+
+/** Finds the parts of prompts that crash the endpoints of a service. */
+export type FindCrashingParts = (crashes: readonly ICrashEvidence[]) => readonly ICrashingParts[];
+
+/** A crash of an endpoint as this host knows it from all hosts. */
+export interface ICrashEntry extends ICrashRecord {
+  /** When this host learned of the crash. */
+  seenAt: Millis;
+  /** Parts of which an answer has begun since. */
+  clearedParts: ReadonlySet<string>;
+}
+
+/** Requests to a service whose prompt holds all of some parts are refused, because the parts crash endpoints. */
+export interface IPromptBlockEntry {
+  service: string;
+  parts: readonly string[];
+  /** Ids of the crashes that the parts explain. */
+  crashes: readonly string[];
+  /** Id of the last request of this host that ran as a trial of the parts. Absent before the first. */
+  trialRequest?: string;
+}
+
 /** Decoded value of a key in the store. `unreadable` stands for a value that could not be decoded. */
 export type FleetFact =
   | { kind: 'routing-table'; table: IRoutingTable }
@@ -140,6 +209,8 @@
   | { kind: 'release-baseline'; baseline: IReleaseBaseline }
   | { kind: 'session-holds'; holds: ISessionHolds }
   | { kind: 'crash-reports'; reports: readonly ICrashReport[] }
+  | { kind: 'crash-evidence'; report: ICrashEvidenceReport }
+  | { kind: 'prompt-trial'; trial: IPromptTrial }
   | { kind: 'unreadable'; reason: string };
 
 /** A fact with its key and revision in the store. */
@@ -180,6 +251,13 @@
   ) => Promise<Result<number, StoreError>>;
   /** Replaces the crash reports of a host. */
   writeCrashReports: (host: string, reports: readonly ICrashReport[]) => Promise<Result<number, StoreError>>;
+  /** Replaces what a host knows of the parts of prompts that were in flight at crashes. */
+  writeCrashEvidence: (report: ICrashEvidenceReport) => Promise<Result<number, StoreError>>;
+  /**
+   * Records the start of a trial if the record of the parts' last trial has the expected revision, where 0 stands
+   * for none. Only one host succeeds.
+   */
+  writePromptTrial: (trial: IPromptTrial, expectedRevision: number) => Promise<Result<number, StoreError>>;
   writeRolloutEvidence: (evidence: IRolloutEvidence) => Promise<Result<number, StoreError>>;
   /** Replaces the durations that a host has measured of the old release of a service. */
   writeReleaseBaseline: (baseline: IReleaseBaseline) => Promise<Result<number, StoreError>>;
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -22,6 +22,21 @@
     super();
     this._recordAttempts();
     this._recordFleetChanges();
+    this._recordPromptBlocks();
+  }
+
+  private _recordPromptBlocks(): void {
+    const { board, record } = this._options;
+    this._register(
+      board.promptBlocks.onChange(({ before, after }) => {
+        const { crashes, parts, service, trialRequest } = after ?? before ?? { crashes: [], parts: [] };
+        const fields = { service, parts: parts.join('+'), crashes: crashes.join(' ') };
+        if (!before) record('prompt.blocked', fields);
+        else if (!after) record('prompt.unblocked', fields);
+        else if (trialRequest !== before.trialRequest)
+          record('prompt.tried', { ...fields, request: trialRequest });
+      }),
+    );
   }
 
   private _recordAttempts(): void {
