--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -372,6 +372,10 @@
   slots?: number;
   /** Time until which the endpoint is slow after its start. */
   warmAt?: Millis;
+  /**
+   * Requests a second that the endpoint takes from all hosts together, as it last said. Absent if it sets no limit.
+   */
+  maxRequestsPerS?: number | undefined;
   /** Identifies the start of the endpoint's process; a later start has a higher number. Default 0. */
   incarnation?: number;
 }
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -191,6 +191,10 @@
       this._options.board.endpoints.update(this._attempt.endpoint, { report: part.report });
       return;
     }
+    if (part.kind === 'rate-limit') {
+      this._handleRateLimit(part.requestsPerS);
+      return;
+    }
     if (part.kind === 'opening') {
       const { confidence } = part;
       if (confidence !== undefined) this._options.board.attempts.update(this._attempt.id, { confidence });
@@ -225,6 +229,13 @@
     this._options.board.attempts.update(this._attempt.id, { tokens: this._tokens });
   }
 
+  private _handleRateLimit(maxRequestsPerS: number | undefined): void {
+    const { board } = this._options;
+    const endpoint = board.endpoints.get(this._attempt.endpoint);
+    if (endpoint && endpoint.maxRequestsPerS !== maxRequestsPerS)
+      board.endpoints.update(endpoint.id, { maxRequestsPerS });
+  }
+
   private _handleFirstToken(now: Millis): void {
     const { board } = this._options;
     this._firstTokenAt = now;
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -19,6 +19,11 @@
 export type AttemptPart =
   | { kind: 'chunk'; tokens: number; data: unknown }
   | { kind: 'report'; report: ILoadReport }
+  /**
+   * The response has begun, and its endpoint takes `requestsPerS` requests a second from all hosts together;
+   * `undefined` if it sets no limit.
+   */
+  | { kind: 'rate-limit'; requestsPerS: number | undefined }
   /**
    * The response has begun. `confidence` is the model's confidence in its answer, 0 to 1, if it reports one.
    */
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -23,6 +23,17 @@
     this._recordAttempts();
     this._recordFleetChanges();
     this._recordPromptBlocks();
+    this._recordRateLimits();
+  }
+
+  private _recordRateLimits(): void {
+    this._register(
+      this._options.board.endpoints.onChange(({ key, before, after }) => {
+        const requestsPerS = after?.maxRequestsPerS;
+        if (requestsPerS === before?.maxRequestsPerS || !after) return;
+        this._options.record('endpoint.limited', { endpoint: key, requestsPerS: requestsPerS ?? 'none' });
+      }),
+    );
   }
 
   private _recordPromptBlocks(): void {
