--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -11,6 +11,7 @@
   IHeldBillEntry,
   IHostEntry,
   IHostLimits,
+  IHostPresence,
   ILifecycleEntry,
   IListedHost,
   IPartitionEntry,
@@ -89,6 +90,8 @@
   public readonly lifecycle = this._createPanel<'host', ILifecycleEntry>();
   /** Decoded values in the store, by store key. */
   public readonly facts = this._createPanel<string, IFactEntry>();
+  /** Announcements of the hosts that share the store, by host id. */
+  public readonly presentHosts = this._createPanel<string, IHostPresence>();
   /** State of the connection to the store. */
   public readonly storeConnection = this._createPanel<'store', IStoreConnectionEntry>();
   /** Routing table in force. */
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -9,6 +9,7 @@
   IFactEntry,
   IStoreConnectionEntry,
   IHostLimits,
+  IHostPresence,
   IPromptBlockEntry,
   IRolloutEntry,
   IRolloutEvidence,
@@ -376,6 +377,17 @@
    * Requests a second that the endpoint takes from all hosts together, as it last said. Absent if it sets no limit.
    */
   maxRequestsPerS?: number | undefined;
+  /** When a response to this host last named that limit, or ended it. */
+  rateLimitHeardAt?: Millis;
+  /**
+   * Least time between two requests of this host to an endpoint that limits its rate; `Infinity` if other hosts use the
+   * rate. Absent without a limit.
+   */
+  attemptIntervalMs?: Millis | undefined;
+  /** Time until which this host sends the endpoint nothing, because of its limit. Absent while it may send. */
+  nextAttemptAt?: Millis | undefined;
+  /** When `nextAttemptAt` was reached last. A request that comes later shortens the wait after it. */
+  attemptDueAt?: Millis;
   /** Identifies the start of the endpoint's process; a later start has a higher number. Default 0. */
   incarnation?: number;
 }
--- /dev/null
+++ b/src/common/fleet/RateLimitController.ts
@@ -0,0 +1,178 @@
+import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IEndpointEntry } from '../blackboard/Types.js';
+import { Disposable, type IDisposable } from '../Lifecycle.js';
+import type { IClock, Millis, RandomSource } from '../Types.js';
+import type { ComputeAttemptInterval, IEndpointRateLimit, IFactStore } from './Types.js';
+
+/** Options of the rate limit controller. */
+export interface IRateLimitOptions {
+  board: Blackboard;
+  clock: IClock;
+  random: RandomSource;
+  /** Id of this host. */
+  host: string;
+  store: Pick<IFactStore, 'writeRateLimit'>;
+  computeAttemptInterval: ComputeAttemptInterval;
+}
+
+/**
+ * Largest random delay before a limit is written to the store. Several hosts hear of it within the same second, and one
+ * write suffices.
+ */
+const MAX_WRITE_DELAY_MS: Millis = 400;
+
+/** Largest random delay before the limit of an endpoint that is gone is deleted from the store. */
+const MAX_DELETION_DELAY_MS: Millis = 10_000;
+
+const WRITE_RETRY_MS: Millis = 1000;
+
+/** Time for which what an endpoint said to this host goes before what another host wrote, which may be older. */
+const OWN_NEWS_PRECEDENCE_MS: Millis = 2500;
+
+/**
+ * Keeps this host to its share of the rate that an endpoint takes from all hosts together. Hosts share through the
+ * store what an endpoint said, so that those that it has not told keep to the limit too, and those that send it nothing
+ * hear of its end. A new incarnation of an endpoint begins without a limit.
+ */
+export class RateLimitController extends Disposable {
+  /** Limits in the store, by endpoint. */
+  private readonly _sharedLimits = new Map<string, IEndpointRateLimit>();
+  /** Timers that let this host send to an endpoint again. */
+  private readonly _reopenTimers = new Map<string, IDisposable>();
+  private readonly _writeTimers = new Map<string, IDisposable>();
+  /** Timers that look again at a shared limit that was older than what the endpoint had said. */
+  private readonly _compareTimers = new Map<string, IDisposable>();
+
+  constructor(private readonly _options: IRateLimitOptions) {
+    super();
+    const { board } = _options;
+    this._register(
+      board.endpoints.onChange(({ key, before, after }) => {
+        if (after) this._handleChange(before, after);
+        else this._removeEndpoint(key);
+      }),
+    );
+    this._register(
+      board.facts.onChange(({ before, after }) => {
+        const { fact } = after ?? before ?? {};
+        if (fact?.kind !== 'rate-limit') return;
+        const { endpoint } = fact.limit;
+        if (after) this._sharedLimits.set(endpoint, fact.limit);
+        else this._sharedLimits.delete(endpoint);
+        this._applySharedLimit(endpoint);
+      }),
+    );
+    this._register(
+      board.presentHosts.onChange(({ before, after }) => {
+        if (before && after) return;
+        for (const endpoint of [...board.endpoints.list()])
+          if (endpoint.maxRequestsPerS !== undefined) this._updateInterval(endpoint);
+      }),
+    );
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    for (const timers of [this._reopenTimers, this._writeTimers, this._compareTimers]) {
+      for (const timer of timers.values()) timer.dispose();
+      timers.clear();
+    }
+  }
+
+  private _handleChange(before: IEndpointEntry | undefined, after: IEndpointEntry): void {
+    const isSameProcess = before?.incarnation === after.incarnation;
+    if (!before || !isSameProcess) this._applySharedLimit(after.id);
+    if (after.maxRequestsPerS !== before?.maxRequestsPerS) {
+      this._updateInterval(after);
+      if (isSameProcess || after.maxRequestsPerS !== undefined) this._scheduleWrite(after.id);
+    }
+    if (after.nextAttemptAt !== before?.nextAttemptAt) this._scheduleReopening(after);
+  }
+
+  /** Takes over what another host heard from an endpoint, unless this host has heard otherwise since. */
+  private _applySharedLimit(id: string): void {
+    const { board, clock } = this._options;
+    const endpoint = board.endpoints.get(id);
+    if (!endpoint || this._compareTimers.has(id)) return;
+    const maxRequestsPerS = this._findSharedLimit(endpoint);
+    if (maxRequestsPerS === endpoint.maxRequestsPerS) return;
+    const ownNewsAgeMs = clock.now() - (endpoint.rateLimitHeardAt ?? -Infinity);
+    if (ownNewsAgeMs >= OWN_NEWS_PRECEDENCE_MS) {
+      board.endpoints.update(id, { maxRequestsPerS });
+      return;
+    }
+    const timer = clock.schedule(OWN_NEWS_PRECEDENCE_MS - ownNewsAgeMs, () => {
+      this._compareTimers.delete(id);
+      this._applySharedLimit(id);
+    });
+    this._compareTimers.set(id, timer);
+  }
+
+  private _findSharedLimit({ id, incarnation = 0 }: IEndpointEntry): number | undefined {
+    const shared = this._sharedLimits.get(id);
+    return shared?.startedAt === incarnation ? shared.requestsPerS : undefined;
+  }
+
+  private _updateInterval({ id, maxRequestsPerS, nextAttemptAt }: IEndpointEntry): void {
+    const { board, clock, computeAttemptInterval, host, random } = this._options;
+    if (maxRequestsPerS === undefined) {
+      board.endpoints.update(id, { attemptIntervalMs: undefined, nextAttemptAt: undefined });
+      return;
+    }
+    const hosts = [...board.presentHosts.list()].map((entry) => entry.host);
+    const attemptIntervalMs = computeAttemptInterval({
+      endpoint: id,
+      host,
+      hosts,
+      requestsPerS: maxRequestsPerS,
+    });
+    // The hosts hear of a limit at about the same time, so they begin at random times.
+    const firstAt =
+      attemptIntervalMs === Infinity ? Infinity : clock.now() + attemptIntervalMs * (0.5 + 0.5 * random());
+    const isWaiting = nextAttemptAt !== undefined && nextAttemptAt !== Infinity;
+    board.endpoints.update(id, {
+      attemptIntervalMs,
+      nextAttemptAt: isWaiting ? Math.min(nextAttemptAt, firstAt) : firstAt,
+    });
+  }
+
+  private _scheduleReopening({ id, nextAttemptAt }: IEndpointEntry): void {
+    const { board, clock } = this._options;
+    this._reopenTimers.get(id)?.dispose();
+    this._reopenTimers.delete(id);
+    if (nextAttemptAt === undefined || nextAttemptAt === Infinity) return;
+    const timer = clock.schedule(nextAttemptAt - clock.now(), () => {
+      this._reopenTimers.delete(id);
+      board.endpoints.update(id, { nextAttemptAt: undefined, attemptDueAt: nextAttemptAt });
+    });
+    this._reopenTimers.set(id, timer);
+  }
+
+  private _scheduleWrite(id: string, delayMs = MAX_WRITE_DELAY_MS * this._options.random()): void {
+    if (this._writeTimers.has(id) || this._isDisposed) return;
+    const timer = this._options.clock.schedule(delayMs, () => {
+      this._writeTimers.delete(id);
+      void this._writeLimit(id);
+    });
+    this._writeTimers.set(id, timer);
+  }
+
+  /** Writes what an endpoint said, or deletes it once the endpoint is gone, unless another host has done so. */
+  private async _writeLimit(id: string): Promise<void> {
+    const { board, store } = this._options;
+    const endpoint = board.endpoints.get(id);
+    const shared = endpoint ? this._findSharedLimit(endpoint) : this._sharedLimits.get(id)?.requestsPerS;
+    if (shared === endpoint?.maxRequestsPerS) return;
+    const { incarnation: startedAt = 0, maxRequestsPerS: requestsPerS } = endpoint ?? {};
+    const written = await store.writeRateLimit({ endpoint: id, startedAt, requestsPerS });
+    if (written.isErr) this._scheduleWrite(id, WRITE_RETRY_MS);
+  }
+
+  private _removeEndpoint(id: string): void {
+    for (const timers of [this._reopenTimers, this._writeTimers, this._compareTimers]) {
+      timers.get(id)?.dispose();
+      timers.delete(id);
+    }
+    this._scheduleWrite(id, MAX_DELETION_DELAY_MS * this._options.random());
+  }
+}
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -199,6 +199,39 @@
   trialRequest?: string;
 }
 
+/** Announcement of a host to the others. */
+export interface IHostPresence {
+  host: string;
+  /** Time of day of the host, in Unix milliseconds. */
+  announcedAt: number;
+}
+
+/** Rate of requests that an endpoint takes from all hosts together, as one host heard it. */
+export interface IEndpointRateLimit {
+  endpoint: string;
+  /** Start of the endpoint's process. */
+  startedAt: number;
+  /** `undefined` if the endpoint sets no limit. */
+  requestsPerS: number | undefined;
+}
+
+/**
+ * Computes the least time between two requests of a host to an endpoint that limits the rate of all hosts together.
+ * `Infinity` if the host sends it none.
+ */
+export type ComputeAttemptInterval = (view: IAttemptIntervalView) => Millis;
+
+/** Input of the computation of the time between requests to a limited endpoint. */
+export interface IAttemptIntervalView {
+  endpoint: string;
+  /** Id of this host. */
+  host: string;
+  /** Ids of the hosts that may send to the endpoint. */
+  hosts: readonly string[];
+  /** Requests a second that the endpoint takes from all hosts together. */
+  requestsPerS: number;
+}
+
 /** Decoded value of a key in the store. `unreadable` stands for a value that could not be decoded. */
 export type FleetFact =
   | { kind: 'routing-table'; table: IRoutingTable }
@@ -211,6 +244,8 @@
   | { kind: 'crash-reports'; reports: readonly ICrashReport[] }
   | { kind: 'crash-evidence'; report: ICrashEvidenceReport }
   | { kind: 'prompt-trial'; trial: IPromptTrial }
+  | { kind: 'host-presence'; presence: IHostPresence }
+  | { kind: 'rate-limit'; limit: IEndpointRateLimit }
   | { kind: 'unreadable'; reason: string };
 
 /** A fact with its key and revision in the store. */
@@ -258,6 +293,9 @@
    * for none. Only one host succeeds.
    */
   writePromptTrial: (trial: IPromptTrial, expectedRevision: number) => Promise<Result<number, StoreError>>;
+  writeHostPresence: (presence: IHostPresence) => Promise<Result<number, StoreError>>;
+  /** Replaces the limit of an endpoint, or deletes it if the endpoint sets none. */
+  writeRateLimit: (limit: IEndpointRateLimit) => Promise<Result<number, StoreError>>;
   writeRolloutEvidence: (evidence: IRolloutEvidence) => Promise<Result<number, StoreError>>;
   /** Replaces the durations that a host has measured of the old release of a service. */
   writeReleaseBaseline: (baseline: IReleaseBaseline) => Promise<Result<number, StoreError>>;
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -11,7 +11,7 @@
 import { Disposable } from '../Lifecycle.js';
 import { classifyLength } from '../policy/Queueing.js';
 import type { IClock, Millis } from '../Types.js';
-import { releaseAttempt } from './AttemptPlan.js';
+import { chargeRateLimit, releaseAttempt } from './AttemptPlan.js';
 import { EndpointMeter } from './EndpointMeter.js';
 import { formatPool } from './EndpointIndex.js';
 import { hasEnded } from './Refusals.js';
@@ -202,7 +202,11 @@
     }
     if (part.kind === 'check') {
       const { check: result, silentMs } = part;
-      this._options.board.attempts.update(this._attempt.id, { lastRunCheck: { result, silentMs } });
+      const { board, clock } = this._options;
+      board.attempts.update(this._attempt.id, { lastRunCheck: { result, silentMs } });
+      const endpoint = board.endpoints.get(this._attempt.endpoint);
+      if (endpoint?.attemptIntervalMs !== undefined)
+        board.endpoints.update(endpoint.id, chargeRateLimit(endpoint, clock.now()));
       return;
     }
     // Output of a draft that was rejected at its beginning may still arrive, and is dropped.
@@ -230,10 +234,10 @@
   }
 
   private _handleRateLimit(maxRequestsPerS: number | undefined): void {
-    const { board } = this._options;
+    const { board, clock } = this._options;
     const endpoint = board.endpoints.get(this._attempt.endpoint);
-    if (endpoint && endpoint.maxRequestsPerS !== maxRequestsPerS)
-      board.endpoints.update(endpoint.id, { maxRequestsPerS });
+    if (!endpoint || (maxRequestsPerS === undefined && endpoint.maxRequestsPerS === undefined)) return;
+    board.endpoints.update(endpoint.id, { maxRequestsPerS, rateLimitHeardAt: clock.now() });
   }
 
   private _handleFirstToken(now: Millis): void {
--- a/src/common/request/AttemptPlan.ts
+++ b/src/common/request/AttemptPlan.ts
@@ -1,8 +1,14 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { AttemptRole, IRequestEntry } from '../blackboard/Types.js';
+import type { AttemptRole, IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
 import type { Millis } from '../Types.js';
 import type { LengthClass } from './Types.js';
 
+/**
+ * Largest part of an interval between requests to a limited endpoint by which a host may make up for a request that
+ * was due and did not come. Without it, requests that come at random use two thirds of the rate.
+ */
+export const MAX_RATE_CREDIT = 0.75;
+
 /** Input of `planAttempt`. */
 export interface IAttemptPlan {
   id: string;
@@ -32,6 +38,7 @@
     inFlight: (entry?.inFlight ?? 0) + 1,
     inFlightTokens: (entry?.inFlightTokens ?? 0) + expectedTokens,
     longInFlight: (entry?.longInFlight ?? 0) + (isLong ? 1 : 0),
+    ...chargeRateLimit(entry, now),
     ...(entry?.health === 'probing' && entry.probeAttempt === undefined ? { probeAttempt: id } : {}),
   });
   board.attempts.set(id, {
@@ -52,6 +59,17 @@
   });
 }
 
+/** Computes the change of an endpoint by a request to it that counts against the limit on its rate. */
+export function chargeRateLimit(
+  endpoint: Readonly<IEndpointEntry> | undefined,
+  now: Millis,
+): Pick<IEndpointEntry, 'nextAttemptAt'> {
+  const { attemptDueAt = now, attemptIntervalMs, nextAttemptAt } = endpoint ?? {};
+  if (attemptIntervalMs === undefined) return {};
+  const dueAt = nextAttemptAt ?? Math.max(attemptDueAt, now - MAX_RATE_CREDIT * attemptIntervalMs);
+  return { nextAttemptAt: dueAt + attemptIntervalMs };
+}
+
 /** Removes an attempt from the in-flight counts of its endpoint. */
 export function releaseAttempt(board: Blackboard, id: string): void {
   const attempt = board.attempts.get(id);
--- a/src/common/request/RouteController.ts
+++ b/src/common/request/RouteController.ts
@@ -1,5 +1,5 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { AttemptRole, IRequestEntry, RefusalCode } from '../blackboard/Types.js';
+import type { AttemptRole, IEndpointEntry, IRequestEntry, RefusalCode } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import {
   classifyLength,
@@ -92,9 +92,12 @@
         const hasGainedRoom =
           after.inFlight < (before?.inFlight ?? Infinity) ||
           (after.inFlightLimit ?? 0) > (before?.inFlightLimit ?? 0) ||
+          (after.nextAttemptAt === undefined && before?.nextAttemptAt !== undefined) ||
           before?.health !== after.health;
         if (hasGainedRoom) for (const pool of listPoolsOf(after)) this._assignQueued(pool);
-        if (before && after.health !== before.health) this._refuseWithoutEndpoint(listPoolsOf(after));
+        const hasLostUse = after.nextAttemptAt === Infinity && before?.nextAttemptAt !== Infinity;
+        if (before && (after.health !== before.health || hasLostUse))
+          this._refuseWithoutEndpoint(listPoolsOf(after));
       }),
     );
     this._register(
@@ -128,7 +131,7 @@
     const { board, clock, decideQueued, index, maxQueue } = this._options;
     const request = board.requests.get(id);
     if (request?.phase !== 'queued' || this._resetIfWithdrawn(request)) return;
-    if (index.listCandidates(request).length === 0) {
+    if (!index.listCandidates(request).some(isUsable)) {
       this._requeueOrRefuse(request, 'no_capacity', 'No endpoint can run the request.', QUEUE_RETRY_AFTER_MS);
       return;
     }
@@ -231,22 +234,23 @@
    * between starts of the account's own requests, which also reflects how often other accounts go first.
    */
   private _estimateWait(request: IRequestEntry, length: LengthClass, weight: number): Millis {
-    const { board, index } = this._options;
+    const { board, clock, index } = this._options;
     const pool = formatPool(request);
     const lane = this._lanesByPool.get(pool)?.[length];
     const estimate = board.workEstimates.get(pool);
-    if (!lane || lane.size === 0 || !estimate) return 0;
+    const healthy = index.listPool(pool).filter(({ health }) => health === 'healthy');
+    const rateWaitMs = estimateRateWait(healthy, clock.now());
+    if (!lane || lane.size === 0 || !estimate) return rateWaitMs;
+    const durationMs =
+      length === 'short' ? estimate.shortDurationMs : (estimate.longDurationMs ?? estimate.shortDurationMs);
     let slots = 0;
-    for (const endpoint of index.listPool(pool)) {
-      if (endpoint.health !== 'healthy') continue;
-      slots += endpoint.inFlightLimit ?? INITIAL_IN_FLIGHT_LIMIT;
+    for (const endpoint of healthy) {
+      slots += estimateSlots(endpoint, durationMs);
       if (length === 'short') slots -= endpoint.longInFlight ?? 0;
     }
-    const durationMs =
-      length === 'short' ? estimate.shortDurationMs : (estimate.longDurationMs ?? estimate.shortDurationMs);
     const account = formatAccount(request);
     const capacityWaitMs = (lane.countAhead(account, weight) * durationMs) / Math.max(1, slots);
-    return Math.max(capacityWaitMs, lane.estimateWait(account));
+    return Math.max(rateWaitMs, capacityWaitMs, lane.estimateWait(account));
   }
 
   private _findWeight(request: IRequestEntry): number {
@@ -268,7 +272,8 @@
     const { board, index } = this._options;
     for (const pool of pools) {
       const lanes = this._lanesByPool.get(pool);
-      if (!lanes || lanes.short.size + lanes.long.size === 0 || index.listPool(pool).length > 0) continue;
+      if (!lanes || lanes.short.size + lanes.long.size === 0) continue;
+      if (index.listPool(pool).some(isUsable)) continue;
       for (const { request } of [...lanes.short.list(), ...lanes.long.list()]) {
         this._removeRequest(request.id);
         const entry = board.requests.get(request.id);
@@ -315,6 +320,27 @@
   }
 }
 
+/** Tells whether this host may send to an endpoint at any time, as far as the limit on its rate goes. */
+function isUsable({ nextAttemptAt }: Readonly<IEndpointEntry>): boolean {
+  return nextAttemptAt !== Infinity;
+}
+
+/** Estimates the wait until one of the endpoints takes a request, as far as the limits on their rates go. */
+function estimateRateWait(endpoints: readonly Readonly<IEndpointEntry>[], now: Millis): Millis {
+  if (endpoints.length === 0) return 0;
+  return Math.max(0, Math.min(...endpoints.map(({ nextAttemptAt = now }) => nextAttemptAt)) - now);
+}
+
+/** Estimates the attempts of this host that an endpoint runs at a time, each of a duration. */
+function estimateSlots(
+  { attemptIntervalMs, inFlightLimit = INITIAL_IN_FLIGHT_LIMIT }: Readonly<IEndpointEntry>,
+  durationMs: Millis,
+): number {
+  return attemptIntervalMs === undefined
+    ? inFlightLimit
+    : Math.min(inFlightLimit, durationMs / attemptIntervalMs);
+}
+
 /**
  * Estimates the length of a request from its token limit, its account's history and its pool's usual length.
  */
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -29,9 +29,14 @@
   private _recordRateLimits(): void {
     this._register(
       this._options.board.endpoints.onChange(({ key, before, after }) => {
-        const requestsPerS = after?.maxRequestsPerS;
-        if (requestsPerS === before?.maxRequestsPerS || !after) return;
-        this._options.record('endpoint.limited', { endpoint: key, requestsPerS: requestsPerS ?? 'none' });
+        if (!after || after.attemptIntervalMs === before?.attemptIntervalMs) return;
+        const { attemptIntervalMs: intervalMs, maxRequestsPerS, rateLimitHeardAt } = after;
+        this._options.record('endpoint.limited', {
+          endpoint: key,
+          requestsPerS: maxRequestsPerS ?? 'none',
+          intervalMs: intervalMs === Infinity ? 'never' : intervalMs && Math.round(intervalMs),
+          source: rateLimitHeardAt === before?.rateLimitHeardAt ? 'shared' : 'answer',
+        });
       }),
     );
   }
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -10,10 +10,12 @@
 import { FactSyncController } from '../common/fleet/FactSyncController.js';
 import { FleetRolloutController } from '../common/fleet/FleetRolloutController.js';
 import { RolloutEvidenceController } from '../common/fleet/RolloutEvidenceController.js';
+import { HostPresenceController } from '../common/fleet/HostPresenceController.js';
 import { PromptBlockController } from '../common/fleet/PromptBlockController.js';
 import { PlanController } from '../common/fleet/PlanController.js';
 import { chooseSmallestThenLargest, createChooseRelease } from '../common/fleet/VersionChoice.js';
 import { computeHoldExchangeMs, SessionHoldController } from '../common/fleet/SessionHoldController.js';
+import { RateLimitController } from '../common/fleet/RateLimitController.js';
 import { RoutingTableController } from '../common/fleet/RoutingTableController.js';
 import type { IFactStore, IHostLimits } from '../common/fleet/Types.js';
 import { Disposable } from '../common/Lifecycle.js';
@@ -24,6 +26,7 @@
 import { decideHealthByFailures } from '../common/policy/Health.js';
 import { createDecideEarlyEscalation } from '../common/policy/EarlyEscalation.js';
 import { FAIR_ORDER, refuseIfWaitReachesDeadline } from '../common/policy/Queueing.js';
+import { createComputeAttemptInterval } from '../common/policy/RateLimitShares.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
 import { decideReleaseRollout } from '../common/policy/ReleaseRollouts.js';
 import { createDecideSilence } from '../common/policy/Silence.js';
@@ -234,6 +237,16 @@
     const common = { board: this._board, clock: systemClock };
     this._register(new RoutingTableController(this._board));
     this._register(new EndpointRegistryController(common));
+    this._register(new HostPresenceController({ ...common, host: id, store, readWallClock: Date.now }));
+    this._register(
+      new RateLimitController({
+        ...common,
+        host: id,
+        store,
+        random: Math.random,
+        computeAttemptInterval: createComputeAttemptInterval(hashTexts),
+      }),
+    );
     this._register(new RolloutEvidenceController({ ...common, host: id, store }));
     this._register(
       new FleetRolloutController({
