--- a/src/common/policy/Affinity.test.ts
+++ b/src/common/policy/Affinity.test.ts
@@ -52,3 +52,28 @@
   });
   t.snapshot(Object.entries(VIEWS).map(([name, view]) => `${name}: ${choose(view) ?? 'none'}`));
 });
+
+/** Creates a view with an endpoint that limits its rate, for a prompt after two of the usual length. */
+function chooseBesideLimit(promptTokens: number, limited: Patch, free: Patch): string {
+  const choose = createChooseByAffinity({ random: () => 0.5, hashToFraction: () => 0.5 });
+  const view = createView({ attemptIntervalMs: 2000, ...limited }, free);
+  const chooseFor = (tokens: number): string | undefined =>
+    choose({
+      ...view,
+      request: createTestRequest('r', {
+        target: { ...TEST_TARGET, prefixHashes: ['p', 'own'], promptTokens: tokens },
+      }),
+    });
+  for (let count = 0; count < 2; count += 1) chooseFor(1000);
+  return chooseFor(promptTokens) ?? 'none';
+}
+
+test('an endpoint that limits its rate gets long prompts, and short ones only if the others are busy', (t) => {
+  const busy = createReport(12, 100);
+  t.snapshot({
+    'long prompt': chooseBesideLimit(9000, {}, {}),
+    'short prompt': chooseBesideLimit(100, {}, {}),
+    'short prompt, the other endpoint busy': chooseBesideLimit(100, {}, busy),
+    'long prompt, no request due yet': chooseBesideLimit(9000, { nextAttemptAt: NOW + 500 }, busy),
+  });
+});
--- a/src/common/policy/Affinity.ts
+++ b/src/common/policy/Affinity.ts
@@ -36,33 +36,91 @@
 /** Largest random increase of a load, so that hosts with the same information choose different endpoints. */
 const LOAD_JITTER = 0.1;
 
+/** Weight of the newest request in the mean length of prompts. */
+const PROMPT_LENGTH_WEIGHT = 0.05;
+
+/** An endpoint with its estimated load. */
+interface ILoadedEndpoint {
+  endpoint: Readonly<IEndpointEntry>;
+  load: number;
+}
+
 /**
  * Creates the endpoint choice by rendezvous hashing of the shared prompt prefix. All hosts send requests with
  * the same prefix to the same endpoint, whose cache holds the prefix, and need no coordination for it. If the
  * load of that endpoint is far above the mean, the endpoint with the next highest hash is chosen. Requests
- * without a shared prefix go to the endpoint with the lowest load.
+ * without a shared prefix go to the endpoint with the lowest load. Endpoints that limit the rate of requests,
+ * but not the work of each, get the long prompts first.
  */
 export function createChooseByAffinity({ hashToFraction, random }: IAffinityOptions): ChooseEndpoint {
+  const isLongPrompt = createIsLongPrompt();
   return (view) => {
+    const isLong = isLongPrompt(view);
     const available = filterAvailable(view);
     if (available.length === 0) return undefined;
     const loads = available.map((endpoint) => ({ endpoint, load: estimateWeightedLoad(endpoint, view.now) }));
+    const maxLoad = computeMaxLoad(loads, view);
+    const preferred = selectByRateLimit(loads, maxLoad, isLong);
     const sharedPrefix = findSharedPrefix(view);
     if (sharedPrefix !== undefined) {
-      const meanLoad = loads.reduce((sum, { load }) => sum + load, 0) / loads.length;
-      const maxLoad = MAX_LOAD_FACTOR * meanLoad + MAX_LOAD_MARGIN;
       return pickHighest(
-        loads.filter(({ load }) => load <= maxLoad),
+        preferred.filter(({ load }) => load <= maxLoad),
         ({ endpoint }) => hashToFraction(`${sharedPrefix}|${endpoint.id}`),
       )?.endpoint.id;
     }
-    return pickHighest(loads, ({ load, endpoint }) => {
+    return pickHighest(preferred, ({ load, endpoint }) => {
       const zoneFactor = endpoint.zone === view.zone ? 1 : REMOTE_ZONE_FACTOR;
       return -load * zoneFactor * (1 + LOAD_JITTER * random());
     })?.endpoint.id;
   };
 }
 
+/** Creates the classification of prompts by the mean length of those before, for each service. */
+function createIsLongPrompt(): (view: IEndpointView) => boolean {
+  const meanByService = new Map<string, number>();
+  return ({ request: { service, target } }) => {
+    if (target.kind !== 'model') return false;
+    const mean = meanByService.get(service) ?? target.promptTokens;
+    meanByService.set(service, mean + PROMPT_LENGTH_WEIGHT * (target.promptTokens - mean));
+    return target.promptTokens >= mean;
+  };
+}
+
+/**
+ * Computes the load up to which affinity chooses an endpoint. Endpoints that wait for their rate limit count in the
+ * mean: their load is low, so that the others are relieved as soon as one of them takes a request.
+ */
+function computeMaxLoad(loads: readonly ILoadedEndpoint[], { candidates, now }: IEndpointView): number {
+  const waiting = candidates.filter(
+    ({ health, nextAttemptAt }) => health === 'healthy' && nextAttemptAt !== undefined,
+  );
+  const all = [
+    ...loads.map(({ load }) => load),
+    ...waiting.map((endpoint) => estimateWeightedLoad(endpoint, now)),
+  ];
+  const meanLoad = all.reduce((sum, load) => sum + load, 0) / all.length;
+  const lowestLoad = Math.min(...loads.map(({ load }) => load));
+  return Math.max(lowestLoad, MAX_LOAD_FACTOR * meanLoad + MAX_LOAD_MARGIN);
+}
+
+/**
+ * Selects the endpoints to choose among if some limit the rate of requests: those for long prompts, and the others for
+ * short prompts as long as they are not busy. A limited endpoint then does the most work within its rate.
+ */
+function selectByRateLimit(
+  loads: readonly ILoadedEndpoint[],
+  maxLoad: number,
+  isLong: boolean,
+): readonly ILoadedEndpoint[] {
+  const limited = loads.filter(({ endpoint }) => endpoint.attemptIntervalMs !== undefined);
+  if (limited.length === 0) return loads;
+  if (isLong) return limited;
+  const idle = loads.filter(
+    ({ endpoint, load }) => endpoint.attemptIntervalMs === undefined && load <= maxLoad,
+  );
+  return idle.length > 0 ? idle : loads;
+}
+
 /**
  * Estimates the load of an endpoint: its attempts in flight, multiplied by its slowness. Attempts of other
  * hosts and the reported slowness come from the load report and are discounted by its age. The slowness is at
