--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -76,7 +76,9 @@
         ? decideRetry({ ...view, hasBudget: false })
         : decisionWithBudget;
     if (decision.kind === 'refuse') {
-      const { answer } = attempt.error;
+      // After the first events of a stream, the text of an error would look like a part of it.
+      const hasDelivered = request.hasPartialDelivery === true || hasNewEvents;
+      const answer = hasDelivered ? undefined : attempt.error.answer;
       if (answer)
         board.requests.update(request.id, { phase: 'answered', winningAttempt: attempt.id, answer });
       else refuseRequest(board, request.id, decision.refusal);
--- /dev/null
+++ b/src/daemons/FaultyRunners.test.ts
@@ -0,0 +1,94 @@
+import type { ServerResponse } from 'node:http';
+import test from 'ava';
+import { RouterRig } from '../standins/platform/RouterRig.js';
+import {
+  sendEvents,
+  sendFullAnswer,
+  startStream,
+  type AnswerRunnerCall,
+  type IRunnerCall,
+} from '../standins/platform/ScriptedRunner.js';
+
+/** Writes bytes to the connection of a call instead of a response, then closes it. */
+function endWithBytes(response: ServerResponse, bytes: string): void {
+  response.socket?.end(bytes);
+}
+
+/** Formats the headers of a runner's response to a call. */
+function formatHeaders({ headers }: IRunnerCall): string {
+  return `attempt-id: ${headers['attempt-id']?.toString() ?? ''}\r\nresponse-stamp: signed\r\n`;
+}
+
+/** Answers of a runner at which a stream should go on that has broken off elsewhere. */
+const BAD_CONTINUATIONS: Readonly<Record<string, AnswerRunnerCall>> = {
+  'a failure with a length': (call, response) => {
+    sendFullAnswer(call, response, 500, 'error text');
+  },
+  'a failure without a length': (call, response) => {
+    endWithBytes(response, `HTTP/1.1 500 Bad\r\n${formatHeaders(call)}\r\nerror text`);
+  },
+  'a rejection': (call, response) => {
+    sendFullAnswer(call, response, 400, 'error text');
+  },
+  'a refusal': (call, response) => {
+    response.setHeader('Not-Executed', '1');
+    sendFullAnswer(call, response, 503, 'error text');
+  },
+  'an answer that is no stream': (call, response) => {
+    sendFullAnswer(call, response, 200, 'text');
+  },
+  'half a head': (call, response) => {
+    endWithBytes(response, `HTTP/1.1 200 OK\r\n${formatHeaders(call)}content-le`);
+  },
+  'no response in the protocol': (_call, response) => {
+    endWithBytes(response, 'error text\r\n\r\n');
+  },
+};
+
+// Guards against ORDER and MIXED: the text of an error in the middle of a stream, or a stream that ends as if it
+// were complete.
+test('a stream that breaks off has no other bytes after its events, whatever the next runner answers', async (t) => {
+  const outcomes: Record<string, unknown> = {};
+  for (const [name, answerBadly] of Object.entries(BAD_CONTINUATIONS)) {
+    const rig = await RouterRig.startReady();
+    let isFirst = true;
+    for (const runner of rig.runners) {
+      runner.answer = (call, response) => {
+        if (!isFirst) return answerBadly(call, response);
+        isFirst = false;
+        startStream(call, response);
+        sendEvents(response, 1, 3);
+        setTimeout(() => response.destroy(), 50);
+      };
+    }
+    const { body, isComplete, status } = await rig.send('/stream/1', { model: '*' });
+    outcomes[name] = { status, isComplete, events: body.split('\n\n').filter((text) => text !== '') };
+    await rig.close();
+  }
+  t.snapshot(outcomes);
+});
+
+// Guards against MIXED: a success with an empty or short body, made of half a head.
+test('a runner that stops in the head of its answer gives no answer', async (t) => {
+  const heads = [
+    'HTTP/1.1 20',
+    'HTTP/1.1 200 OK\r\n',
+    'HTTP/1.1 200 OK\r\nattempt-id: call-1\r\nresponse-stamp: s\r\n',
+    'HTTP/1.1 200 OK\r\nattempt-id: call-1\r\nresponse-stamp: s\r\ncontent-length: 5\r\n\r',
+  ];
+  const outcomes: unknown[] = [];
+  for (const head of heads) {
+    for (const path of ['/stream/1', '/look/1', '/post/1']) {
+      const rig = await RouterRig.startReady();
+      for (const runner of rig.runners) {
+        runner.answer = (_call, response) => {
+          endWithBytes(response, head);
+        };
+      }
+      const { body, status } = await rig.send(path, path === '/stream/1' ? { model: '*' } : {});
+      outcomes.push([path, status, (JSON.parse(body) as { error: string }).error]);
+      await rig.close();
+    }
+  }
+  t.snapshot(outcomes);
+});
