--- a/src/daemons/FaultyRunners.test.ts
+++ b/src/daemons/FaultyRunners.test.ts
@@ -37,6 +37,11 @@
   'an answer that is no stream': (call, response) => {
     sendFullAnswer(call, response, 200, 'text');
   },
+  'a stream from its beginning': (call, response) => {
+    startStream(call, response);
+    sendEvents(response, 1, 5);
+    response.end();
+  },
   'half a head': (call, response) => {
     endWithBytes(response, `HTTP/1.1 200 OK\r\n${formatHeaders(call)}content-le`);
   },
