--- a/src/daemons/FaultyRunners.test.ts
+++ b/src/daemons/FaultyRunners.test.ts
@@ -73,6 +73,22 @@
   t.snapshot(outcomes);
 });
 
+// Guards against ORDER: a stream without a length whose break looks to the caller like its end.
+test('a stream without a length that always ends inside an event does not look complete', async (t) => {
+  const rig = await RouterRig.startReady();
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      const after = Number(call.headers['last-event-id'] ?? 0);
+      const event = `id: ${after + 1}\ndata: piece ${after + 1}\n\n`;
+      const head = `HTTP/1.1 200 OK\r\n${formatHeaders(call)}content-type: text/event-stream\r\nconfidence: 90\r\n\r\n`;
+      endWithBytes(response, `${head}${event}id: ${after + 2}\nda`);
+    };
+  }
+  const { body, headers, isComplete } = await rig.send('/stream/1', { model: '*' });
+  await rig.close();
+  t.snapshot({ body, isComplete, encoding: headers['transfer-encoding'] });
+});
+
 // Guards against MIXED: a success with an empty or short body, made of half a head.
 test('a runner that stops in the head of its answer gives no answer', async (t) => {
   const heads = [
