--- a/src/daemons/FaultyRunners.test.ts
+++ b/src/daemons/FaultyRunners.test.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import test from 'ava';
 import { RouterRig } from '../standins/platform/RouterRig.js';
 import {
@@ -113,3 +114,64 @@
   }
   t.snapshot(outcomes);
 });
+
+/** Refuses a call as not run. */
+function refuseCall(call: IRunnerCall, response: ServerResponse, namesRequest: boolean): string {
+  const id = call.headers['attempt-id']?.toString() ?? '';
+  if (namesRequest) response.setHeader('attempt-id', id);
+  response.writeHead(503, { 'not-executed': '1', 'content-length': 0 }).end();
+  return `HTTP/1.1 503 Full\r\nnot-executed: 1\r\n${namesRequest ? `attempt-id: ${id}\r\n` : ''}content-length: 0\r\n\r\n`;
+}
+
+// Guards against REFUSED: an earlier refusal, written once more, is taken for the answer to the next request.
+for (const namesRequest of [true, false]) {
+  test(`a refusal that is written again ${namesRequest ? 'with' : 'without'} its id refuses no later request`, async (t) => {
+    const rig = await RouterRig.startReady();
+    const refusals = new Map<Socket | null, string>();
+    let isRefusing = true;
+    for (const runner of rig.runners) {
+      runner.answer = (call, response) => {
+        const { socket } = response;
+        if (isRefusing) {
+          refusals.set(socket, refuseCall(call, response, namesRequest));
+          return;
+        }
+        socket?.write(refusals.get(socket) ?? '');
+        setTimeout(() => {
+          sendFullAnswer(call, response, 200, 'answer');
+        }, 100);
+      };
+    }
+    const statuses = [(await rig.send('/look/1')).status];
+    isRefusing = false;
+    for (const path of ['/look/2', '/look/3', '/post/1', '/post/2'])
+      statuses.push((await rig.send(path)).status);
+    await rig.close();
+    // A refusal that names no request promises nothing.
+    t.is(statuses[0], namesRequest ? 503 : 502);
+    t.false(statuses.slice(1).includes(503), statuses.join());
+  });
+}
+
+// Guards against REFUSED: the earlier refusal of the same attempt names the request that runs now.
+test('an attempt that returns to the runner that refused it uses a new connection', async (t) => {
+  const rig = await RouterRig.startReady();
+  rig.store.remove('servers/p-1');
+  const refusals = new Map<Socket | null, string>();
+  const runner = rig.runners.find(({ id }) => id === 'p-2');
+  runner!.answer = (call, response) => {
+    const { socket } = response;
+    if (refusals.size === 0) {
+      refusals.set(socket, refuseCall(call, response, true));
+      return;
+    }
+    socket?.write(refusals.get(socket) ?? '');
+    setTimeout(() => {
+      sendFullAnswer(call, response, 200, 'answer');
+    }, 100);
+  };
+  await new Promise((resolve) => setTimeout(resolve, 1000));
+  const { status } = await rig.send('/look/1');
+  await rig.close();
+  t.is(status, 200);
+});
