--- a/src/common/fleet/CrashSuspectController.test.ts
+++ b/src/common/fleet/CrashSuspectController.test.ts
@@ -11,6 +11,7 @@
 
 interface IFleet {
   boards: Blackboard[];
+  store: { isDown: boolean };
   clock: ManualClock;
   /** Makes an attempt of a request fail because the connection to the endpoint broke. */
   failRequest: (host: number, fingerprint: string, endpoint: string) => Promise<void>;
@@ -23,8 +24,10 @@
 function createFleet(checkResult: RunCheckResult): IFleet {
   const clock = new ManualClock();
   const boards = [new Blackboard(), new Blackboard()];
+  const store = { isDown: false };
   let revision = 0;
   const writeCrashReports: IFactStore['writeCrashReports'] = (host, reports: readonly ICrashReport[]) => {
+    if (store.isDown) return Promise.resolve(Result.err({ kind: 'unavailable', message: 'down' }));
     revision += 1;
     const fact = { kind: 'crash-reports' as const, reports };
     for (const board of boards) board.facts.set(host, { key: host, revision, fact });
@@ -62,7 +65,7 @@
     board.attempts.update(id, { phase: 'failed', error });
     await clock.advance(10);
   };
-  return { boards, clock, failRequest };
+  return { boards, store, clock, failRequest };
 }
 
 function listStates({ boards }: IFleet, fingerprint: string): (string | undefined)[] {
@@ -103,3 +106,15 @@
   await fleet.failRequest(0, 'other', 'e-3');
   t.is(fleet.boards[0]!.crashSuspects.get('poison'), undefined);
 });
+
+// Guards against a request that crashes more endpoints because the reports were lost while the store was away.
+test('crashes that happened while the store was away are known to all hosts once it is back', async (t) => {
+  const fleet = createFleet('unreachable');
+  fleet.store.isDown = true;
+  await fleet.failRequest(0, 'poison', 'e-1');
+  await fleet.failRequest(1, 'poison', 'e-2');
+  await fleet.failRequest(1, 'poison', 'e-3');
+  fleet.store.isDown = false;
+  await fleet.clock.advance(1000);
+  t.deepEqual(listStates(fleet, 'poison'), ['blocked', 'blocked']);
+});
--- a/src/common/fleet/CrashSuspectController.ts
+++ b/src/common/fleet/CrashSuspectController.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { Event } from '../Event.js';
-import { Disposable } from '../Lifecycle.js';
+import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { DecideAdmission, DecideRetry } from '../request/Types.js';
 import { withBlockedRefusal, withBlockedRetry } from '../request/Suspects.js';
 import type { IClock, Millis } from '../Types.js';
@@ -27,6 +27,9 @@
 /** Time for which a crash counts against the requests that were in flight at it. */
 const CRASH_RETENTION_MS: Millis = 120_000;
 
+/** Delay before a write that failed is repeated. Other hosts need the reports soon after the store is back. */
+const PUBLISH_RETRY_MS: Millis = 500;
+
 /** Largest number of crash reports that a host publishes. */
 const MAX_PUBLISHED_REPORTS = 64;
 
@@ -38,6 +41,8 @@
   /** For each fingerprint, the ids of the crashes that this host knows, and when it learned of them. */
   private readonly _crashesByFingerprint = new Map<string, Map<string, Millis>>();
 
+  private _retryTimer: IDisposable | undefined;
+
   constructor(private readonly _options: ICrashSuspectOptions) {
     super();
     const { board } = _options;
@@ -54,6 +59,11 @@
     );
   }
 
+  public override dispose(): void {
+    super.dispose();
+    this._retryTimer?.dispose();
+  }
+
   /** Wraps a decision on admission: a blocked request is refused even if `decide` admits it. */
   public protectAdmission(decide: DecideAdmission): DecideAdmission {
     return withBlockedRefusal(this._options.board, decide);
@@ -70,7 +80,7 @@
       (fingerprint) => !this._crashesByFingerprint.get(fingerprint)?.has(id),
     );
     for (const fingerprint of newFingerprints) this._recordCrash({ fingerprint, crash: id });
-    if (newFingerprints.length > 0) void this._publishCrashes(this._options.clock.now());
+    if (newFingerprints.length > 0) void this._publishCrashes();
   }
 
   private _recordCrash({ crash, fingerprint }: ICrashReport): void {
@@ -90,19 +100,25 @@
     });
   }
 
-  /**
-   * Publishes all recent crashes that this host knows. A failed write is not retried: the next crash
-   * publishes the reports again, and until then other hosts count only the crashes that they detect
-   * themselves.
-   */
-  private async _publishCrashes(now: Millis): Promise<void> {
-    const { host, store } = this._options;
+  /** Publishes all recent crashes that this host knows, again and again until the store accepts them. */
+  private async _publishCrashes(): Promise<void> {
+    const { clock, host, store } = this._options;
+    const now = clock.now();
     const reports: ICrashReport[] = [];
     for (const [fingerprint, crashes] of this._crashesByFingerprint) {
       for (const [crash, seenAt] of crashes)
         if (now - seenAt < CRASH_RETENTION_MS) reports.push({ fingerprint, crash });
     }
-    await store.writeCrashReports(host, reports.slice(-MAX_PUBLISHED_REPORTS));
+    const written = await store.writeCrashReports(host, reports.slice(-MAX_PUBLISHED_REPORTS));
+    if (written.isErr) this._schedulePublish();
+  }
+
+  private _schedulePublish(): void {
+    if (this._retryTimer || this._isDisposed) return;
+    this._retryTimer = this._options.clock.schedule(PUBLISH_RETRY_MS, () => {
+      this._retryTimer = undefined;
+      void this._publishCrashes();
+    });
   }
 
   private _deleteExpiredSuspects(now: Millis): void {
