--- a/soak/SoakRunner.ts
+++ b/soak/SoakRunner.ts
@@ -168,14 +168,14 @@
   private async _handleCall(call: IRunnerCall, response: ServerResponse): Promise<void> {
     const { random } = this._options;
     if (call.headers['expect-instance'] !== this._id) {
-      this._recordRun(call, false);
-      response.writeHead(421, { 'not-executed': '1', 'instance-id': this._id, 'content-length': 0 }).end();
+      const { call: id } = this._recordRun(call, false);
+      response.writeHead(421, { ...buildRefusalHeaders(id), 'instance-id': this._id }).end();
       return;
     }
     const fault = random() < FAULTY_CALL_SHARE ? this._faults.at(-1)?.fault : undefined;
     if (fault === 'refuse') {
-      this._recordRun(call, false);
-      response.writeHead(503, { 'not-executed': '1', 'content-length': 0 }).end();
+      const { call: id } = this._recordRun(call, false);
+      response.writeHead(503, buildRefusalHeaders(id)).end();
       return;
     }
     const run = this._recordRun(call, true);
@@ -284,6 +284,11 @@
   }
 }
 
+/** Builds the headers of a refusal of a call with an id that was not run. */
+function buildRefusalHeaders(id: string): Record<string, string> {
+  return { 'attempt-id': id, 'not-executed': '1', 'content-length': '0' };
+}
+
 function buildAnswerHeaders(run: IRunEntry): Record<string, string> {
   return { 'attempt-id': run.call, 'response-stamp': formatStamp(run.number) };
 }
