--- a/soak/Checks.test.ts
+++ b/soak/Checks.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { ANSWER_CHECKS } from './AnswerChecks.js';
 import { formatPiece, formatStamp, formatAnswer } from './Answers.js';
+import { BOUND_CHECKS } from './BoundChecks.js';
 import { CheckController } from './CheckController.js';
 import { FLEET_CHECKS } from './RouterChecks.js';
 import { SoakBoard } from './SoakBoard.js';
@@ -10,7 +11,11 @@
 class CheckFixture {
   public now = 10_000;
   public readonly board = new SoakBoard(() => this.now);
-  private readonly _checks = new CheckController(this.board, [...ANSWER_CHECKS, ...FLEET_CHECKS]);
+  private readonly _checks = new CheckController(this.board, [
+    ...ANSWER_CHECKS,
+    ...FLEET_CHECKS,
+    ...BOUND_CHECKS,
+  ]);
 
   constructor() {
     const router = { id: 'router-0', address: '', state: 'ready' as const, incarnation: 1 };
@@ -44,6 +49,7 @@
       path: `/post/${id}`,
       method: 'POST',
       body: 'body',
+      promptParts: '',
       key: 'key-1',
       account: 'north',
       deadlineMs: 4000,
@@ -73,6 +79,7 @@
       body,
       account: 'north',
       model: undefined,
+      promptParts: '',
       resumeAfter: 0,
       remainingMs: 3000,
       forgedHeaders: [],
@@ -223,6 +230,23 @@
     for (let index = 0; index < 60; index += 1)
       fixture.recordRun('c', { endedAt: fixture.now, remainingMs: 9000 });
   },
+  'a part of prompts goes on crashing runners': (fixture) => {
+    const crashedAt = [1000, 2000, 3000, 4000, 5000];
+    fixture.board.crashingParts.set('bad-1', { part: 'bad-1', crashedAt });
+    for (let number = 1; number <= 4; number += 1) {
+      fixture.sendCall(`c${number}`, { body: '' });
+      fixture.recordRun(`c${number}`, { promptParts: 'system:20,bad-1:20,own:20' });
+    }
+  },
+  'a runner gets more than its limit': (fixture) => {
+    fixture.board.rateLimits.set('l-0', { runner: 'l-0', callsPerS: 2, startedAt: 1000 });
+    for (let number = 1; number <= 19; number += 1) {
+      fixture.sendCall(`c${number}`);
+      fixture.recordRun(`c${number}`, { status: 200, endedAt: fixture.now });
+      fixture.endCall(`c${number}`, {});
+      fixture.now += number === 1 ? 600 : 100;
+    }
+  },
 };
 
 // Guards against a check that does not report a violation of its promise.
--- a/soak/FaultPlan.ts
+++ b/soak/FaultPlan.ts
@@ -1,6 +1,7 @@
 import type { Millis, RandomSource } from '../src/common/Types.js';
 import { planFaultChain } from '../src/testing/FaultChains.js';
 import type {
+  LastingFaultKind,
   LinkFaultKind,
   PlannedWorkKind,
   RouterFaultKind,
@@ -52,13 +53,24 @@
   'store-compact',
 ];
 
+const LASTING_KINDS: readonly LastingFaultKind[] = ['crash-on-part', 'limit-rate'];
+
 /**
  * Kinds of faults in each chain of a profile. The chains run at the same time, so that faults of different
  * chains overlap. The profile `planned` has two chains, so that planned work overlaps as well.
  */
 const CHAIN_KINDS: Readonly<Record<SoakProfile, readonly (readonly SoakFault['kind'][])[]>> = {
   planned: [PLANNED_WORK_KINDS, PLANNED_WORK_KINDS],
-  mixed: [PLANNED_WORK_KINDS, ROUTER_KINDS, LINK_KINDS, LINK_KINDS, RUNNER_KINDS, STORE_KINDS],
+  mixed: [
+    PLANNED_WORK_KINDS,
+    ROUTER_KINDS,
+    LINK_KINDS,
+    LINK_KINDS,
+    RUNNER_KINDS,
+    STORE_KINDS,
+    // Last, so that the chains of earlier seeds stay as they were.
+    LASTING_KINDS,
+  ],
 };
 
 /**
--- a/soak/Injectors.ts
+++ b/soak/Injectors.ts
@@ -47,6 +47,12 @@
   }
 }
 
+/** Scope of faults of prompts, which disturb no process. */
+const PROMPT_SCOPE = 'prompts';
+
+/** Rate that a limited runner names. It is far below what it gets otherwise. */
+const LIMITED_CALLS_PER_S = 2;
+
 const pickRouter: IInjector['pickScope'] = ({ routers }, draw) => pickItem(routers.ids, draw);
 const pickRunner: IInjector['pickScope'] = ({ runners }, draw) =>
   pickItem(
@@ -120,6 +126,20 @@
   'lose-answers': createRunnerFault('lose'),
   'tear-answers': createRunnerFault('tear'),
   'hang-answers': createRunnerFault('hang'),
+  'crash-on-part': {
+    pickScope: pickFixed(PROMPT_SCOPE),
+    inject: ({ board }) => {
+      const part = `bad-${board.crashingParts.size + 1}`;
+      if (board.crashingParts.size === 0) board.crashingParts.set(part, { part, crashedAt: [] });
+    },
+  },
+  'limit-rate': {
+    pickScope: pickRunner,
+    inject: ({ board }, runner) => {
+      const limit = { runner, callsPerS: LIMITED_CALLS_PER_S, startedAt: board.now() };
+      if (board.rateLimits.size === 0) board.rateLimits.set(runner, limit);
+    },
+  },
   'store-refuse': createStoreFault('refuse'),
   'store-silent': createStoreFault('silent'),
   'store-lose-replies': createStoreFault('lose-replies'),
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -6,6 +6,7 @@
 import { waitFor } from '../src/standins/HttpTools.js';
 import { startRevisionStoreServer } from '../src/standins/platform/RevisionStoreServer.js';
 import { ANSWER_CHECKS } from './AnswerChecks.js';
+import { BOUND_CHECKS } from './BoundChecks.js';
 import { CheckController } from './CheckController.js';
 import { planSoakFaults } from './FaultPlan.js';
 import { FLEET_CHECKS } from './RouterChecks.js';
@@ -54,7 +55,7 @@
   const board = new SoakBoard(() => performance.now() - startedAt);
   const eventLoopDelay = monitorEventLoopDelay();
   eventLoopDelay.enable();
-  const checks = new CheckController(board, [...ANSWER_CHECKS, ...FLEET_CHECKS]);
+  const checks = new CheckController(board, [...ANSWER_CHECKS, ...FLEET_CHECKS, ...BOUND_CHECKS]);
   const store = await startRevisionStoreServer();
   const operator = new SoakOperator(board, store);
   const random = createSeededRandom(seed);
--- a/soak/SoakBoard.ts
+++ b/soak/SoakBoard.ts
@@ -3,8 +3,10 @@
 import type {
   ICallEntry,
   IConfigurationEntry,
+  ICrashingPartEntry,
   IFaultEntry,
   IFindingEntry,
+  IRateLimitEntry,
   IRouterEntry,
   IRunEntry,
   IRunnerEntry,
@@ -21,6 +23,10 @@
   public readonly configurations = createPanel<number, IConfigurationEntry>();
   public readonly calls = createPanel<string, ICallEntry>();
   public readonly runs = createPanel<number, IRunEntry>();
+  /** By part. */
+  public readonly crashingParts = createPanel<string, ICrashingPartEntry>();
+  /** By runner. */
+  public readonly rateLimits = createPanel<string, IRateLimitEntry>();
   public readonly findings = createPanel<number, IFindingEntry>();
   private readonly _runsByCall = new Map<string, number[]>();
 
--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -28,6 +28,10 @@
 const SHORTEST_DEADLINE_MS: Millis = 1800;
 const LONGEST_DEADLINE_MS: Millis = 6000;
 
+/** Number of documents that prompts share, and the share of prompts with a part that crashes runners. */
+const DOCUMENT_COUNT = 6;
+const CRASHING_CALL_SHARE = 0.1;
+
 /** A caller, and the router to which it keeps its connection open for the next call. */
 interface ICaller {
   agent: Agent;
@@ -79,7 +83,7 @@
     const { board, random } = this._options;
     const entry = this._planCall(router);
     board.calls.set(entry.id, entry);
-    const { body, deadlineMs, id, key, kind, method, path } = entry;
+    const { body, deadlineMs, id, key, kind, method, path, promptParts } = entry;
     const headers: Record<string, string> = {};
     for (const name of FORGED_HEADERS) headers[name] = FORGED_VALUE;
     const { disconnect, result } = sendCall({
@@ -94,7 +98,9 @@
         'attempt-id': id,
         'deadline-ms': String(deadlineMs),
         authorization: `Token ${key}`,
-        ...(kind === 'streaming' ? { model: '*', 'token-usage': '100,10' } : {}),
+        ...(kind === 'streaming'
+          ? { model: '*', 'token-usage': '100,10', 'prompt-prefix': promptParts }
+          : {}),
       },
     });
     const disconnectsEarly = random() < DISCONNECT_SHARE;
@@ -139,6 +145,7 @@
       path: `/${name}/${number}?q=${number}`,
       method: hasBody ? 'POST' : 'GET',
       body: hasBody ? `body of ${id}` : '',
+      promptParts: route.kind === 'streaming' ? this._choosePromptParts(number) : '',
       key,
       account: findAccount(key),
       deadlineMs: Math.round(SHORTEST_DEADLINE_MS + random() * (LONGEST_DEADLINE_MS - SHORTEST_DEADLINE_MS)),
@@ -150,6 +157,15 @@
     };
   }
 
+  /** Chooses the parts of a prompt: two that others share, sometimes one that crashes runners, and one of its own. */
+  private _choosePromptParts(number: number): string {
+    const { board, random } = this._options;
+    const document = `document-${Math.floor(random() * DOCUMENT_COUNT)}`;
+    const bad = random() < CRASHING_CALL_SHARE ? [...board.crashingParts.list()] : [];
+    const ids = ['system', document, ...bad.map(({ part }) => part), `own-${number}`];
+    return ids.map((id) => `${id}:20`).join();
+  }
+
   private _pickRoute(): ISoakRoute {
     let draw = this._options.random();
     const drawn = ROUTES.find(({ share }) => (draw -= share) < 0) ?? ROUTES[0];
--- a/soak/SoakRunner.ts
+++ b/soak/SoakRunner.ts
@@ -41,6 +41,9 @@
 /** Share of the streams of the small model that report low confidence. */
 const LOW_CONFIDENCE_SHARE = 0.3;
 
+/** Time for which a runner is down that a part of a prompt has crashed. */
+const CRASH_BY_PART_MS: Millis = 800;
+
 /** Time after which the store removes the registration of a crashed runner: three missed heartbeats. */
 const REGISTRATION_EXPIRY_MS: Millis = 3600;
 
@@ -183,10 +186,35 @@
       this._endRun(run.number, 'dropped');
     });
     if (fault === 'hang') return;
+    if (this._isCrashedBy(run)) {
+      response.writeHead(200, buildAnswerHeaders(run)).flushHeaders();
+      await this._crashByPart();
+      return;
+    }
+    const limit = this._options.board.rateLimits.get(this._id);
+    if (limit) response.setHeader('Server-Limit', limit.callsPerS.toFixed(1));
     if (this._options.service === MODEL_SERVICE) await this._sendStream(run, response, fault);
     else await this._sendAnswer(run, response, fault);
   }
 
+  /** Finds out whether a call holds a part that crashes runners, and records the crash. */
+  private _isCrashedBy({ promptParts }: IRunEntry): boolean {
+    const { board } = this._options;
+    const entry = [...board.crashingParts.list()].find(({ part }) => promptParts.includes(`${part}:`));
+    if (!entry || this._phase !== 'serving') return false;
+    board.crashingParts.update(entry.part, { crashedAt: [...entry.crashedAt, board.now()] });
+    return true;
+  }
+
+  private async _crashByPart(): Promise<void> {
+    const { board } = this._options;
+    const id = board.faults.size + 1;
+    const fault = { id, kind: 'crash-runner' as const, scope: this._id, isPlannedWork: false };
+    board.faults.set(id, { ...fault, startedAt: board.now(), endedAt: undefined });
+    await this.crash(CRASH_BY_PART_MS);
+    board.faults.update(id, { endedAt: board.now() });
+  }
+
   private async _sendAnswer(run: IRunEntry, response: ServerResponse, fault?: RunnerFault): Promise<void> {
     const { random } = this._options;
     const isLong = random() < LONG_WORK_SHARE;
@@ -265,6 +293,7 @@
       body,
       account: headers.tenant?.toString(),
       model: headers.model?.toString(),
+      promptParts: headers['prompt-prefix']?.toString() ?? '',
       resumeAfter: Number(headers['last-event-id'] ?? 0),
       remainingMs: headers['deadline-ms'] === undefined ? undefined : Number(headers['deadline-ms']),
       forgedHeaders: FORGED_HEADERS.filter((name) => headers[name]?.toString().includes(FORGED_VALUE)),
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -29,9 +29,12 @@
 /** Faults of the store itself. */
 export type StoreFaultKind = 'store-refuse' | 'store-silent' | 'store-lose-replies' | 'store-compact';
 
+/** Faults of prompts and runners that last to the end of a soak. */
+export type LastingFaultKind = 'crash-on-part' | 'limit-rate';
+
 /** Kind of a fault or of planned work that a soak injects. */
 export type SoakFaultKind =
-  PlannedWorkKind | RouterFaultKind | LinkFaultKind | RunnerFaultKind | StoreFaultKind;
+  PlannedWorkKind | RouterFaultKind | LinkFaultKind | RunnerFaultKind | StoreFaultKind | LastingFaultKind;
 
 /** One planned injection of a fault or of planned work. */
 export type SoakFault = IChainedFault<SoakFaultKind>;
@@ -91,6 +94,20 @@
   withdrawnAt: Millis | undefined;
 }
 
+/** A part of prompts that crashes each runner that begins to answer a call with it. */
+export interface ICrashingPartEntry {
+  part: string;
+  /** When runners crashed by it, in order. */
+  crashedAt: readonly Millis[];
+}
+
+/** A limit on the rate of calls that a runner names in its answers. */
+export interface IRateLimitEntry {
+  runner: string;
+  callsPerS: number;
+  startedAt: Millis;
+}
+
 /** A configuration that the operator wrote to the store. */
 export interface IConfigurationEntry {
   version: number;
@@ -117,6 +134,8 @@
   path: string;
   method: string;
   body: string;
+  /** Parts of the prompt as the caller sends them; empty without a prompt. */
+  promptParts: string;
   key: string;
   /** Account that the API key belongs to. */
   account: string;
@@ -170,6 +189,8 @@
   body: string;
   account: string | undefined;
   model: string | undefined;
+  /** Parts of the prompt, each as `id:tokens`, separated by commas. */
+  promptParts: string;
   /** Id of the event after which the stream is to be resumed; 0 for a new stream. */
   resumeAfter: number;
   /** Time left until the deadline, if the router sent it. */
@@ -197,6 +218,8 @@
   | 'planned-work'
   | 'attempt-limits'
   | 'retry-budget'
+  | 'crashing-prompts'
+  | 'rate-limits'
   | 'recovery'
   | 'process-health';
 
