--- a/soak/SoakRunner.ts
+++ b/soak/SoakRunner.ts
@@ -63,6 +63,7 @@
   private _replacementCount = 0;
   private _id: string;
   private _phase: 'serving' | 'down' | 'leaving' = 'serving';
+  private _isClosed = false;
 
   private constructor(
     private readonly _options: ISoakRunnerOptions,
@@ -141,11 +142,14 @@
 
   /** Closes the runner. */
   public async close(): Promise<void> {
+    this._isClosed = true;
     this.proxy.close();
     await this._standIn.close();
   }
 
   private _resumeServing(connectionFault: IDisposable): void {
+    // A crash by a part of a prompt may end after the soak.
+    if (this._isClosed) return;
     const { board, service } = this._options;
     this._incarnation += 1;
     this._phase = 'serving';
