--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -116,6 +116,7 @@
   private _handleStoreReply(revision: number, changesSince: Millis): void {
     const { board, clock } = this._options;
     const now = clock.now();
+    const previousReplyAt = this._lastReplyAt;
     this._consecutiveFailures = 0;
     this._lastReplyAt = now;
     const known = board.storeConnection.get('store');
@@ -125,6 +126,7 @@
       board.storeConnection.set('store', {
         state: 'connected',
         changedAt: now,
+        silentMs: now - previousReplyAt,
         revision,
         losses,
         changesSince,
@@ -137,9 +139,11 @@
     this._consecutiveFailures += 1;
     const known = board.storeConnection.get('store');
     if (known?.state === 'lost') return;
+    const now = clock.now();
     board.storeConnection.set('store', {
       state: 'lost',
-      changedAt: clock.now(),
+      changedAt: now,
+      silentMs: now - this._lastReplyAt,
       revision: known?.revision ?? 0,
       losses: (known?.losses ?? 0) + 1,
       changesSince: known?.changesSince ?? clock.now(),
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -308,6 +308,8 @@
   state: 'connected' | 'lost';
   /** When `state` last changed. */
   changedAt: Millis;
+  /** Time without a reply to a list or watch when `state` last changed. Absent before the first call has ended. */
+  silentMs?: Millis;
   /** Store revision of the last successful list or watch. */
   revision: number;
   /** How often the connection has been lost. */
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IAttemptEntry } from '../blackboard/Types.js';
-import type { IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
+import type { IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import type { TimelineFields } from './Types.js';
@@ -103,13 +103,21 @@
     });
   }
 
+  /** Largest age that the changes of the store's last reply can have. */
+  private _measureNewsAge(): number | undefined {
+    const { board, clock } = this._options;
+    const changesSince = board.storeConnection.get('store')?.changesSince;
+    return changesSince === undefined ? undefined : Math.round(clock.now() - changesSince);
+  }
+
   private _recordFleetChanges(): void {
     const { board, record } = this._options;
     this._register(
       board.storeConnection.onChange(({ before, after }) => {
         if (!after || before?.state === after.state) return;
-        const { losses, reason, revision, state } = after;
-        record(`store.${state}`, { revision, losses, reason });
+        const { losses, reason, revision, silentMs, state } = after;
+        const roundedMs = silentMs === undefined ? undefined : Math.round(silentMs);
+        record(`store.${state}`, { revision, losses, silentMs: roundedMs, reason });
       }),
     );
     this._register(
@@ -123,6 +131,19 @@
           record('fact.unreadable', { key, revision: after.revision, reason: after.fact.reason });
       }),
     );
+    this._register(
+      board.facts.onChange(({ key, before, after }) => {
+        const state = describeAnnouncement(after);
+        const oldState = describeAnnouncement(before);
+        if (state === oldState) return;
+        record('endpoint.announced', {
+          key,
+          state,
+          revision: after?.revision,
+          newsAgeMs: this._measureNewsAge(),
+        });
+      }),
+    );
     this._register(
       board.rollouts.onChange(({ before, after }) => {
         if (!after) return;
@@ -138,6 +159,13 @@
   }
 }
 
+/** State in the announcement of an endpoint; `undefined` if the fact is not one. */
+function describeAnnouncement(entry: IFactEntry | undefined): string | undefined {
+  if (entry?.fact.kind !== 'endpoint') return undefined;
+  const { isLeaving, startedAt } = entry.fact.endpoint;
+  return `${isLeaving ? 'leaving' : 'ready'} since start ${startedAt}`;
+}
+
 function describeDecision(decision: IRolloutDecision): TimelineFields {
   const { elapsedMs, hostCount, newCounts, oldCounts, stage, verdict } = decision;
   return {
