Count the time for new announcements from the return of the store

Cause: an announcement that is deleted around an outage of the store may come back within 2 s of its return, and the host kept the endpoint for 2 s from its own next call. With a watch that was lost, that call came seconds after the return. The class of fault is a bound counted from the moment at which a host notices something instead of the moment at which it happened.

Evidence: 'the time for a new announcement counts from the return of the store, not from the next call to it' failed before.

The sync controller now notes the sending of the last call that failed as the earliest return, and the registry counts from there.

--- a/src/common/fleet/EndpointRegistryController.test.ts
+++ b/src/common/fleet/EndpointRegistryController.test.ts
@@ -95,3 +95,12 @@
   board.facts.set('e-1', { key: 'e-1', revision: 9, fact: { kind: 'unreadable', reason: 'no JSON' } });
   t.is(readHealth(), 'healthy');
 });
+
+// Guards against sending requests to an endpoint that was removed during an outage, for 2 s after this host has reached
+// the store again, which may be long after the store was back.
+test('the time for a new announcement counts from the return of the store, not from the next call to it', (t) => {
+  const { publish, board, readHealth } = createFixture({ losses: 1, changedAt: 0, availableSince: -2100 });
+  publish();
+  board.facts.delete('e-1');
+  t.is(readHealth(), 'absent');
+});
--- a/src/common/fleet/FactSyncController.test.ts
+++ b/src/common/fleet/FactSyncController.test.ts
@@ -109,7 +109,9 @@
 const WATCH_MARGIN_MS = 500;
 
 /** Measures how long after the return of a silent store, at `returnAt`, a host learns of a change made before it. */
-async function measureLateness(returnAt: number): Promise<number> {
+async function observeReturn(
+  returnAt: number,
+): Promise<{ lateMs: number; availableSince: number | undefined }> {
   const clock = new ManualClock();
   const board = new Blackboard();
   const wait = (ms: number): Promise<void> =>
@@ -140,16 +142,28 @@
   void controller.run();
   for (let at = 0; at < 20_000 && !board.facts.has('e-1'); at += 10) await clock.advance(10);
   controller.dispose();
-  return clock.now() - returnAt;
+  const { availableSince } = board.storeConnection.get('store')!;
+  return { lateMs: clock.now() - returnAt, availableSince };
 }
 
 // Guards against a host that sends to an endpoint which left during an outage of the store, long after its end (issue 25).
 test('changes made while the store was silent are known within the contact time after its return', async (t) => {
   const late: string[] = [];
   for (let returnAt = 1500; returnAt < 14_000; returnAt += 170) {
-    const lateMs = await measureLateness(returnAt);
+    const { lateMs } = await observeReturn(returnAt);
     // Without limits in force, the contact time is 3 s.
     if (lateMs >= 3000) late.push(`return at ${returnAt} ms: known ${lateMs} ms later`);
   }
   t.deepEqual(late, []);
 });
+
+// Guards against a removed endpoint that is kept for a time counted from a moment long after the return of the store.
+test('the return of a store is estimated to the time limit of a short call', async (t) => {
+  const wrong: string[] = [];
+  for (let returnAt = 5000; returnAt < 9000; returnAt += 170) {
+    const { availableSince = NaN } = await observeReturn(returnAt);
+    const isWithin = availableSince <= returnAt && availableSince >= returnAt - 1500;
+    if (!isWithin) wrong.push(`return at ${returnAt} ms, estimated at ${availableSince} ms`);
+  }
+  t.deepEqual(wrong, []);
+});
--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -57,6 +57,8 @@
 export class FactSyncController extends Disposable {
   private _consecutiveFailures = 0;
   private _lastReplyAt: Millis = 0;
+  /** When the last call that failed was sent. */
+  private _failedCallSentAt: Millis = 0;
 
   constructor(private readonly _options: IFactSyncOptions) {
     super();
@@ -72,9 +74,10 @@
   }
 
   private async _listFacts(): Promise<number | undefined> {
+    const startedAt = this._options.clock.now();
     const listed = await this._options.store.listFacts();
     if (listed.isErr) {
-      this._handleStoreError(listed.error);
+      this._handleStoreError(listed.error, startedAt);
       return undefined;
     }
     this._handleStoreReply(listed.value.revision, this._options.clock.now());
@@ -87,7 +90,7 @@
     const startedAt = clock.now();
     const watched = await store.watchFacts(revision, this._computeWatchWait());
     if (watched.isErr) {
-      this._handleStoreError(watched.error);
+      this._handleStoreError(watched.error, startedAt);
       return revision;
     }
     if (watched.value.kind === 'compacted') return undefined;
@@ -142,13 +145,16 @@
         revision,
         losses,
         changesSince,
+        // The store may have been back since the last call that failed was sent.
+        ...(known ? { availableSince: this._failedCallSentAt } : {}),
       });
     }
   }
 
-  private _handleStoreError(error: StoreError): void {
+  private _handleStoreError(error: StoreError, sentAt: Millis): void {
     const { board, clock } = this._options;
     this._consecutiveFailures += 1;
+    this._failedCallSentAt = sentAt;
     const known = board.storeConnection.get('store');
     if (known?.state === 'lost') return;
     const now = clock.now();
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -314,6 +314,8 @@
   revision: number;
   /** How often the connection has been lost. */
   losses: number;
+  /** Earliest time at which the store can have been back when it was last reached again. Absent before a loss. */
+  availableSince?: Millis;
   /** Earliest time at which the changes in the store's last reply can have been made. */
   changesSince: Millis;
   /** Error of the call at which the connection was lost; absent while connected. */
