Remove an endpoint with its announcement although that was unreadable

Cause: the registry handled a deletion only if the fact before it was an announcement. Once another writer had made that unreadable, the deletion had no endpoint any more, and the endpoint stayed healthy. The class of fault is a decision tied to the last state of a thing instead of the thing.

The registry now knows the endpoint by the key of its announcement.

--- a/src/common/fleet/EndpointRegistryController.test.ts
+++ b/src/common/fleet/EndpointRegistryController.test.ts
@@ -104,3 +104,12 @@
   board.facts.delete('e-1');
   t.is(readHealth(), 'absent');
 });
+
+// Guards against requests to an endpoint that is gone, whose announcement another writer had made unreadable.
+test('an endpoint is removed with its announcement although that had become unreadable', (t) => {
+  const { publish, board, readHealth } = createFixture();
+  publish();
+  board.facts.set('e-1', { key: 'e-1', revision: 9, fact: { kind: 'unreadable', reason: 'no JSON' } });
+  board.facts.delete('e-1');
+  t.is(readHealth(), 'absent');
+});
--- a/src/common/fleet/EndpointRegistryController.ts
+++ b/src/common/fleet/EndpointRegistryController.ts
@@ -23,16 +23,18 @@
 export class EndpointRegistryController extends Disposable {
   /** Timers by endpoint that remove endpoints whose announcements were deleted. */
   private readonly _removalTimers = new Map<string, IDisposable>();
+  /** Ids of endpoints by the store keys of their announcements, which may have become unreadable. */
+  private readonly _idsByKey = new Map<string, string>();
 
   constructor(private readonly _options: IEndpointRegistryOptions) {
     super();
     this._register(
-      _options.board.facts.onChange(({ before, after }) => {
-        const announcement = after?.fact.kind === 'endpoint' ? after.fact.endpoint : undefined;
-        const removedAnnouncement = before?.fact.kind === 'endpoint' ? before.fact.endpoint : undefined;
-        if (announcement) this._applyAnnouncement(announcement);
+      _options.board.facts.onChange(({ key, after }) => {
         // An unreadable announcement leaves the endpoint as it is until the announcement is deleted.
-        else if (removedAnnouncement && !after) this._handleRemovedAnnouncement(removedAnnouncement);
+        if (after?.fact.kind === 'endpoint') {
+          this._idsByKey.set(key, after.fact.endpoint.id);
+          this._applyAnnouncement(after.fact.endpoint);
+        } else if (!after) this._handleRemovedKey(key);
       }),
     );
   }
@@ -55,8 +57,11 @@
     } else if (!isSameProcess) board.endpoints.set(announcement.id, entry);
   }
 
-  private _handleRemovedAnnouncement({ id }: IEndpointAnnouncement): void {
+  private _handleRemovedKey(key: string): void {
     const { board, clock } = this._options;
+    const id = this._idsByKey.get(key);
+    if (id === undefined) return;
+    this._idsByKey.delete(key);
     const delayMs = this._computeRemovalDelay();
     if (delayMs <= 0) {
       board.endpoints.delete(id);
