Send nothing more to an endpoint that says in a response that it leaves

Cause: no code read the header Server-Leaving. An endpoint was known to leave by its announcement only, which may come late or never.

Evidence: 'an endpoint that says in a response that it leaves gets no further request' failed before: 14 and 13 of 20 requests each went to the two endpoints that had said so.

The adapter reports the word of any response but those of another endpoint or request, and the health controller acts on it. An announcement of the same process does not take it back.

--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -163,6 +163,8 @@
   private _hasPace = false;
   private _isLong: boolean;
   private readonly _usualTokens: number | undefined;
+  /** Process of the endpoint that the attempt was sent to. */
+  private readonly _incarnation: number | undefined;
 
   constructor(
     private readonly _options: IAttemptOptions,
@@ -171,6 +173,7 @@
     private readonly _request: IRequestEntry,
   ) {
     this._isLong = _attempt.isLong ?? false;
+    this._incarnation = _options.board.endpoints.get(_attempt.endpoint)?.incarnation;
     this._usualTokens = _options.board.workEstimates.get(formatPool(_request))?.tokens;
     _meter.startWait(_attempt.endpoint, _attempt.id);
   }
@@ -195,6 +198,10 @@
       this._handleRateLimit(part.requestsPerS);
       return;
     }
+    if (part.kind === 'leaving') {
+      this._updateSender({ hasSaidLeaving: true });
+      return;
+    }
     if (part.kind === 'opening') {
       const { confidence } = part;
       if (confidence !== undefined) this._options.board.attempts.update(this._attempt.id, { confidence });
@@ -233,6 +240,13 @@
     this._options.board.attempts.update(this._attempt.id, { tokens: this._tokens });
   }
 
+  /** Updates the endpoint that the attempt was sent to, unless its process has been replaced since. */
+  private _updateSender(patch: Partial<IEndpointEntry>): void {
+    const { board } = this._options;
+    const endpoint = board.endpoints.get(this._attempt.endpoint);
+    if (endpoint && endpoint.incarnation === this._incarnation) board.endpoints.update(endpoint.id, patch);
+  }
+
   private _handleRateLimit(maxRequestsPerS: number | undefined): void {
     const { board, clock } = this._options;
     const endpoint = board.endpoints.get(this._attempt.endpoint);
--- a/src/common/request/HealthController.ts
+++ b/src/common/request/HealthController.ts
@@ -19,8 +19,8 @@
 const SUSPECT_RECHECK_MS = 200;
 
 /**
- * Moves endpoints between `healthy`, `suspect` and `probing`, and to `leaving` as soon as a load report or a
- * failed attempt says that the endpoint is shutting down.
+ * Moves endpoints between `healthy`, `suspect` and `probing`, and to `leaving` as soon as a load report, a response or
+ * a failed attempt says that the endpoint is shutting down.
  */
 export class HealthController extends Disposable {
   private readonly _failedProbes = new Map<string, number>();
@@ -49,7 +49,8 @@
   }
 
   private _handleChange(before: IEndpointEntry | undefined, after: IEndpointEntry): void {
-    if (after.report?.isLeaving && after.report !== before?.report) {
+    const hasReportedLeaving = after.report?.isLeaving && after.report !== before?.report;
+    if (hasReportedLeaving || (after.hasSaidLeaving && !before?.hasSaidLeaving)) {
       this._markLeaving(after.id);
       return;
     }
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -24,6 +24,8 @@
    * `undefined` if it sets no limit.
    */
   | { kind: 'rate-limit'; requestsPerS: number | undefined }
+  /** The response has begun, and its endpoint says that it is leaving. */
+  | { kind: 'leaving' }
   /**
    * The response has begun. `confidence` is the model's confidence in its answer, 0 to 1, if it reports one.
    */
