Send nothing to an endpoint for the time that its refusal asks for

Cause: no code read Retry-After of an endpoint; a refusal led to another attempt elsewhere, and the next request went there again.

The endpoint has no room until then, and a request that would wait beyond its deadline for the only endpoints is refused at once, as with limits on rates.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -388,6 +388,8 @@
   nextAttemptAt?: Millis | undefined;
   /** When `nextAttemptAt` was reached last. A request that comes later shortens the wait after it. */
   attemptDueAt?: Millis;
+  /** Time until which the endpoint wants nothing from this host, as it said. Absent while it takes work. */
+  pausedUntil?: Millis | undefined;
   /** Whether the endpoint has said in a response that it is leaving. It may not have announced it. */
   hasSaidLeaving?: boolean;
   /** Identifies the start of the endpoint's process; a later start has a higher number. Default 0. */
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -202,6 +202,12 @@
       this._updateSender({ hasSaidLeaving: true });
       return;
     }
+    if (part.kind === 'pause') {
+      const pausedUntil = this._options.clock.now() + part.forMs;
+      const known = this._options.board.endpoints.get(this._attempt.endpoint)?.pausedUntil ?? -Infinity;
+      if (pausedUntil > known) this._updateSender({ pausedUntil });
+      return;
+    }
     if (part.kind === 'opening') {
       const { confidence } = part;
       if (confidence !== undefined) this._options.board.attempts.update(this._attempt.id, { confidence });
--- a/src/common/request/RouteController.ts
+++ b/src/common/request/RouteController.ts
@@ -93,6 +93,7 @@
           after.inFlight < (before?.inFlight ?? Infinity) ||
           (after.inFlightLimit ?? 0) > (before?.inFlightLimit ?? 0) ||
           (after.nextAttemptAt === undefined && before?.nextAttemptAt !== undefined) ||
+          (after.pausedUntil === undefined && before?.pausedUntil !== undefined) ||
           before?.health !== after.health;
         if (hasGainedRoom) for (const pool of listPoolsOf(after)) this._assignQueued(pool);
         const hasLostUse = after.nextAttemptAt === Infinity && before?.nextAttemptAt !== Infinity;
@@ -239,8 +240,8 @@
     const lane = this._lanesByPool.get(pool)?.[length];
     const estimate = board.workEstimates.get(pool);
     const healthy = index.listPool(pool).filter(({ health }) => health === 'healthy');
-    const rateWaitMs = estimateRateWait(healthy, clock.now());
-    if (!lane || lane.size === 0 || !estimate) return rateWaitMs;
+    const sendWaitMs = estimateSendWait(healthy, clock.now());
+    if (!lane || lane.size === 0 || !estimate) return sendWaitMs;
     const durationMs =
       length === 'short' ? estimate.shortDurationMs : (estimate.longDurationMs ?? estimate.shortDurationMs);
     let slots = 0;
@@ -250,7 +251,7 @@
     }
     const account = formatAccount(request);
     const capacityWaitMs = (lane.countAhead(account, weight) * durationMs) / Math.max(1, slots);
-    return Math.max(rateWaitMs, capacityWaitMs, lane.estimateWait(account));
+    return Math.max(sendWaitMs, capacityWaitMs, lane.estimateWait(account));
   }
 
   private _findWeight(request: IRequestEntry): number {
@@ -325,10 +326,13 @@
   return nextAttemptAt !== Infinity;
 }
 
-/** Estimates the wait until one of the endpoints takes a request, as far as the limits on their rates go. */
-function estimateRateWait(endpoints: readonly Readonly<IEndpointEntry>[], now: Millis): Millis {
+/** Estimates the wait until one of the endpoints takes a request, as far as their limits and pauses go. */
+function estimateSendWait(endpoints: readonly Readonly<IEndpointEntry>[], now: Millis): Millis {
   if (endpoints.length === 0) return 0;
-  return Math.max(0, Math.min(...endpoints.map(({ nextAttemptAt = now }) => nextAttemptAt)) - now);
+  const sendTimes = endpoints.map(({ nextAttemptAt = now, pausedUntil = now }) =>
+    Math.max(nextAttemptAt, pausedUntil),
+  );
+  return Math.max(0, Math.min(...sendTimes) - now);
 }
 
 /** Estimates the attempts of this host that an endpoint runs at a time, each of a duration. */
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -24,6 +24,8 @@
    * `undefined` if it sets no limit.
    */
   | { kind: 'rate-limit'; requestsPerS: number | undefined }
+  /** The endpoint has turned the attempt away, and wants nothing from this host for `forMs`. */
+  | { kind: 'pause'; forMs: Millis }
   /** The response has begun, and its endpoint says that it is leaving. */
   | { kind: 'leaving' }
   /**
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -24,6 +24,7 @@
     this._recordFleetChanges();
     this._recordPromptBlocks();
     this._recordRateLimits();
+    this._recordPauses();
   }
 
   private _recordRateLimits(): void {
@@ -41,6 +42,16 @@
     );
   }
 
+  private _recordPauses(): void {
+    const { board, clock, record } = this._options;
+    this._register(
+      board.endpoints.onChange(({ key, before, after }) => {
+        if (after?.pausedUntil === undefined || after.pausedUntil === before?.pausedUntil) return;
+        record('endpoint.paused', { endpoint: key, forMs: Math.round(after.pausedUntil - clock.now()) });
+      }),
+    );
+  }
+
   private _recordPromptBlocks(): void {
     const { board, record } = this._options;
     this._register(
--- a/src/daemons/RouterEndpointNotices.test.ts
+++ b/src/daemons/RouterEndpointNotices.test.ts
@@ -36,3 +36,36 @@
   });
   await rig.close();
 });
+
+// Guards against requests to an endpoint that has asked this host, with a refusal, to send it nothing for some time.
+test('an endpoint that refuses with a time to wait gets nothing in it, and work again after it', async (t) => {
+  const rig = await RouterRig.startReady();
+  const pauseMs = 1500;
+  const arrivals: number[] = [];
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      if (runner.id === 'p-1') arrivals.push(Date.now());
+      const isRefusal = runner.id === 'p-1' && arrivals.length === 1;
+      const headers = { 'not-executed': '1', 'retry-after': String(pauseMs / 1000) };
+      const attemptId = String(call.headers['attempt-id']);
+      if (isRefusal) response.writeHead(503, { ...headers, 'attempt-id': attemptId }).end();
+      else sendFullAnswer(call, response, 200, 'whole');
+    };
+  }
+  const statuses = new Set<number>();
+  for (let index = 0; index < 60; index += 1) {
+    statuses.add((await rig.send(`/look/${index}`)).status);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  await rig.close();
+  const [refusedAt = NaN] = arrivals;
+  t.deepEqual([...statuses], [200]);
+  t.deepEqual(
+    arrivals.filter((at) => at > refusedAt && at < refusedAt + pauseMs),
+    [],
+  );
+  t.true(
+    arrivals.some((at) => at >= refusedAt + pauseMs),
+    'the endpoint gets work after the pause',
+  );
+});
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -36,6 +36,7 @@
 import { CleanUpController } from '../common/request/CleanUpController.js';
 import { DeadlineController } from '../common/request/DeadlineController.js';
 import { EndpointIndex } from '../common/request/EndpointIndex.js';
+import { EndpointPauseController } from '../common/request/EndpointPauseController.js';
 import { HealthController } from '../common/request/HealthController.js';
 import { InFlightLimitController } from '../common/request/InFlightLimitController.js';
 import { EarlyEscalationController } from '../common/request/EarlyEscalationController.js';
@@ -310,6 +311,7 @@
       }),
     );
     this._register(new WorkEstimateController(board));
+    this._register(new EndpointPauseController(common));
     this._register(new InFlightLimitController({ ...common, adaptLimit: limitBySlots }));
     this._register(new HealthController({ ...common, index, decideHealth: decideHealthByFailures }));
     this._register(
