Know the era of the store, and take or refuse each of its changes for a stated reason

What callers saw on systems like ours (CONFIG, DRAIN): after the store had come back from a copy, a configuration in force went back or a new one did not come in force, and requests reached runners that had left.

Cause: revisions were compared across a restoration. A change with a lower revision than one that the store had lost was dropped, other content under the same revision was taken for the same, and a watch could go on at a revision that had been given out again. The class of fault is an order of events that is trusted beyond the life of the counter that it comes from.

The client reads the era from every reply: the first that tells of a later one ends the watch, and replies and conditional writes of the era before are not used. FactMirror, one for each host, lists anew, compares revisions within an era only, and keeps a configuration, the start of a process and its leaving against an older copy. The log tells each refusal with its reason.

--- a/src/common/fleet/EndpointRegistryController.ts
+++ b/src/common/fleet/EndpointRegistryController.ts
@@ -82,8 +82,8 @@
     const { board, clock } = this._options;
     const connection = board.storeConnection.get('store');
     if (!connection || connection.state === 'lost') return REANNOUNCEMENT_PERIOD_MS;
-    const { availableSince = connection.changedAt } = connection;
-    return connection.losses > 0 ? availableSince + REANNOUNCEMENT_PERIOD_MS - clock.now() : 0;
+    const { availableSince = connection.losses > 0 ? connection.changedAt : -Infinity } = connection;
+    return Math.max(0, availableSince + REANNOUNCEMENT_PERIOD_MS - clock.now());
   }
 
   private _cancelRemoval(id: string): void {
--- a/src/common/fleet/FactSyncController.test.ts
+++ b/src/common/fleet/FactSyncController.test.ts
@@ -3,7 +3,14 @@
 import { ManualClock } from '../../testing/ManualClock.js';
 import { Blackboard } from '../blackboard/Blackboard.js';
 import { FactSyncController } from './FactSyncController.js';
-import type { FactChange, IFactStore } from './Types.js';
+import type {
+  FactChange,
+  FactChanges,
+  IEndpointAnnouncement,
+  IFactEntry,
+  IFactList,
+  IFactStore,
+} from './Types.js';
 
 const FACT = { kind: 'unreadable' as const, reason: 'test' };
 
@@ -30,7 +37,7 @@
       listTimes.push(clock.now());
       return Promise.resolve(Result.ok({ facts: [], revision: Math.floor(clock.now() / 50) }));
     },
-    watchFacts: async (after, waitMs) => {
+    watchFacts: async ({ revision: after }, waitMs) => {
       watchCount += 1;
       if (isCompacted) {
         isCompacted = false;
@@ -129,7 +136,7 @@
         await wait(isSilent() ? LIST_TIMEOUT_MS : 5);
         return isSilent() ? Result.err(silence) : Result.ok({ facts: [], revision: 1 });
       },
-      watchFacts: async (after, waitMs) => {
+      watchFacts: async ({ revision: after }, waitMs) => {
         // The store loses calls that wait when it goes silent.
         const isLost = clock.now() < returnAt && clock.now() + waitMs >= silentFrom;
         await wait(isLost ? waitMs + WATCH_MARGIN_MS : after < 2 && clock.now() >= returnAt ? 5 : waitMs);
@@ -167,3 +174,93 @@
   }
   t.deepEqual(wrong, []);
 });
+
+function createAnnouncement(revision: number, patch: Partial<IEndpointAnnouncement> = {}): IFactEntry {
+  const endpoint = {
+    id: 'e-1',
+    service: 'drafts',
+    address: '10.0.0.1:80',
+    zone: 'a',
+    release: 'v1',
+    slots: 8,
+    isLeaving: false,
+    models: [],
+    startedAt: 5,
+    warmUpMs: 0,
+    ...patch,
+  };
+  return { key: 'servers/e-1', revision, fact: { kind: 'endpoint', endpoint } };
+}
+
+function createTable(revision: number, version: number): IFactEntry {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  const table = { version, routesByHost: new Map(), services: new Map(), accountsByKey: undefined, limits };
+  return { key: 'op/config', revision, fact: { kind: 'routing-table', table } };
+}
+
+/** Runs a controller on a store that answers lists and watches in this order; returns what is known in the end. */
+async function readFacts(lists: readonly IFactList[], watches: readonly FactChanges[]): Promise<unknown> {
+  const clock = new ManualClock();
+  const board = new Blackboard();
+  const [remainingLists, remainingWatches] = [[...lists], [...watches]];
+  const refused: string[] = [];
+  const controller = new FactSyncController({
+    board,
+    clock,
+    random: () => 0.5,
+    store: {
+      listFacts: () => Promise.resolve(Result.ok(remainingLists.shift() ?? lists.at(-1)!)),
+      watchFacts: async ({ era = 0, revision }, waitMs) => {
+        const next = remainingWatches.shift();
+        if (next) return Result.ok(next);
+        await new Promise<void>((resolve) => void clock.schedule(waitMs, resolve));
+        return Result.ok({ kind: 'changes', changes: [], revision, era });
+      },
+    },
+  });
+  controller.onRefused(({ key, revision, verdict }) => refused.push(`${key} ${revision} ${verdict}`));
+  void controller.run();
+  await clock.advance(5000);
+  controller.dispose();
+  const known = [...board.facts.list()].map(({ fact, key, revision }) => {
+    const state = fact.kind === 'endpoint' ? (fact.endpoint.isLeaving ? 'leaving' : 'ready') : fact.kind;
+    return `${key} ${revision} ${fact.kind === 'routing-table' ? `version ${fact.table.version}` : state}`;
+  });
+  return { known, refused, era: board.storeConnection.get('store')?.era };
+}
+
+// Guards against an endpoint that stays in use for good, because its leaving has a lower revision than what a
+// restored store has lost.
+test('changes of a restored store are taken although their revisions are lower', async (t) => {
+  const change = createAnnouncement(112, { isLeaving: true });
+  const lists = [
+    { era: 1, revision: 115, facts: [createAnnouncement(115)] },
+    { era: 2, revision: 111, facts: [createAnnouncement(110)] },
+  ];
+  const changes = [
+    { kind: 'put' as const, ...change },
+    { kind: 'put' as const, ...createTable(113, 4) },
+  ];
+  t.snapshot(
+    await readFacts(lists, [{ kind: 'restored' }, { kind: 'changes', changes, revision: 113, era: 2 }]),
+  );
+});
+
+// Guards against a list after a lost history that is ignored, because a revision has been given out again.
+test('a list replaces what is known under the same revision', async (t) => {
+  const lists = [
+    { revision: 115, facts: [createAnnouncement(115)] },
+    { revision: 115, facts: [createAnnouncement(115, { isLeaving: true })] },
+  ];
+  t.snapshot(await readFacts(lists, [{ kind: 'compacted' }]));
+});
+
+// Guards against CONFIG: a configuration in force that goes back, or a leaving endpoint that is used again, because the
+// store was restored from a copy made before.
+test('the copy of a restored store takes back neither a configuration nor a leaving', async (t) => {
+  const lists = [
+    { era: 1, revision: 120, facts: [createAnnouncement(115, { isLeaving: true }), createTable(120, 9)] },
+    { era: 2, revision: 111, facts: [createAnnouncement(110), createTable(105, 7)] },
+  ];
+  t.snapshot(await readFacts(lists, [{ kind: 'restored' }]));
+});
--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -1,8 +1,10 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { StoreError } from '../coordination/Types.js';
+import type { Event } from '../Event.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock, Millis, RandomSource } from '../Types.js';
-import type { FactChange, IFactList, IFactStore } from './Types.js';
+import { FactMirror } from './FactMirror.js';
+import type { IFactStore, IRefusedChange, IStorePosition } from './Types.js';
 
 /** Options of the fact sync controller. */
 export interface IFactSyncOptions {
@@ -51,10 +53,11 @@
 
 /**
  * Keeps the `facts` panel equal to the store: lists all facts once, then watches for changes. After a failed
- * call it watches from the last revision again. If the store has compacted the changes since that revision,
- * it lists all facts again.
+ * call it watches from the last revision again. If the store has compacted the changes since that revision, or has
+ * been restored from a copy, it lists all facts again.
  */
 export class FactSyncController extends Disposable {
+  private readonly _mirror: FactMirror;
   private _consecutiveFailures = 0;
   private _lastReplyAt: Millis = 0;
   /** When the last call that failed was sent. */
@@ -62,47 +65,57 @@
 
   constructor(private readonly _options: IFactSyncOptions) {
     super();
+    this._mirror = this._register(new FactMirror(_options));
+  }
+
+  /** Fires for each change that the host's copy of the store refuses. */
+  public get onRefused(): Event<IRefusedChange> {
+    return this._mirror.onRefused;
   }
 
   /** Lists and watches the store until the controller is disposed. */
   public async run(): Promise<void> {
-    let revision: number | undefined;
+    let position: IStorePosition | undefined;
     while (!this._isDisposed) {
-      revision = revision === undefined ? await this._listFacts() : await this._watchFacts(revision);
+      position = position === undefined ? await this._listFacts() : await this._watchFacts(position);
       if (this._consecutiveFailures > 0) await this._waitBeforeRetry();
     }
   }
 
-  private async _listFacts(): Promise<number | undefined> {
+  private async _listFacts(): Promise<IStorePosition | undefined> {
     const startedAt = this._options.clock.now();
     const listed = await this._options.store.listFacts();
     if (listed.isErr) {
       this._handleStoreError(listed.error, startedAt);
       return undefined;
     }
-    this._handleStoreReply(listed.value.revision, this._options.clock.now());
-    this._replaceFacts(listed.value);
-    return listed.value.revision;
+    const { era, revision } = listed.value;
+    const position = era === undefined ? { revision } : { revision, era };
+    this._handleStoreReply(position, this._options.clock.now());
+    this._mirror.replaceFacts(listed.value);
+    return position;
   }
 
-  private async _watchFacts(revision: number): Promise<number | undefined> {
+  private async _watchFacts(position: IStorePosition): Promise<IStorePosition | undefined> {
     const { board, clock, store } = this._options;
     const startedAt = clock.now();
-    const watched = await store.watchFacts(revision, this._computeWatchWait());
+    const watched = await store.watchFacts(position, this._computeWatchWait());
     if (watched.isErr) {
       this._handleStoreError(watched.error, startedAt);
-      return revision;
+      return position;
     }
-    if (watched.value.kind === 'compacted') return undefined;
+    if (watched.value.kind !== 'changes') return undefined;
+    const { changes, revision } = watched.value;
+    const nextPosition = { ...position, revision };
     // A watch that had to wait ends with the change; another brings changes made since the reply before.
     const hasWaited = clock.now() - startedAt >= MIN_WATCH_WAIT_MS;
-    this._handleStoreReply(watched.value.revision, hasWaited ? clock.now() : this._lastReplyAt);
-    for (const change of watched.value.changes) this._applyChange(change);
+    this._handleStoreReply(nextPosition, hasWaited ? clock.now() : this._lastReplyAt);
+    this._mirror.applyChanges(changes, position.era);
     // The next watch reads all changes that are made during the pause in one call.
-    if (watched.value.changes.length > 0) {
+    if (changes.length > 0) {
       await this._wait(computeWatchPause(board.limits.get('in-force')?.maxApplyDelayMs));
     }
-    return watched.value.revision;
+    return nextPosition;
   }
 
   private _computeWatchWait(): Millis {
@@ -111,31 +124,21 @@
     return Math.max(RECOVERY_WAIT_MS, storeContactMs - WATCH_TIMEOUT_MARGIN_MS);
   }
 
-  private _replaceFacts({ facts: listed }: IFactList): void {
-    const { facts } = this._options.board;
-    const keys = new Set(listed.map(({ key }) => key));
-    for (const { key } of [...facts.list()]) if (!keys.has(key)) facts.delete(key);
-    for (const entry of listed) {
-      if (facts.get(entry.key)?.revision !== entry.revision) facts.set(entry.key, entry);
-    }
-  }
-
-  private _applyChange(change: FactChange): void {
-    const { facts } = this._options.board;
-    const known = facts.get(change.key);
-    if (known && known.revision >= change.revision) return;
-    if (change.kind === 'delete') facts.delete(change.key);
-    else facts.set(change.key, { key: change.key, revision: change.revision, fact: change.fact });
-  }
-
-  private _handleStoreReply(revision: number, changesSince: Millis): void {
+  private _handleStoreReply({ era = 0, revision }: IStorePosition, changesSince: Millis): void {
     const { board, clock } = this._options;
     const now = clock.now();
     const previousReplyAt = this._lastReplyAt;
     this._consecutiveFailures = 0;
     this._lastReplyAt = now;
     const known = board.storeConnection.get('store');
-    if (known?.state === 'connected') board.storeConnection.update('store', { revision, changesSince });
+    const isRestored = known !== undefined && era > (known.era ?? 0);
+    if (known?.state === 'connected')
+      board.storeConnection.update('store', {
+        revision,
+        era,
+        changesSince,
+        ...(isRestored ? { availableSince: now } : {}),
+      });
     else {
       const losses = known?.losses ?? 0;
       board.storeConnection.set('store', {
@@ -143,10 +146,12 @@
         changedAt: now,
         silentMs: now - previousReplyAt,
         revision,
+        era,
         losses,
         changesSince,
-        // The store may have been back since the last call that failed was sent.
-        ...(known ? { availableSince: this._failedCallSentAt } : {}),
+        // The store may have been back since the last call that failed was sent. The owners of what a restored store
+        // lacks may only now be reaching it.
+        ...(known ? { availableSince: isRestored ? now : this._failedCallSentAt } : {}),
       });
     }
   }
@@ -163,6 +168,7 @@
       changedAt: now,
       silentMs: now - this._lastReplyAt,
       revision: known?.revision ?? 0,
+      era: known?.era ?? 0,
       losses: (known?.losses ?? 0) + 1,
       changesSince: known?.changesSince ?? clock.now(),
       reason: error.kind === 'conflict' ? error.kind : error.message,
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -251,8 +251,13 @@
 /** A fact with its key and revision in the store. */
 export interface IFactEntry {
   key: string;
-  /** Store revision of the last write to the key. */
+  /** Store revision of the last write to the key. Revisions of different eras cannot be compared. */
   revision: number;
+  /**
+   * Era of the store in which the fact was read. The store counts up its era each time that it is restored from a copy
+   * some seconds old, and gives out again the revisions that it has lost. Default 0.
+   */
+  era?: number;
   fact: FleetFact;
 }
 
@@ -263,26 +268,68 @@
 export interface IFactList {
   facts: readonly IFactEntry[];
   revision: number;
+  /** Era of the store. Default 0. */
+  era?: number;
+}
+
+/** Point in the history of the store. */
+export interface IStorePosition {
+  revision: number;
+  /** Era of the revision. Default 0. */
+  era?: number;
 }
 
-/** Result of a watch: the changes since a revision, or `compacted` if the store no longer has them. */
+/**
+ * Result of a watch: the changes since a revision, `compacted` if the store no longer has them, or `restored` if the
+ * revision is of an earlier era.
+ */
 export type FactChanges =
-  { kind: 'changes'; changes: readonly FactChange[]; revision: number } | { kind: 'compacted' };
+  | { kind: 'changes'; changes: readonly FactChange[]; revision: number; era?: number }
+  | { kind: 'compacted' }
+  | { kind: 'restored' };
+
+/**
+ * Why a change that the store tells is taken, or the fact that is known is kept:
+ * - `taken`: the change is new;
+ * - `older-era`: it was read before the store was restored;
+ * - `known-revision`: its revision is not above that of the fact known, in the same era;
+ * - `unreadable`: it cannot be decoded, and a fact is known that can;
+ * - `older-version`: it is a routing table with a lower version;
+ * - `older-process`: it is the announcement of an earlier process of the endpoint;
+ * - `already-leaving`: it announces a process as ready that had announced its leaving.
+ */
+export type FactVerdict =
+  | 'taken'
+  | 'older-era'
+  | 'known-revision'
+  | 'unreadable'
+  | 'older-version'
+  | 'older-process'
+  | 'already-leaving';
+
+/** A change of the store that the host's copy has refused. */
+export interface IRefusedChange {
+  key: string;
+  verdict: Exclude<FactVerdict, 'taken'>;
+  revision: number;
+  era: number;
+}
 
 /** Reads and writes facts in the store. Every call counts against the store's rate limits. */
 export interface IFactStore {
   listFacts: () => Promise<Result<IFactList, StoreError>>;
-  /** Resolves at the first change after revision `after`, or without changes once `waitMs` have passed. */
-  watchFacts: (after: number, waitMs: Millis) => Promise<Result<FactChanges, StoreError>>;
+  /** Resolves at the first change after a revision, or without changes once `waitMs` have passed. */
+  watchFacts: (after: IStorePosition, waitMs: Millis) => Promise<Result<FactChanges, StoreError>>;
   /** Reads the rollout record of a service; `undefined` if there is none. */
   readRolloutRecord: (service: string) => Promise<Result<IFactEntry | undefined, StoreError>>;
   /**
    * Writes a rollout record if its key has the expected revision, where 0 stands for an absent key.
-   * Resolves to the new revision.
+   * Resolves to the new revision, or to a conflict if the store is no longer in the era of the expected revision.
    */
   writeRolloutRecord: (
     record: IRolloutRecord,
     expectedRevision: number,
+    era?: number,
   ) => Promise<Result<number, StoreError>>;
   /** Replaces the crash reports of a host. */
   writeCrashReports: (host: string, reports: readonly ICrashReport[]) => Promise<Result<number, StoreError>>;
@@ -290,9 +337,13 @@
   writeCrashEvidence: (report: ICrashEvidenceReport) => Promise<Result<number, StoreError>>;
   /**
    * Records the start of a trial if the record of the parts' last trial has the expected revision, where 0 stands
-   * for none. Only one host succeeds.
+   * for none. Only one host succeeds. Conflicts if the store is no longer in the era of the expected revision.
    */
-  writePromptTrial: (trial: IPromptTrial, expectedRevision: number) => Promise<Result<number, StoreError>>;
+  writePromptTrial: (
+    trial: IPromptTrial,
+    expectedRevision: number,
+    era?: number,
+  ) => Promise<Result<number, StoreError>>;
   writeHostPresence: (presence: IHostPresence) => Promise<Result<number, StoreError>>;
   /** Replaces the limit of an endpoint, or deletes it if the endpoint sets none. */
   writeRateLimit: (limit: IEndpointRateLimit) => Promise<Result<number, StoreError>>;
@@ -312,6 +363,8 @@
   silentMs?: Millis;
   /** Store revision of the last successful list or watch. */
   revision: number;
+  /** Era of the store at that call. Default 0. */
+  era?: number;
   /** How often the connection has been lost. */
   losses: number;
   /** Earliest time at which the store can have been back when it was last reached again. Absent before a loss. */
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -125,7 +125,10 @@
     const { board, record } = this._options;
     this._register(
       board.storeConnection.onChange(({ before, after }) => {
-        if (!after || before?.state === after.state) return;
+        if (!after) return;
+        if (before && (after.era ?? 0) > (before.era ?? 0))
+          record('store.restored', { era: after.era, revision: after.revision, before: before.revision });
+        if (before?.state === after.state) return;
         const { losses, reason, revision, silentMs, state } = after;
         const roundedMs = silentMs === undefined ? undefined : Math.round(silentMs);
         record(`store.${state}`, { revision, losses, silentMs: roundedMs, reason });
--- a/src/daemons/EndlessResponses.test.ts
+++ b/src/daemons/EndlessResponses.test.ts
@@ -80,7 +80,7 @@
     countSent = sendEndlessly(response, Buffer.alloc(65_536, ' '));
   });
   const client = new StoreClient({ address: server.address.replace('http://', '') });
-  const watched = await client.watch('', 1, 60_000);
+  const watched = await client.watch('', { era: 0, revision: 1 }, 60_000);
   client.close();
   await server.close();
   t.is(watched.isErr && watched.error.kind, 'unknown-outcome');
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -163,6 +163,11 @@
     this._factFeed = this._register(
       new FactSyncController({ board, clock: systemClock, random: Math.random, store: _options.store }),
     );
+    this._register(
+      this._factFeed.onRefused(({ era, key, revision, verdict }) => {
+        this._timeline.record('fact.refused', { key, verdict, revision, era });
+      }),
+    );
     this._registerFleet();
     this._registerRequests();
     this._frontEnd = this._register(
--- a/src/standins/platform/RevisionStoreServer.ts
+++ b/src/standins/platform/RevisionStoreServer.ts
@@ -17,6 +17,12 @@
   lease: number;
 }
 
+/** Content of the store at one moment. */
+export interface IStoreCopy {
+  revision: number;
+  items: ReadonlyMap<string, Readonly<IStoredItem>>;
+}
+
 interface IHistoryEvent {
   key: string;
   revision: number;
@@ -34,6 +40,10 @@
   remove: (key: string) => void;
   /** Returns the JSON value of a key, or `undefined` when the key does not exist. */
   read: (key: string) => unknown;
+  /** Copies the store, so that it can be restored. */
+  copy: () => IStoreCopy;
+  /** Restores the store from a copy: what was written since is lost, and its revisions are given out again. */
+  restore: (copy: IStoreCopy) => void;
   /** Discards the history: a watch from an earlier revision gets a 410 response, and its client must list again. */
   compact: () => void;
 }
@@ -52,6 +62,8 @@
   private _history: IHistoryEvent[] = [];
   private readonly _changeListeners = new Set<() => void>();
   public revision = 1;
+  /** How often the store has been restored. */
+  public era = 1;
   /** Events up to this revision have been discarded. */
   private _compactedRevision = 0;
 
@@ -71,6 +83,14 @@
     return revision;
   }
 
+  public restore({ items, revision }: IStoreCopy): void {
+    this.items.clear();
+    for (const [key, item] of items) this.items.set(key, item);
+    this.revision = revision;
+    this.era += 1;
+    this.compactHistory();
+  }
+
   public compactHistory(): void {
     this._history = [];
     this._compactedRevision = this.revision;
@@ -78,7 +98,7 @@
   }
 
   public listEvents(prefix: string, after: number): IHistoryEvent[] | undefined {
-    if (after < this._compactedRevision) return undefined;
+    if (after < this._compactedRevision || after > this.revision) return undefined;
     return this._history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
   }
 
@@ -104,6 +124,7 @@
     const operation = /\/-\/kv-([a-z]+)/.exec(request.url ?? '')?.[1] ?? 'unknown';
     calls.set(operation, (calls.get(operation) ?? 0) + 1);
     if (state.fault === 'silent') return;
+    response.setHeader('Store-Era', String(store.era));
     if (state.fault === 'refuse') sendJson(response, 503, {});
     else void serveCall(store, operation, request, response, () => state.fault === 'lose-replies');
   });
@@ -119,6 +140,10 @@
       const value = store.items.get(key)?.value;
       return value === undefined ? undefined : parseJson(Buffer.from(value, 'base64'));
     },
+    copy: () => ({ revision: store.revision, items: new Map(store.items) }),
+    restore: (copy: IStoreCopy) => {
+      store.restore(copy);
+    },
     compact: () => {
       store.compactHistory();
     },
