Do not use a process again because the copy of a restored store announces it

Cause: an endpoint whose announcement was deleted was forgotten. The copy of a restored store announces it as ready again until its own time is up, and the host took it for a new one. The reverse was a fault as well: an endpoint that the copy lacks was dropped at once where no call of the host had failed. The class of fault is a decision on a list that is older than what is known.

Evidence: without the departures, 'a process that has gone is not used because the copy of a restored store announces it' and 'a process that announces itself again after it was removed is used' fail (the endpoint is healthy as soon as it is listed); the era that both need was not read before.

The registry remembers the processes that left or were removed. One that had left stays so. One that was removed is used again when it announces itself in the same era or writes in the new one, or if it is still listed after three missed heartbeats.

--- a/src/common/fleet/EndpointRegistryController.test.ts
+++ b/src/common/fleet/EndpointRegistryController.test.ts
@@ -33,7 +33,8 @@
   const publish = (patch: Partial<IEndpointAnnouncement> = {}): void => {
     revision += 1;
     const fact = { kind: 'endpoint' as const, endpoint: { ...ANNOUNCEMENT, ...patch } };
-    board.facts.set('e-1', { key: 'e-1', revision, fact });
+    const era = board.storeConnection.get('store')?.era ?? 0;
+    board.facts.set('e-1', { key: 'e-1', revision, era, fact });
   };
   const readHealth = (): string => board.endpoints.get('e-1')?.health ?? 'absent';
   return { clock, board, publish, readHealth };
@@ -113,3 +114,50 @@
   board.facts.delete('e-1');
   t.is(readHealth(), 'absent');
 });
+
+// Guards against DRAIN: requests to a process that had left or gone, because a restored store lists it as ready again.
+test('a process that has gone is not used because the copy of a restored store announces it', async (t) => {
+  const seen: Record<string, string[]> = {};
+  for (const isLeaving of [false, true]) {
+    const { publish, board, clock, readHealth } = createFixture({ era: 1 });
+    publish({ isLeaving });
+    board.facts.delete('e-1');
+    board.storeConnection.update('store', { era: 2, availableSince: clock.now() });
+    publish();
+    const states = [readHealth()];
+    await clock.advance(9000);
+    states.push(readHealth());
+    // Still listed after three missed heartbeats, so it is alive.
+    await clock.advance(2000);
+    states.push(readHealth());
+    publish({ startedAt: 2 });
+    seen[isLeaving ? 'left' : 'deleted'] = [...states, readHealth()];
+  }
+  t.snapshot(seen);
+});
+
+// Guards against refusing an endpoint that is alive: one that announces itself again, or writes in the new era.
+test('a process that announces itself again after it was removed is used', (t) => {
+  const { publish, board, readHealth } = createFixture({ era: 1 });
+  publish();
+  board.facts.delete('e-1');
+  publish();
+  const inSameEra = readHealth();
+  board.facts.delete('e-1');
+  board.storeConnection.update('store', { era: 2 });
+  publish();
+  const asListed = readHealth();
+  publish({ slots: 9 });
+  t.deepEqual([inSameEra, asListed, readHealth()], ['healthy', 'absent', 'healthy']);
+});
+
+// Guards against dropping an endpoint at once that is alive, because the copy of a restored store does not know it yet.
+test('an endpoint that a restored store lacks is kept for 2 s', async (t) => {
+  const { publish, board, clock, readHealth } = createFixture({ era: 1 });
+  publish();
+  board.storeConnection.update('store', { era: 2, availableSince: clock.now() });
+  board.facts.delete('e-1');
+  const states = [readHealth()];
+  await clock.advance(2100);
+  t.deepEqual([...states, readHealth()], ['healthy', 'absent']);
+});
--- a/src/common/fleet/EndpointRegistryController.ts
+++ b/src/common/fleet/EndpointRegistryController.ts
@@ -2,7 +2,7 @@
 import type { IEndpointEntry } from '../blackboard/Types.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
-import type { IEndpointAnnouncement } from './Types.js';
+import type { IEndpointAnnouncement, IFactEntry } from './Types.js';
 import { formatVersion } from './Versions.js';
 import { INITIAL_ENDPOINT_FIELDS } from '../request/InitialFields.js';
 
@@ -19,30 +19,82 @@
  */
 const REANNOUNCEMENT_PERIOD_MS: Millis = 2000;
 
+/**
+ * Time for which a restored store may still list a process that had gone before. The platform deletes the announcement
+ * of such a process after three missed heartbeats.
+ */
+const STALE_ANNOUNCEMENT_MS: Millis = 10_000;
+
+/** Largest number of departures that are remembered. */
+const MAX_DEPARTURES = 1024;
+
+/** A process of an endpoint that has left, or whose announcement was deleted. */
+interface IDeparture {
+  startedAt: number;
+  wasLeaving: boolean;
+  /** Era of the store in which it was removed. */
+  era: number;
+}
+
 /** Keeps the `endpoints` panel equal to the announcements of the endpoints in the store. */
 export class EndpointRegistryController extends Disposable {
   /** Timers by endpoint that remove endpoints whose announcements were deleted. */
   private readonly _removalTimers = new Map<string, IDisposable>();
   /** Ids of endpoints by the store keys of their announcements, which may have become unreadable. */
   private readonly _idsByKey = new Map<string, string>();
+  /** By endpoint. A restored store may announce these processes again. */
+  private readonly _departures = new Map<string, IDeparture>();
+  /** Timers by key that take over the announcement of a process that had gone before the store was restored. */
+  private readonly _staleTimers = new Map<string, IDisposable>();
 
   constructor(private readonly _options: IEndpointRegistryOptions) {
     super();
     this._register(
-      _options.board.facts.onChange(({ key, after }) => {
+      _options.board.facts.onChange(({ key, before, after }) => {
+        this._staleTimers.get(key)?.dispose();
+        this._staleTimers.delete(key);
         // An unreadable announcement leaves the endpoint as it is until the announcement is deleted.
-        if (after?.fact.kind === 'endpoint') {
-          this._idsByKey.set(key, after.fact.endpoint.id);
-          this._applyAnnouncement(after.fact.endpoint);
-        } else if (!after) this._handleRemovedKey(key);
+        if (after?.fact.kind === 'endpoint') this._handleAnnouncement(after, after.fact.endpoint, before);
+        else if (!after) this._handleRemovedKey(key);
       }),
     );
   }
 
   public override dispose(): void {
     super.dispose();
-    for (const timer of this._removalTimers.values()) timer.dispose();
-    this._removalTimers.clear();
+    for (const timers of [this._removalTimers, this._staleTimers]) {
+      for (const timer of timers.values()) timer.dispose();
+      timers.clear();
+    }
+  }
+
+  private _handleAnnouncement(
+    { era = 0, key }: IFactEntry,
+    announcement: IEndpointAnnouncement,
+    before: IFactEntry | undefined,
+  ): void {
+    this._idsByKey.set(key, announcement.id);
+    const departure = this._findDeparture(announcement);
+    if (departure?.wasLeaving) {
+      this._applyAnnouncement({ ...announcement, isLeaving: true });
+      return;
+    }
+    // In the copy of a restored store, an announcement may be of a process that had gone since. A later write is not.
+    if (departure && era > departure.era && !before) {
+      const timer = this._options.clock.schedule(STALE_ANNOUNCEMENT_MS, () => {
+        this._staleTimers.delete(key);
+        this._applyAnnouncement(announcement);
+      });
+      this._staleTimers.set(key, timer);
+      return;
+    }
+    this._applyAnnouncement(announcement);
+  }
+
+  private _findDeparture({ id, startedAt }: IEndpointAnnouncement): IDeparture | undefined {
+    const departure = this._departures.get(id);
+    // Processes that do not tell their start cannot be told apart.
+    return departure?.startedAt === startedAt && startedAt > 0 ? departure : undefined;
   }
 
   private _applyAnnouncement(announcement: IEndpointAnnouncement): void {
@@ -58,23 +110,36 @@
   }
 
   private _handleRemovedKey(key: string): void {
-    const { board, clock } = this._options;
+    const { clock } = this._options;
     const id = this._idsByKey.get(key);
     if (id === undefined) return;
     this._idsByKey.delete(key);
     const delayMs = this._computeRemovalDelay();
+    this._cancelRemoval(id);
     if (delayMs <= 0) {
-      board.endpoints.delete(id);
+      this._removeEndpoint(id);
       return;
     }
-    this._cancelRemoval(id);
     const timer = clock.schedule(delayMs, () => {
       this._removalTimers.delete(id);
-      board.endpoints.delete(id);
+      this._removeEndpoint(id);
     });
     this._removalTimers.set(id, timer);
   }
 
+  private _removeEndpoint(id: string): void {
+    const { board } = this._options;
+    const endpoint = board.endpoints.get(id);
+    if (!endpoint) return;
+    const { health, incarnation: startedAt = 0 } = endpoint;
+    const era = board.storeConnection.get('store')?.era ?? 0;
+    this._departures.delete(id);
+    this._departures.set(id, { startedAt, wasLeaving: health === 'leaving', era });
+    const [oldest] = this._departures.keys();
+    if (this._departures.size > MAX_DEPARTURES && oldest !== undefined) this._departures.delete(oldest);
+    board.endpoints.delete(id);
+  }
+
   /**
    * Computes how long an endpoint may still announce itself again after a store outage; not positive if over.
    */
