Keep a rollout at its stage after the store was restored from a copy

What callers saw on systems like ours (PINNED and EXPOSURE possible, duties missed): a rollout that went back or began anew.

Cause: an order was known by its revision, and the record in the store was always right. A restored store has the order under another revision, and a record of an earlier stage or none. The hosts then took the order for a new one, or the earlier stage for the present, and nobody wrote the later stage again. The class of fault is a state that many write and that nobody owns.

Every host that knows a stage owns it: stages only go forward, and a later stage than the recorded one is written again by whichever host reads the record first. An order with the same release and duration stays the same order when the era changes; the record names the revision and era by which hosts know it, so that a host that starts later uses the same number. The record of an order that a host has not read yet is no longer replaced.

--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -137,10 +137,11 @@
         revision,
         era,
         changesSince,
-        ...(isRestored ? { availableSince: now } : {}),
+        ...(isRestored ? { availableSince: now, restoredAt: now } : {}),
       });
     else {
       const losses = known?.losses ?? 0;
+      const restoration = known?.restoredAt === undefined ? {} : { restoredAt: known.restoredAt };
       board.storeConnection.set('store', {
         state: 'connected',
         changedAt: now,
@@ -152,6 +153,7 @@
         // The store may have been back since the last call that failed was sent. The owners of what a restored store
         // lacks may only now be reaching it.
         ...(known ? { availableSince: isRestored ? now : this._failedCallSentAt } : {}),
+        ...(isRestored ? { restoredAt: now } : restoration),
       });
     }
   }
@@ -171,6 +173,7 @@
       era: known?.era ?? 0,
       losses: (known?.losses ?? 0) + 1,
       changesSince: known?.changesSince ?? clock.now(),
+      ...(known?.restoredAt === undefined ? {} : { restoredAt: known.restoredAt }),
       reason: error.kind === 'conflict' ? error.kind : error.message,
     });
   }
--- a/src/common/fleet/FleetRolloutController.test.ts
+++ b/src/common/fleet/FleetRolloutController.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { createSeededRandom } from '../../adapters/Random.js';
 import { ManualClock } from '../../testing/ManualClock.js';
+import type { IRolloutRecord, RolloutStage } from './Types.js';
 import { createRolloutTestHost, InMemoryFactStore } from '../../testing/RolloutHosts.js';
 
 // Guards against a rollout of a good release that misses its deadline, or that moves sessions to the new
@@ -113,3 +114,59 @@
   );
   t.true(store.recordWriteCount <= 6, `${store.recordWriteCount} writes`);
 });
+
+/** Runs a rollout of 24 s whose store is restored, in a stage, from a copy with an earlier record. */
+async function restoreDuringRollout(
+  stage: RolloutStage,
+  chooseCopy: (record: IRolloutRecord) => IRolloutRecord | undefined,
+) {
+  const clock = new ManualClock();
+  const store = new InMemoryFactStore(clock);
+  const hosts = ['host-1', 'host-2'].map((id) => createRolloutTestHost(clock, store, id));
+  store.publishOrder(24_000);
+  const stages = new Set<string>();
+  let restoredAt = Infinity;
+  while (clock.now() < 26_000) {
+    for (const host of hosts) for (const release of ['v1', 'v2']) host.finishAttempt(release, true);
+    if (store.record?.stage === stage && restoredAt === Infinity) {
+      restoredAt = clock.now();
+      store.restore(chooseCopy(store.record));
+    }
+    // The operator writes the order again, under another revision, and a host starts that reads it under this one.
+    if (clock.now() === restoredAt + 500) {
+      store.publishOrder(24_000);
+      const late = createRolloutTestHost(clock, store, 'host-3');
+      hosts.push(late);
+      for (const entry of hosts[0]!.board.facts.list()) late.board.facts.set(entry.key, entry);
+    }
+    await clock.advance(250);
+    if (restoredAt < Infinity)
+      stages.add(hosts.map(({ board }) => board.rollouts.get('drafts')?.stage).join(' '));
+  }
+  return { stages: [...stages], records: store.acceptedRecords, last: store.record?.stage };
+}
+
+// Guards against PINNED and EXPOSURE: a rollout that begins anew or goes back, because the store was restored from a
+// copy with an earlier stage or without a record.
+test('a rollout goes on at its stage after the store was restored from a copy', async (t) => {
+  t.snapshot(await restoreDuringRollout('canary', () => undefined));
+  t.snapshot(await restoreDuringRollout('full', (record) => ({ ...record, stage: 'canary' })));
+  t.snapshot(await restoreDuringRollout('succeeded', (record) => ({ ...record, stage: 'full' })));
+});
+
+// Guards against using a bad release again, because the store was restored from a copy made before its rollback.
+test('a rollback is recorded again after the store was restored from a copy', async (t) => {
+  const clock = new ManualClock();
+  const store = new InMemoryFactStore(clock);
+  const host = createRolloutTestHost(clock, store, 'host-1');
+  store.publishOrder(24_000);
+  await clock.advance(2000);
+  const copy = store.record!;
+  for (let count = 0; count < 6; count += 1) host.finishAttempt('v2', false);
+  await clock.advance(1000);
+  const before = store.record?.stage;
+  store.restore(copy);
+  const during = host.board.rollouts.get('drafts')?.stage;
+  await clock.advance(1000);
+  t.deepEqual([before, during, store.record?.stage], ['rolled-back', 'rolled-back', 'rolled-back']);
+});
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -11,12 +11,13 @@
 import { isAcceptingWork, listServiceEndpoints } from '../request/Candidates.js';
 import type { IClock, Millis, RandomSource } from '../Types.js';
 import type {
-  FleetFact,
+  IFactEntry,
   IFactStore,
   IRolloutEntry,
   IRolloutEvidence,
   IRolloutOrder,
   IRolloutRecord,
+  IStorePosition,
   RolloutStage,
 } from './Types.js';
 
@@ -39,6 +40,9 @@
  */
 const MAX_WRITE_DELAY_MS: Millis = 250;
 
+/** Time after a restoration of the store within which the operator writes lost orders again. */
+const REWRITE_PERIOD_MS: Millis = 10_000;
+
 /** Exposure that is allowed while no limits are in force. */
 const DEFAULT_EXPOSURE_SHARE = 0.1;
 
@@ -57,8 +61,10 @@
     const { board } = _options;
     this._register(
       board.facts.onChange(({ after, before }) => {
-        if (after) this._handleFact(after.fact, after.revision);
+        if (after) this._handleFact(after);
         else if (before?.fact.kind === 'rollout-order') board.rollouts.delete(before.fact.order.service);
+        else if (before?.fact.kind === 'rollout-record')
+          this._handleMissingRecord(before.fact.record.service);
       }),
     );
   }
@@ -78,24 +84,31 @@
     });
   }
 
-  private _handleFact(fact: FleetFact, revision: number): void {
-    if (fact.kind === 'rollout-order') this._handleOrder(fact.order, revision);
-    if (fact.kind === 'rollout-record') this._handleRecord(fact.record, revision);
+  private _handleFact(entry: IFactEntry): void {
+    const { fact } = entry;
+    if (fact.kind === 'rollout-order') this._handleOrder(fact.order, entry);
+    if (fact.kind === 'rollout-record') this._handleRecord(fact.record, entry);
   }
 
-  private _handleOrder({ durationMs, release, service }: IRolloutOrder, orderRevision: number): void {
+  private _handleOrder(order: IRolloutOrder, { era = 0, revision }: IStorePosition): void {
     const { board, clock } = this._options;
+    const { durationMs, release, service } = order;
     const current = board.rollouts.get(service);
-    if (current && current.order >= orderRevision) return;
+    if (current && isKnownPosition(current, { era, revision })) return;
+    if (current && this._isRewrittenOrder(current, order, era)) {
+      board.rollouts.update(service, { orderPosition: { era, revision } });
+      return;
+    }
     const now = clock.now();
-    const recordRevision = current?.recordRevision ?? 0;
     board.rollouts.set(service, {
       service,
       release,
       stage: 'ordered',
       recordedStage: undefined,
-      order: orderRevision,
-      recordRevision,
+      order: revision,
+      orderEra: era,
+      recordRevision: current?.recordRevision ?? 0,
+      recordEra: current?.recordEra ?? 0,
       canaryShare: 0,
       maxExposureShare: readMaxExposureShare(board),
       durationMs,
@@ -105,25 +118,54 @@
     });
     this._scheduleCheck();
     // The rollout record may have been read before the order that it belongs to.
-    for (const { fact, revision } of board.facts.list()) {
-      if (fact.kind === 'rollout-record' && fact.record.service === service)
-        this._handleRecord(fact.record, revision);
+    for (const entry of board.facts.list()) {
+      if (entry.fact.kind === 'rollout-record' && entry.fact.record.service === service)
+        this._handleRecord(entry.fact.record, entry);
     }
   }
 
-  private _handleRecord(record: IRolloutRecord, revision: number): void {
+  /** Tells whether an order is the current one, which the store has under another revision since it was restored. */
+  private _isRewrittenOrder(
+    { durationMs, orderEra = 0, orderPosition, release }: IRolloutEntry,
+    order: IRolloutOrder,
+    era: number,
+  ): boolean {
+    const { board, clock } = this._options;
+    if (order.release !== release || order.durationMs !== durationMs) return false;
+    if (era > (orderPosition?.era ?? orderEra)) return true;
+    const { restoredAt = -Infinity } = board.storeConnection.get('store') ?? {};
+    return era > orderEra && clock.now() - restoredAt < REWRITE_PERIOD_MS;
+  }
+
+  private _handleRecord(record: IRolloutRecord, { era = 0, revision }: IStorePosition): void {
     const { board, clock } = this._options;
     const current = board.rollouts.get(record.service);
-    if (!current || current.recordRevision > revision) return;
-    const isCurrentOrder = record.order === current.order;
-    const isNewStage = isCurrentOrder && record.stage !== current.stage && current.stage !== 'rolled-back';
-    const hasSucceeded = isCurrentOrder && record.stage === 'succeeded';
+    if (!current || isOlderRecord(current, { era, revision })) return;
+    const { order, orderEra = current.orderEra ?? 0, stage } = record;
+    const match = matchOrder(record, current);
+    // The record of an order that this host has not read yet must not be replaced.
+    if (match === 'other' && orderEra === current.orderEra && order > current.order) return;
+    const known = match === 'other' ? undefined : current.stage;
+    const isNewStage = match !== 'other' && known !== 'rolled-back' && isTransitionAllowed(known, stage);
+    const hasSucceeded = match !== 'other' && stage === 'succeeded';
     board.rollouts.update(record.service, {
       recordRevision: revision,
-      recordedStage: isCurrentOrder ? record.stage : undefined,
-      ...(isCurrentOrder ? { canaryShare: record.canaryShare } : {}),
-      ...(isNewStage || hasSucceeded ? { stage: record.stage, stageSeenAt: clock.now() } : {}),
+      recordEra: era,
+      recordedStage: match === 'other' ? undefined : stage,
+      ...(match === 'other' ? {} : { canaryShare: record.canaryShare }),
+      ...(match === 'renumbered' ? { order, orderEra } : {}),
+      ...(isNewStage || hasSucceeded ? { stage, stageSeenAt: clock.now() } : {}),
     });
+    // The copy of a restored store may have an earlier stage, which is then written again.
+    if (match !== 'other' && stage !== board.rollouts.get(record.service)?.stage) this._scheduleCheck();
+  }
+
+  /** Prepares to write the record of a rollout again that the store has lost. */
+  private _handleMissingRecord(service: string): void {
+    const { board } = this._options;
+    const recordEra = board.storeConnection.get('store')?.era ?? 0;
+    if (board.rollouts.update(service, { recordRevision: 0, recordEra, recordedStage: undefined }))
+      this._scheduleCheck();
   }
 
   private _checkRollout(rollout: IRolloutEntry): void {
@@ -138,7 +180,7 @@
       (endpoint) => endpoint.release === rollout.release && isAcceptingWork(endpoint),
     ).length;
     const verdict = findWorseSymptom({ newCounts, oldCounts, newEndpointCount });
-    const isRollbackUnrecorded = rollout.stage === 'rolled-back' && rollout.recordedStage !== 'rolled-back';
+    const unrecordedStage = findUnrecordedStage(rollout);
     const decidedStage = decideRollout({
       rollout,
       schedule: computeRolloutSchedule(this._applyExposureSlack(rollout)),
@@ -146,7 +188,7 @@
       newEndpointCount,
       now: clock.now(),
     });
-    const nextStage = isRollbackUnrecorded ? 'rolled-back' : decidedStage;
+    const nextStage = unrecordedStage ?? decidedStage;
     if (verdict?.symptom !== rollout.suspicion?.symptom) {
       board.rollouts.update(service, { suspicion: verdict });
     }
@@ -172,9 +214,17 @@
       const current = board.rollouts.get(service);
       if (current?.order === orderRevision && isTransitionAllowed(current.recordedStage, stage)) {
         const canaryShare = current.canaryShare > 0 ? current.canaryShare : this._computeCanaryShare(current);
-        const record = { service, release: rollout.release, stage, order: orderRevision, canaryShare };
-        const written = await store.writeRolloutRecord(record, current.recordRevision);
-        if (written.isOk) this._handleRecord(record, written.value);
+        const { orderEra, recordEra, recordRevision } = current;
+        const record = {
+          service,
+          release: rollout.release,
+          stage,
+          order: orderRevision,
+          orderEra,
+          canaryShare,
+        };
+        const written = await store.writeRolloutRecord(record, recordRevision, recordEra);
+        if (written.isOk) this._handleRecord(record, { revision: written.value, era: recordEra ?? 0 });
       }
     }
     this._pendingWrites.delete(service);
@@ -186,9 +236,10 @@
    */
   private async _refreshRecord(service: string): Promise<void> {
     const found = await this._options.store.readRolloutRecord(service);
-    if (found.isOk && found.value?.fact.kind === 'rollout-record') {
-      this._handleRecord(found.value.fact.record, found.value.revision);
-    }
+    if (found.isErr) return;
+    if (!found.value) this._handleMissingRecord(service);
+    else if (found.value.fact.kind === 'rollout-record')
+      this._handleRecord(found.value.fact.record, found.value);
   }
 
   /** Estimates the earliest time at which an order can have been written that this host reads now. */
@@ -252,9 +303,42 @@
 
 const STAGE_ORDER: readonly RolloutStage[] = ['canary', 'full', 'succeeded', 'rolled-back'];
 
-/** Tells whether the recorded stage of a rollout may change to another. Final stages may not change. */
-function isTransitionAllowed(from: RolloutStage | undefined, to: RolloutStage): boolean {
-  if (from === undefined) return true;
+/**
+ * Whether a record belongs to an order: it names the `same` revision, the order was `renumbered` because the store was
+ * restored, or the record is of an `other` order.
+ */
+type OrderMatch = 'same' | 'renumbered' | 'other';
+
+function matchOrder(record: IRolloutRecord, { order, orderEra = 0, release }: IRolloutEntry): OrderMatch {
+  const recordEra = record.orderEra ?? orderEra;
+  if (record.order === order && recordEra === orderEra) return 'same';
+  return recordEra !== orderEra && record.release === release ? 'renumbered' : 'other';
+}
+
+/** Tells whether an order at a position of the store is known, or earlier than the one known. */
+function isKnownPosition(
+  { order, orderEra = 0, orderPosition }: IRolloutEntry,
+  position: IStorePosition,
+): boolean {
+  const { era = 0, revision } = orderPosition ?? { revision: order, era: orderEra };
+  return position.era === era ? position.revision <= revision : (position.era ?? 0) < era;
+}
+
+function isOlderRecord(
+  { recordEra = 0, recordRevision }: IRolloutEntry,
+  { era = 0, revision }: IStorePosition,
+): boolean {
+  return era === recordEra ? revision < recordRevision : era < recordEra;
+}
+
+/** Finds the stage in force on this host if the store has no record of it, or of an earlier stage only. */
+function findUnrecordedStage({ recordedStage, stage }: IRolloutEntry): RolloutStage | undefined {
+  return stage !== 'ordered' && isTransitionAllowed(recordedStage, stage) ? stage : undefined;
+}
+
+/** Tells whether the stage of a rollout may change to another. Final stages may not change. */
+function isTransitionAllowed(from: RolloutStage | 'ordered' | undefined, to: RolloutStage): boolean {
+  if (from === undefined || from === 'ordered') return true;
   if (from === 'succeeded') return false;
   return STAGE_ORDER.indexOf(from) < STAGE_ORDER.indexOf(to);
 }
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -41,6 +41,8 @@
   stage: RolloutStage;
   /** Store revision of the order that the record belongs to. */
   order: number;
+  /** Era of the store in which the order had that revision. Absent in records of older builds. */
+  orderEra?: number | undefined;
   /**
    * Share of the sessions that use the new release in the stage `canary`. It is stored so that all hosts move
    * the same sessions, whatever endpoints each of them knows.
@@ -367,6 +369,8 @@
   era?: number;
   /** How often the connection has been lost. */
   losses: number;
+  /** When this host learned of the last restoration of the store. Absent if there was none. */
+  restoredAt?: Millis;
   /** Earliest time at which the store can have been back when it was last reached again. Absent before a loss. */
   availableSince?: Millis;
   /** Earliest time at which the changes in the store's last reply can have been made. */
@@ -399,10 +403,19 @@
    * rollback that this host has decided is not recorded yet.
    */
   recordedStage: RolloutStage | undefined;
-  /** Store revision of the order. */
+  /**
+   * Store revision of the order when it was first read. It identifies the order among the hosts, also after the store was
+   * restored and has the order under another revision.
+   */
   order: number;
+  /** Era of the store in which the order had that revision. Default 0. */
+  orderEra?: number;
+  /** Where the store has the order now. Absent if it is still at its first revision. */
+  orderPosition?: IStorePosition;
   /** Store revision of the service's rollout record; 0 if there is none yet. */
   recordRevision: number;
+  /** Era of that revision. Default 0. */
+  recordEra?: number;
   /** Share of the sessions that use the new release in the stage `canary`; 0 until the order has a record. */
   canaryShare: number;
   /**
--- a/src/testing/RolloutHosts.ts
+++ b/src/testing/RolloutHosts.ts
@@ -21,6 +21,7 @@
   public recordDelayMs = 0;
   private _record: IFactEntry | undefined;
   private _revision = 10;
+  private _era = 1;
   private _recordRevision = 0;
   private readonly _boards: Blackboard[] = [];
 
@@ -34,7 +35,35 @@
     this._revision += 1;
     const fact = { kind: 'rollout-order' as const, order: { service: 'drafts', release: 'v2', durationMs } };
     for (const board of this._boards)
-      board.facts.set('order', { key: 'order', revision: this._revision, fact });
+      board.facts.set('order', { key: 'order', revision: this._revision, era: this._era, fact });
+  }
+
+  /** Restores the store from a copy with this record; all hosts learn of it at once. */
+  public restore(record: IRolloutRecord | undefined): void {
+    this._era += 1;
+    this._revision -= 1;
+    this._recordRevision = record ? this._revision : 0;
+    const restoredAt = this._clock.now();
+    for (const board of this._boards) {
+      const connection = {
+        state: 'connected' as const,
+        changedAt: 0,
+        revision: 1,
+        losses: 0,
+        changesSince: 0,
+      };
+      board.storeConnection.set('store', { ...connection, era: this._era, restoredAt });
+    }
+    if (record) this._publishRecord(record);
+    else {
+      this._record = undefined;
+      for (const board of this._boards) board.facts.delete('record');
+    }
+  }
+
+  /** Last record that was accepted. */
+  public get record(): IRolloutRecord | undefined {
+    return this._record?.fact.kind === 'rollout-record' ? this._record.fact.record : undefined;
   }
 
   public readonly readRolloutRecord: IFactStore['readRolloutRecord'] = () =>
@@ -42,8 +71,10 @@
       this.isDown ? Result.err({ kind: 'unavailable', message: 'down' }) : Result.ok(this._record),
     );
 
-  public readonly writeRolloutRecord: IFactStore['writeRolloutRecord'] = (record, expected) => {
+  public readonly writeRolloutRecord: IFactStore['writeRolloutRecord'] = (record, expected, era = 0) => {
     this.recordWriteCount += 1;
+    if (era !== this._era && expected !== 0)
+      return Promise.resolve(Result.err({ kind: 'conflict', current: undefined }));
     if (this.isDown) return Promise.resolve(Result.err({ kind: 'unavailable', message: 'down' }));
     if (expected !== this._recordRevision)
       return Promise.resolve(Result.err({ kind: 'conflict', current: undefined }));
@@ -75,6 +106,7 @@
     const entry = {
       key: 'record',
       revision: this._revision,
+      era: this._era,
       fact: { kind: 'rollout-record' as const, record },
     };
     this._record = entry;
