Give every fact that a host writes alone an owner that writes it again

What callers saw on systems like ours (PINNED, a bad release noticed late, limits exceeded): what hosts had told one another was gone.

Cause: session holds, baselines and evidence were written once, and a failed write was not repeated. After a restoration nobody wrote again what the copy lacks, and a write whose reply was lost could take effect seconds later, over a later one. The class of fault is a state that is written but that nobody keeps.

Evidence: the three tests of FactOwnerController; the first one fails without the repetition, the second and third were not possible to pass before, as no code compared what the store has with what the host had written.

FactOwnerController stands between the controllers and the store. It repeats a write with growing pauses until it is accepted, keeps the latest content, and writes it again if the copy of a restored store, or the store 3 s after another write, has something else.

--- a/src/common/fleet/HostPresenceController.ts
+++ b/src/common/fleet/HostPresenceController.ts
@@ -40,6 +40,8 @@
         const ageMs = this._options.readWallClock() - announcedAt;
         if (after && ageMs < MAX_ANNOUNCEMENT_AGE_MS) board.presentHosts.set(host, fact.presence);
         else board.presentHosts.delete(host);
+        // A restored store may have lost the announcement that an earlier process of this host wrote.
+        if (!after && host === _options.host) this._scheduleAnnouncement(0);
       }),
     );
     this._register(
--- a/src/common/fleet/RolloutEvidenceController.ts
+++ b/src/common/fleet/RolloutEvidenceController.ts
@@ -107,7 +107,6 @@
   private _publishBaseline({ order, service }: IRolloutEntry): void {
     const { clock, host, store } = this._options;
     this._publishedSampleCount = this._judge.ownSampleCount;
-    // A failed write is not retried: the other hosts then judge by fewer samples.
     const entries = this._judge.listOwnEntries(service);
     const attemptsPerS = this._rates.get(service)?.computeRate(clock.now()) ?? 0;
     void store.writeReleaseBaseline({ service, host, order, attemptsPerS, entries });
@@ -250,7 +249,6 @@
     const hasGrown = total >= REPORT_GROWTH_FACTOR * collected.reportedTotal + REPORT_GROWTH_MARGIN;
     if (bad === collected.reportedBad && !hasGrown) return;
     Object.assign(collected, { reportedAt: clock.now(), reportedBad: bad, reportedTotal: total });
-    // A failed write is not retried: the counts are reported again when they have changed.
     await store.writeRolloutEvidence(copyEvidence(evidence));
   }
 
--- a/src/common/fleet/SessionHoldController.ts
+++ b/src/common/fleet/SessionHoldController.ts
@@ -76,7 +76,6 @@
     if (sessions.size === published.size) return sessions;
     const holds: ISessionHolds = { service, host, order, sessions: [...sessions] };
     this._applyHolds(holds);
-    // A failed write is not repeated: the sessions stay held on this host, which has served them.
     void store.writeSessionHolds(holds);
     return sessions;
   }
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -7,6 +7,7 @@
 import { CrashEvidenceController } from '../common/fleet/CrashEvidenceController.js';
 import { CrashSuspectController } from '../common/fleet/CrashSuspectController.js';
 import { EndpointRegistryController } from '../common/fleet/EndpointRegistryController.js';
+import { FactOwnerController } from '../common/fleet/FactOwnerController.js';
 import { FactSyncController } from '../common/fleet/FactSyncController.js';
 import { FleetRolloutController } from '../common/fleet/FleetRolloutController.js';
 import { RolloutEvidenceController } from '../common/fleet/RolloutEvidenceController.js';
@@ -153,6 +154,7 @@
   private readonly _frontEnd: IFrontEnd;
   private readonly _drainController: DrainController;
   private readonly _timeline: TimelineRecorder;
+  private readonly _store: IFactStore;
 
   constructor(private readonly _options: IRouterHostOptions) {
     super();
@@ -160,6 +162,14 @@
     this._board = board;
     this.applyLimits(_options.limits);
     this._timeline = this._createTimeline();
+    const owner = new FactOwnerController({
+      board,
+      clock: systemClock,
+      random: Math.random,
+      host: _options.id,
+      store: _options.store,
+    });
+    this._store = { ..._options.store, ...this._register(owner).writers };
     this._factFeed = this._register(
       new FactSyncController({ board, clock: systemClock, random: Math.random, store: _options.store }),
     );
@@ -239,7 +249,8 @@
   }
 
   private _registerFleet(): void {
-    const { id, store } = this._options;
+    const { id } = this._options;
+    const store = this._store;
     const common = { board: this._board, clock: systemClock };
     this._register(new RoutingTableController(this._board));
     this._register(new EndpointRegistryController(common));
@@ -286,7 +297,8 @@
   }
 
   private _registerRequests(): void {
-    const { createEndpointClient, id, store, zone } = this._options;
+    const { createEndpointClient, id, zone } = this._options;
+    const store = this._store;
     const board = this._board;
     const common = { board, clock: systemClock };
     const readRetryShare = (): number => RETRY_BUDGET_SAFETY_FACTOR * this._limits.maxRetryShare;
