Keep limits on rates and counts of trials when the store was restored from a copy

Cause: a limit that a restored store lacked was written by nobody, as every host took it for written. The count of trials followed the store back, and a record that was gone kept its old revision, so that each later claim was a conflict.

Evidence: 'a limit that a restored store lacks is written again by one of the first hosts' (no write before) and 'trials go on after the store was restored from a copy without them' (the second trial was never claimed before) fail without the change.

A shared limit counts as written only in the era in which it was read; the hosts that know it write after random delays, and the first one spares the others the write. The count of trials never goes back, and claims use the revision that the store has now.

--- a/src/common/fleet/FactOwnerController.ts
+++ b/src/common/fleet/FactOwnerController.ts
@@ -135,11 +135,11 @@
   private _scheduleCheck(delayMs: Millis): void {
     if (this._isDisposed) return;
     this._checkTimer?.dispose();
-    this._checkTimer = this._options.clock.schedule(delayMs, this._rewriteLost);
+    this._checkTimer = this._options.clock.schedule(delayMs, this._writeLostFacts);
   }
 
   /** Writes those facts again that the store does not have as they are. */
-  private readonly _rewriteLost = (): void => {
+  private readonly _writeLostFacts = (): void => {
     const { board } = this._options;
     const era = board.storeConnection.get('store')?.era ?? 0;
     const current = [...board.facts.list()].filter((entry) => (entry.era ?? 0) === era);
--- a/src/common/fleet/PromptBlockController.test.ts
+++ b/src/common/fleet/PromptBlockController.test.ts
@@ -8,14 +8,17 @@
 import { CrashDetector } from './CrashDetector.js';
 import { CrashEvidenceController } from './CrashEvidenceController.js';
 import { PromptBlockController } from './PromptBlockController.js';
-import type { FleetFact, IFactStore } from './Types.js';
+import type { FleetFact, IFactEntry, IFactStore } from './Types.js';
 
 /** Hosts that share a store, without the rest of the request path. */
 class Fleet {
   public readonly clock = new ManualClock();
   public readonly boards: Blackboard[] = [];
   public isStoreDown = false;
-  private readonly _facts = new Map<string, { key: string; revision: number; fact: FleetFact }>();
+  /** Trials that hosts have claimed, as their counts. */
+  public readonly claimedCounts: number[] = [];
+  private readonly _facts = new Map<string, IFactEntry>();
+  private _era = 0;
   private _count = 0;
   private _revision = 0;
 
@@ -62,6 +65,16 @@
     return 'crashed';
   }
 
+  /** Restores the store from a copy without trials, of which all hosts learn. */
+  public restore(): void {
+    this._era += 1;
+    for (const [key, { fact }] of [...this._facts]) {
+      if (fact.kind !== 'prompt-trial') continue;
+      this._facts.delete(key);
+      for (const board of this.boards) board.facts.delete(key);
+    }
+  }
+
   private _plan(board: Blackboard, id: string, endpoint: string): void {
     const request = board.requests.get(id)!;
     const rest = { expectedTokens: 1, lengthClass: 'short' as const, now: this.clock.now() };
@@ -77,7 +90,8 @@
     if (expected !== undefined && expected !== (this._facts.get(key)?.revision ?? 0))
       return Promise.resolve(Result.err({ kind: 'conflict', current: undefined }));
     this._revision += 1;
-    const entry = { key, revision: this._revision, fact };
+    if (fact.kind === 'prompt-trial') this.claimedCounts.push(fact.trial.count);
+    const entry = { key, revision: this._revision, era: this._era, fact };
     this._facts.set(key, entry);
     for (const board of this.boards) board.facts.set(key, entry);
     return Promise.resolve(Result.ok(this._revision));
@@ -171,3 +185,19 @@
   await fleet.clock.advance(3000);
   t.like(host.requests.get(queued), { phase: 'refused', refusal: { ran: 'no' } });
 });
+
+// Guards against parts that are never tried again, or as often as at first, because a restored store lost the record.
+test('trials go on after the store was restored from a copy without them', async (t) => {
+  const fleet = await startBlocked();
+  const [first] = fleet.boards as [Blackboard];
+  const tryFor = async (periods: number): Promise<void> => {
+    for (let period = 0; period < periods; period += 1) {
+      await fleet.runCrashing(first, `system bad late-${period}`);
+      await fleet.clock.advance(5000);
+    }
+  };
+  await tryFor(10);
+  fleet.restore();
+  await tryFor(70);
+  t.deepEqual(fleet.claimedCounts, [1, 2]);
+});
--- a/src/common/fleet/PromptBlockController.ts
+++ b/src/common/fleet/PromptBlockController.ts
@@ -4,7 +4,7 @@
 import { refuseRequest } from '../request/Refusals.js';
 import type { IClock, Millis } from '../Types.js';
 import { computeHoldExchangeMs } from './SessionHoldController.js';
-import type { FindCrashingParts, IFactStore, IPromptTrial } from './Types.js';
+import type { FindCrashingParts, IFactStore, IPromptTrial, IStorePosition } from './Types.js';
 
 /** Options of the prompt block controller. */
 export interface IPromptBlockOptions {
@@ -32,7 +32,10 @@
 
 interface ITrialRecord {
   trial: IPromptTrial;
+  /** Revision of the record in the store; 0 if a restored store lacks it. */
   revision: number;
+  /** Era of that revision. */
+  era: number;
 }
 
 /**
@@ -66,10 +69,9 @@
       }),
     );
     this._register(
-      board.facts.onChange(({ after }) => {
-        if (after?.fact.kind !== 'prompt-trial') return;
-        const { trial } = after.fact;
-        this._trialRecords.set(formatBlockKey(trial), { trial, revision: after.revision });
+      board.facts.onChange(({ before, after }) => {
+        const { fact } = after ?? before ?? {};
+        if (fact?.kind === 'prompt-trial') this._recordTrial(fact.trial, after);
       }),
     );
     this._register(
@@ -85,6 +87,15 @@
     this._updateTimer?.dispose();
   }
 
+  /** Records what the store has of a trial. A restored store may have an earlier one, or none; the count never goes back. */
+  private _recordTrial(trial: IPromptTrial, position: IStorePosition | undefined): void {
+    const key = formatBlockKey(trial);
+    const known = this._trialRecords.get(key)?.trial;
+    const storeEra = this._options.board.storeConnection.get('store')?.era ?? 0;
+    const { era = storeEra, revision } = position ?? { revision: 0 };
+    this._trialRecords.set(key, { trial: known && known.count > trial.count ? known : trial, revision, era });
+  }
+
   private _scheduleUpdate(delayMs: Millis): void {
     if (this._updateTimer || this._isDisposed) return;
     this._updateTimer = this._options.clock.schedule(delayMs, () => {
@@ -192,10 +203,13 @@
     this._claimingTrials.add(key);
     const known = this._trialRecords.get(key);
     const trial = { service, parts, count: (known?.trial.count ?? 0) + 1, startedAt: readWallClock() };
-    const written = await store.writePromptTrial(trial, known?.revision ?? 0);
+    const written = await store.writePromptTrial(trial, known?.revision ?? 0, known?.era);
     this._claimingTrials.delete(key);
     if (written.isErr) return;
-    this._trialRecords.set(key, { trial, revision: written.value });
+    this._recordTrial(
+      trial,
+      known ? { revision: written.value, era: known.era } : { revision: written.value },
+    );
     if (board.promptBlocks.has(key)) this._grantedTrials.add(key);
   }
 }
--- a/src/common/fleet/RateLimitController.test.ts
+++ b/src/common/fleet/RateLimitController.test.ts
@@ -35,6 +35,7 @@
   private readonly _toldAt = new Map<Blackboard, Millis>();
   private readonly _random = createSeededRandom(21);
   private _revision = 0;
+  private _era = 0;
   private readonly _lagMs: Millis;
 
   constructor({ hostCount, requestsPerS, storeLagMs = 700 }: IFleetOptions) {
@@ -51,6 +52,15 @@
     }
   }
 
+  /** Restores the store from a copy without the limit, of which all hosts learn. Returns the number of writes that follow. */
+  public async restore(): Promise<number> {
+    const before = this._revision;
+    this._era += 1;
+    for (const board of this.boards) board.storeConnection.update('store', { era: this._era });
+    await this.clock.advance(2000);
+    return this._revision - before;
+  }
+
   /** Largest number of counted requests in any 4 s after the first `fromMs`. */
   public findPeak(fromMs: Millis): number {
     const times = this.countedAt.filter((at) => at >= fromMs);
@@ -105,10 +115,10 @@
     if (this.isStoreDown)
       return Promise.resolve(Result.err({ kind: 'unavailable', message: 'down' }) as Result<number, never>);
     this._revision += 1;
-    const revision = this._revision;
+    const [revision, era] = [this._revision, this._era];
     this.clock.schedule(this._lagMs, () => {
       for (const { facts } of this.boards) {
-        if (fact) facts.set(key, { key, revision, fact });
+        if (fact) facts.set(key, { key, revision, era, fact });
         else facts.delete(key);
       }
     });
@@ -185,3 +195,14 @@
   await fleet.clock.advance(100);
   t.like(endpoints.get(ENDPOINT), { maxRequestsPerS: undefined, nextAttemptAt: undefined });
 });
+
+// Guards against a limit that hosts which start later, or were not told, do not keep, because a restored store lost it.
+test('a limit that a restored store lacks is written again by one of the first hosts', async (t) => {
+  const fleet = await startFleet({ hostCount: 61, requestsPerS: 2, storeLagMs: 20 });
+  await fleet.sendFor(4000, 0.5);
+  const writes = [await fleet.restore(), await fleet.restore()];
+  t.true(
+    writes.every((count) => count >= 1 && count <= 10),
+    writes.join(),
+  );
+});
--- a/src/common/fleet/RateLimitController.ts
+++ b/src/common/fleet/RateLimitController.ts
@@ -29,6 +29,11 @@
 /** Time for which what an endpoint said to this host goes before what another host wrote, which may be older. */
 const OWN_NEWS_PRECEDENCE_MS: Millis = 2500;
 
+/** A limit in the store, and the era of the store in which it was read. */
+interface ISharedLimit extends IEndpointRateLimit {
+  era: number;
+}
+
 /**
  * Keeps this host to its share of the rate that an endpoint takes from all hosts together. Hosts share through the
  * store what an endpoint said, so that those that it has not told keep to the limit too, and those that send it nothing
@@ -36,7 +41,7 @@
  */
 export class RateLimitController extends Disposable {
   /** Limits in the store, by endpoint. */
-  private readonly _sharedLimits = new Map<string, IEndpointRateLimit>();
+  private readonly _sharedLimits = new Map<string, ISharedLimit>();
   /** Timers that let this host send to an endpoint again. */
   private readonly _reopenTimers = new Map<string, IDisposable>();
   private readonly _writeTimers = new Map<string, IDisposable>();
@@ -57,11 +62,16 @@
         const { fact } = after ?? before ?? {};
         if (fact?.kind !== 'rate-limit') return;
         const { endpoint } = fact.limit;
-        if (after) this._sharedLimits.set(endpoint, fact.limit);
+        if (after) this._sharedLimits.set(endpoint, { ...fact.limit, era: after.era ?? 0 });
         else this._sharedLimits.delete(endpoint);
         this._applySharedLimit(endpoint);
       }),
     );
+    this._register(
+      board.storeConnection.onChange(({ before, after }) => {
+        if (before && (after?.era ?? 0) > (before.era ?? 0)) this._scheduleLimitWrites();
+      }),
+    );
     this._register(
       board.presentHosts.onChange(({ before, after }) => {
         if (before && after) return;
@@ -157,12 +167,20 @@
     this._writeTimers.set(id, timer);
   }
 
+  /** Writes the limits that a restored store may lack; the first host that writes one spares the others the write. */
+  private _scheduleLimitWrites(): void {
+    for (const { id, maxRequestsPerS } of this._options.board.endpoints.list())
+      if (maxRequestsPerS !== undefined) this._scheduleWrite(id);
+  }
+
   /** Writes what an endpoint said, or deletes it once the endpoint is gone, unless another host has done so. */
   private async _writeLimit(id: string): Promise<void> {
     const { board, store } = this._options;
     const endpoint = board.endpoints.get(id);
     const shared = endpoint ? this._findSharedLimit(endpoint) : this._sharedLimits.get(id)?.requestsPerS;
-    if (shared === endpoint?.maxRequestsPerS) return;
+    const era = board.storeConnection.get('store')?.era ?? 0;
+    const isInStore = shared === undefined || this._sharedLimits.get(id)?.era === era;
+    if (shared === endpoint?.maxRequestsPerS && isInStore) return;
     const { incarnation: startedAt = 0, maxRequestsPerS: requestsPerS } = endpoint ?? {};
     const written = await store.writeRateLimit({ endpoint: id, startedAt, requestsPerS });
     if (written.isErr) this._scheduleWrite(id, WRITE_RETRY_MS);
