--- a/src/standins/platform/RevisionStoreServer.ts
+++ b/src/standins/platform/RevisionStoreServer.ts
@@ -37,6 +37,8 @@
   calls: Map<string, number>;
   /** Writes a JSON value, as the operator or an endpoint does, and returns its revision. */
   put: (key: string, value: unknown) => number;
+  /** Writes bytes that need not be JSON, as any other writer may, and returns their revision. */
+  putBytes: (key: string, value: Buffer) => number;
   remove: (key: string) => void;
   /** Returns the JSON value of a key, or `undefined` when the key does not exist. */
   read: (key: string) => unknown;
@@ -133,6 +135,7 @@
     close: server.close,
     calls,
     put: (key: string, value: unknown) => store.apply([{ key, value: encodeBase64Json(value) }], []),
+    putBytes: (key: string, value: Buffer) => store.apply([{ key, value: value.toString('base64') }], []),
     remove: (key: string) => {
       store.apply([], [key]);
     },
