Answer the calls that still run at the end of a stop before the process exits

What callers saw, in a report of other operators (LOST): in a planned stop, requests that came late in the grace were cut with no answer, among them requests that may not be repeated.

Cause: a stopping host takes calls for up to 2.5 s, until the load balancer has noticed, and completes them. The process then exits 0.3 s before it is killed, whatever still runs, and a caller whose connection is cut does not know whether its call may have run.

Evidence: 'calls that still run at the end of a stop are answered before the process exits' failed before: the calls got their answer (504) at their own deadline of 4 s only, after the 1.7 s at which the process exits. That calls on kept connections later than 2.5 s are passed on does not happen here; 'a connection with a call in progress during the stop accepts no further call' guards it since before.

0.45 s before the end, all requests that have not ended are refused: those that no endpoint may have run with 503 and the promise, the others with 502, and streams that have begun are broken off, so that their callers go on elsewhere.

--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -42,6 +42,7 @@
 import { InFlightLimitController } from '../common/request/InFlightLimitController.js';
 import { EarlyEscalationController } from '../common/request/EarlyEscalationController.js';
 import { OutcomeController } from '../common/request/OutcomeController.js';
+import { refuseUnfinished } from '../common/request/Refusals.js';
 import { RouteController } from '../common/request/RouteController.js';
 import { ServiceRetryBudgets } from '../common/request/ServiceRetryBudgets.js';
 import type { CheckRun, DecideAdmission, DecideSilence, RunAttempt } from '../common/request/Types.js';
@@ -120,6 +121,12 @@
 /** Time until the load balancer notices that a host is not ready: two readiness checks, one second apart. */
 const BALANCER_DELAY_MS: Millis = 2500;
 
+/**
+ * How long before the end of a stop the requests that still run are refused. The process exits 300 ms before
+ * that end, and the refusals have to reach their callers by then.
+ */
+const LAST_ANSWER_MARGIN_MS: Millis = 450;
+
 /**
  * Interval at which the latency of endpoints with attempts in flight is sampled. A router uses only the
  * waiting time for the first output from these samples, and only waiting times above 500 ms affect its
@@ -211,7 +218,12 @@
 
   /** Completes the requests in progress, then stops the host. */
   public async stop(): Promise<void> {
-    await this._drainController.drain(Math.min(BALANCER_DELAY_MS, this._limits.shutdownTimeoutMs / 2));
+    const { shutdownTimeoutMs } = this._limits;
+    const lastCall = systemClock.schedule(shutdownTimeoutMs - LAST_ANSWER_MARGIN_MS, () => {
+      refuseUnfinished(this._board);
+    });
+    await this._drainController.drain(Math.min(BALANCER_DELAY_MS, shutdownTimeoutMs / 2));
+    lastCall.dispose();
     this.dispose();
   }
 
