Restore the store of the soak from a copy, among the other faults

The soak never lost what its store had acknowledged. The chain is drawn last, so that the faults of earlier seeds stay as they were.

--- a/soak/FaultPlan.ts
+++ b/soak/FaultPlan.ts
@@ -53,6 +53,8 @@
   'store-compact',
 ];
 
+const RESTORE_KINDS: readonly StoreFaultKind[] = ['store-restore'];
+
 const LASTING_KINDS: readonly LastingFaultKind[] = ['crash-on-part', 'limit-rate'];
 
 /**
@@ -70,6 +72,7 @@
     STORE_KINDS,
     // Last, so that the chains of earlier seeds stay as they were.
     LASTING_KINDS,
+    RESTORE_KINDS,
   ],
 };
 
--- a/soak/Injectors.ts
+++ b/soak/Injectors.ts
@@ -3,6 +3,7 @@
 import { waitFor } from '../src/standins/HttpTools.js';
 import type {
   IRevisionStoreStandIn,
+  IStoreCopy,
   RevisionStoreFault,
 } from '../src/standins/platform/RevisionStoreServer.js';
 import { OPERATOR_SCOPE, ALL_ROUTERS_SCOPE, STORE_SCOPE } from './Disturbances.js';
@@ -47,6 +48,9 @@
   }
 }
 
+/** Time after a restoration of the store within which the operator and the runners write again what it has lost. */
+const REWRITE_DELAY_MS: Millis = 1500;
+
 /** Scope of faults of prompts, which disturb no process. */
 const PROMPT_SCOPE = 'prompts';
 
@@ -149,8 +153,31 @@
       store.compact();
     },
   },
+  'store-restore': {
+    pickScope: pickFixed(STORE_SCOPE),
+    inject: async ({ store }, _scope, durationMs) => {
+      const copy = store.copy();
+      await waitFor(durationMs);
+      const lost = store.copy();
+      store.restore(copy);
+      await waitFor(REWRITE_DELAY_MS);
+      writeLostItems(store, copy, lost);
+    },
+  },
 };
 
+/** Writes again what the operator and the runners wrote before the restoration, unless they have written since. */
+function writeLostItems(store: IRevisionStoreStandIn, copy: IStoreCopy, lost: IStoreCopy): void {
+  const current = store.copy();
+  for (const key of new Set([...copy.items.keys(), ...lost.items.keys()])) {
+    const [before, after, now] = [copy, lost, current].map(({ items }) => items.get(key)?.value);
+    const isHostKey = !['op/', 'servers/'].some((prefix) => key.startsWith(prefix));
+    if (isHostKey || before === after || now !== before) continue;
+    if (after === undefined) store.remove(key);
+    else store.putBytes(key, Buffer.from(after, 'base64'));
+  }
+}
+
 function createRunnerLinkFault(mode: LinkMode): IInjector {
   return {
     pickScope: pickRunner,
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -27,7 +27,8 @@
   'crash-runner' | 'fail-answers' | 'refuse-calls' | 'lose-answers' | 'tear-answers' | 'hang-answers';
 
 /** Faults of the store itself. */
-export type StoreFaultKind = 'store-refuse' | 'store-silent' | 'store-lose-replies' | 'store-compact';
+export type StoreFaultKind =
+  'store-refuse' | 'store-silent' | 'store-lose-replies' | 'store-compact' | 'store-restore';
 
 /** Faults of prompts and runners that last to the end of a soak. */
 export type LastingFaultKind = 'crash-on-part' | 'limit-rate';
