--- a/src/common/fleet/FactMirror.ts
+++ b/src/common/fleet/FactMirror.ts
@@ -131,7 +131,9 @@
       if ((known.era ?? 0) >= (this._era ?? 0)) continue;
       const listed = this._refusedFacts.get(known.key);
       const isBinding = listed !== undefined && decideContent(known.fact, listed.fact) !== 'taken';
-      if (isBinding || known.fact.kind === 'routing-table') continue;
+      // The operator withdraws neither by a restoration; both go on until the operator writes or deletes them.
+      const isOrdered = known.fact.kind === 'routing-table' || known.fact.kind === 'rollout-order';
+      if (isBinding || isOrdered) continue;
       if (listed) facts.set(listed.key, listed);
       else facts.delete(known.key);
     }
