Name what a rollout record of an earlier era still hides

Found on reading the diff: a release whose rollout ended before a restoration cannot be ordered again after it, because its record counts as that of the new order. It is listed as open with the restored store; no code is changed but a comment.

--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -293,7 +293,7 @@
 /**
  * Why a change that the store tells is taken, or the fact that is known is kept:
  * - `taken`: the change is new;
- * - `older-era`: it was read before the store was restored;
+ * - `older-era`: it was read before the store was restored, or is an order in the copy that an order known replaced;
  * - `known-revision`: its revision is not above that of the fact known, in the same era;
  * - `unreadable`: it cannot be decoded, and a fact is known that can;
  * - `older-version`: it is a routing table with a lower version;
