--- a/src/common/fleet/FactVerdicts.ts
+++ b/src/common/fleet/FactVerdicts.ts
@@ -15,7 +15,11 @@
   return decideContent(known.fact, change.fact);
 }
 
-/** Decides on the content of a change against what is known, whatever their revisions are. */
+/**
+ * Decides on the content of a change against what is known, whatever their revisions are.
+ * @example
+ * decideContent(leaving, { ...leaving, endpoint: { ...leaving.endpoint, isLeaving: false } }); // 'already-leaving'
+ */
 export function decideContent(known: FleetFact, change: FleetFact): FactVerdict {
   if (change.kind === 'unreadable') return known.kind === 'unreadable' ? 'taken' : 'unreadable';
   if (known.kind === 'routing-table' && change.kind === 'routing-table')
--- a/src/common/request/Refusals.ts
+++ b/src/common/request/Refusals.ts
@@ -15,6 +15,8 @@
 /**
  * Refuses all requests that have not ended, because the process is about to exit: a caller that is told whether its
  * request may have run can act on it, one whose connection is cut cannot. Answers that are complete are delivered.
+ * @example
+ * clock.schedule(stopMs - marginMs, () => refuseUnfinished(board));
  */
 export function refuseUnfinished(board: Blackboard): void {
   for (const { id, phase, ran } of [...board.requests.list()]) {
