Keep what a restored store lacks although its history is lost as well

Cause: facts that a restored store lacks were kept against its first list only. A second list within the 10 s, after a lost history, dropped them.

Evidence: 'what a restored store lacks is kept although its history is lost as well' failed before.

A fact that is still of an earlier era is kept until the 10 s are over, whatever list comes.

--- a/src/common/fleet/FactMirror.ts
+++ b/src/common/fleet/FactMirror.ts
@@ -70,7 +70,7 @@
     this._era = era;
     const keys = new Set(listed.map(({ key }) => key));
     for (const known of [...facts.list()]) {
-      const isKept = isRestored && LOSS_HANDLING[known.fact.kind] === 'kept';
+      const isKept = (known.era ?? 0) < era && LOSS_HANDLING[known.fact.kind] === 'kept';
       if (!keys.has(known.key) && !isKept) facts.delete(known.key);
     }
     // The store has each of these facts, so that their revisions need not be newer than the known ones.
--- a/src/common/fleet/FactSyncController.test.ts
+++ b/src/common/fleet/FactSyncController.test.ts
@@ -264,3 +264,23 @@
   ];
   t.snapshot(await readFacts(lists, [{ kind: 'restored' }]));
 });
+
+// Guards against a rollout that ends on a host, because a restored store also lost its history before the operator had
+// written the order again.
+test('what a restored store lacks is kept although its history is lost as well', async (t) => {
+  const order = { service: 'drafts', release: 'v2', durationMs: 24_000 };
+  const entry: IFactEntry = {
+    key: 'op/rollout',
+    revision: 115,
+    era: 1,
+    fact: { kind: 'rollout-order', order },
+  };
+  const lists = [
+    { era: 1, revision: 120, facts: [entry] },
+    { era: 2, revision: 111, facts: [] },
+    { era: 2, revision: 112, facts: [] },
+  ];
+  t.like(await readFacts(lists, [{ kind: 'restored' }, { kind: 'compacted' }]), {
+    known: ['op/rollout 115 rollout-order'],
+  });
+});
