Carry out an order of a release whose rollout had ended before a restoration

What callers could have seen (a duty missed; found on reading the diff): a release that was rolled back, then the store restored, and later ordered again, was taken for rolled back at once.

Cause: a record of an earlier era with the release of the order counted as the record of that order, also where the host knew that it follows another one.

Evidence: 'a release that was rolled back before a restoration can be ordered again after it' failed before.

An order that follows one that the host knew takes no record of an earlier era. A host that starts later cannot tell; it follows once the others have written the record of the new order.

--- a/src/common/fleet/FleetRolloutController.test.ts
+++ b/src/common/fleet/FleetRolloutController.test.ts
@@ -170,3 +170,22 @@
   await clock.advance(1000);
   t.deepEqual([before, during, store.record?.stage], ['rolled-back', 'rolled-back', 'rolled-back']);
 });
+
+// Guards against an order that is never carried out, because a rollout of the same release had ended before the store
+// was restored.
+test('a release that was rolled back before a restoration can be ordered again after it', async (t) => {
+  const clock = new ManualClock();
+  const store = new InMemoryFactStore(clock);
+  const host = createRolloutTestHost(clock, store, 'host-1');
+  store.publishOrder(24_000);
+  await clock.advance(2000);
+  for (let count = 0; count < 6; count += 1) host.finishAttempt('v2', false);
+  await clock.advance(1000);
+  store.restore(store.record);
+  store.publishOrder(24_000);
+  await clock.advance(20_000);
+  const afterRestoration = host.board.rollouts.get('drafts')?.stage;
+  store.publishOrder(24_000);
+  await clock.advance(1000);
+  t.deepEqual([afterRestoration, host.board.rollouts.get('drafts')?.stage], ['rolled-back', 'canary']);
+});
--- a/src/common/fleet/FleetRolloutController.ts
+++ b/src/common/fleet/FleetRolloutController.ts
@@ -107,6 +107,7 @@
       recordedStage: undefined,
       order: revision,
       orderEra: era,
+      isSuccessor: current !== undefined,
       recordRevision: current?.recordRevision ?? 0,
       recordEra: current?.recordEra ?? 0,
       canaryShare: 0,
@@ -309,9 +310,13 @@
  */
 type OrderMatch = 'same' | 'renumbered' | 'other';
 
-function matchOrder(record: IRolloutRecord, { order, orderEra = 0, release }: IRolloutEntry): OrderMatch {
+function matchOrder(
+  record: IRolloutRecord,
+  { isSuccessor = false, order, orderEra = 0, release }: IRolloutEntry,
+): OrderMatch {
   const recordEra = record.orderEra ?? orderEra;
   if (record.order === order && recordEra === orderEra) return 'same';
+  if (isSuccessor && recordEra < orderEra) return 'other';
   return recordEra !== orderEra && record.release === release ? 'renumbered' : 'other';
 }
 
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -410,6 +410,8 @@
   order: number;
   /** Era of the store in which the order had that revision. Default 0. */
   orderEra?: number;
+  /** Whether it follows another order that this host knew, so that no record of an earlier era can be its. */
+  isSuccessor?: boolean;
   /** Where the store has the order now. Absent if it is still at its first revision. */
   orderPosition?: IStorePosition;
   /** Store revision of the service's rollout record; 0 if there is none yet. */
