Log how responses end whose end nothing but their connection marks

When a caller got part of an answer as a whole one, the logs could not tell why: an attempt that ended well left no line about its response.

The adapter now reports for each response what marked its end (length, chunks, only its connection) and how the connection stood (closed in order, reset). An undici agent with a client per connection records the latter for the response in progress; a reset that libuv reports as a plain end of file is told by the socket, which has lost its peer. `attempt.end` is logged if only the connection marks the end, or if a stream ended without any event, with the number of events, the event that the attempt was to follow and the last one. No decision changes.

--- /dev/null
+++ b/src/adapters/HttpAgent.ts
@@ -0,0 +1,86 @@
+import type { Socket } from 'node:net';
+import { Agent, buildConnector, Client, Pool, type Dispatcher } from 'undici';
+import type { ConnectionState } from '../common/request/Types.js';
+
+/** How the connection of one response stands. Passed to the agent as the `opaque` of the request. */
+export class ResponseConnection {
+  private _state: ConnectionState = 'open';
+
+  public get state(): ConnectionState {
+    return this._state;
+  }
+
+  /** Records that the request goes out on a new connection, since the one that was kept had ended. */
+  public recordStart(): void {
+    this._state = 'open';
+  }
+
+  /** Records the end of the connection. The first end counts: a connection that is destroyed afterwards was not reset. */
+  public recordEnd(state: Exclude<ConnectionState, 'open'>): void {
+    if (this._state === 'open') this._state = state;
+  }
+}
+
+/** System error codes of connections that broke. Errors of undici itself report what this side did. */
+const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
+
+/**
+ * Creates an agent that records how the connection of a response ended. undici takes a reset for the end of a response
+ * without length and chunks, so such a response is complete only if its connection was closed in order.
+ * @example
+ * const connection = new ResponseConnection();
+ * const { body } = await createHttpAgent().request({ origin, path, method: 'GET', opaque: connection });
+ * const text = await body.text();
+ * const isComplete = connection.state === 'closed'; // for a response without length and chunks
+ */
+export function createHttpAgent(options: Agent.Options = {}): Agent {
+  const connect =
+    typeof options.connect === 'function' ? options.connect : buildConnector(options.connect ?? {});
+  return new Agent({
+    ...options,
+    factory: (origin, poolOptions: Pool.Options) =>
+      new Pool(origin, {
+        ...poolOptions,
+        factory: (clientOrigin, clientOptions) => new RecordingClient(clientOrigin, clientOptions, connect),
+      }),
+  });
+}
+
+/** One connection of an agent. Tells the response in progress there how the connection ends. */
+class RecordingClient extends Client {
+  private _current: ResponseConnection | undefined;
+
+  constructor(origin: URL, options: Client.Options, connect: buildConnector.connector) {
+    super(origin, {
+      ...options,
+      connect: (connectOptions, onConnected) => {
+        connect(connectOptions, (...result) => {
+          const [error, socket] = result;
+          // The listeners are added before those of undici, which ends the response.
+          if (error === null) this._recordStates(socket);
+          onConnected(...result);
+        });
+      },
+    });
+  }
+
+  public override dispatch(
+    options: Dispatcher.DispatchOptions & { opaque?: unknown },
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    this._current = options.opaque instanceof ResponseConnection ? options.opaque : undefined;
+    return super.dispatch(options, handler);
+  }
+
+  private _recordStates(socket: Socket): void {
+    this._current?.recordStart();
+    socket.on('end', () => {
+      // If a reset arrives together with the last bytes, libuv reports the end of the file instead of the error. Only
+      // the system's socket tells them apart: it has lost its peer.
+      this._current?.recordEnd(socket.remoteAddress === undefined ? 'reset' : 'closed');
+    });
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+      if (code !== undefined && RESET_CODES.has(code)) this._current?.recordEnd('reset');
+    });
+  }
+}
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -1,7 +1,7 @@
 import type { IServiceDocument, IRolloutState } from '../config/Types.js';
 import type { JournalEntry } from '../coordination/Types.js';
 import type { GossipUpdate, HostState, UpdateUrgency } from '../coordination/Updates.js';
-import type { RunCheckResult } from '../request/Types.js';
+import type { IResponseEnd, RunCheckResult } from '../request/Types.js';
 import type { Millis, Priority, RanStatus } from '../Types.js';
 export type { HostState } from '../coordination/Updates.js';
 export type {
@@ -302,6 +302,8 @@
    * no output for `silentMs`.
    */
   lastRunCheck?: { result: RunCheckResult; silentMs: Millis };
+  /** How the response ended. Absent while it has not, and if it broke off. */
+  end?: IResponseEnd;
   answer: IAnswer | undefined;
   error: IAttemptError | undefined;
 }
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -213,6 +213,10 @@
       if (confidence !== undefined) this._options.board.attempts.update(this._attempt.id, { confidence });
       return;
     }
+    if (part.kind === 'end') {
+      this._options.board.attempts.update(this._attempt.id, { end: part.end });
+      return;
+    }
     if (part.kind === 'check') {
       const { check: result, silentMs } = part;
       const { board, clock } = this._options;
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -74,6 +74,7 @@
           const { result, silentMs } = after.lastRunCheck;
           this._options.record('attempt.checked', { ...describeAttempt(after), result, silentMs });
         }
+        if (after && after.phase !== before?.phase && hasDoubtfulEnd(after)) this._recordEnd(after);
         if (after && after.error !== before?.error && after.error) {
           const { kind, message, ran } = after.error;
           this._options.record('attempt.error', { ...describeAttempt(after), error: kind, ran, message });
@@ -114,6 +115,18 @@
     });
   }
 
+  private _recordEnd(attempt: IAttemptEntry): void {
+    const { board, record } = this._options;
+    const { answer, end, error, tokens } = attempt;
+    record('attempt.end', {
+      ...describeAttempt(attempt),
+      ...end,
+      tokens,
+      resumeAfter: board.requests.get(attempt.request)?.resumeAfter,
+      lastEvent: answer?.kind === 'model' ? answer.lastEventId : error?.lastEventId,
+    });
+  }
+
   /** Largest age that the changes of the store's last reply can have. */
   private _measureNewsAge(): number | undefined {
     const { board, clock } = this._options;
@@ -175,6 +188,12 @@
   }
 }
 
+/** Tells whether a response has ended although nothing marks that it is complete, or without any event of a stream. */
+function hasDoubtfulEnd({ answer, end, phase, tokens }: IAttemptEntry): boolean {
+  if (!end || phase === 'sent' || phase === 'streaming') return false;
+  return end.mark === 'connection' || (answer?.kind === 'model' && tokens === 0);
+}
+
 /** State in the announcement of an endpoint; `undefined` if the fact is not one. */
 function describeAnnouncement(entry: IFactEntry | undefined): string | undefined {
   if (entry?.fact.kind !== 'endpoint') return undefined;
--- a/tools/bundleRouter.mjs
+++ b/tools/bundleRouter.mjs
@@ -22,6 +22,8 @@
 Object.assign(Dispatcher.prototype, api);
 export { default as Agent } from 'undici/lib/dispatcher/agent.js';
 export { default as buildConnector } from 'undici/lib/core/connect.js';
+export { default as Client } from 'undici/lib/dispatcher/client.js';
+export { default as Pool } from 'undici/lib/dispatcher/pool.js';
 `;
 
 const undiciSubsetPlugin = {
