End a host process that cannot start, and choose test ports that nothing else takes

Operators saw a host process that neither served nor ended if its peer port was taken: its start failed, its timers ran on. It now exits with 1, so that whatever supervises it starts it again.

A test had chosen free ports from the range from which the kernel gives ports to all other tests; one was taken before its host listened, and the test waited for that host for good. Ports of tests now come from below the kernel's range, and a process does not find the same port twice.

--- a/src/cli/commands/HostCommand.ts
+++ b/src/cli/commands/HostCommand.ts
@@ -4,6 +4,7 @@
 import { EntryHost } from '../../daemons/EntryHost.js';
 import { parseSettings, type HostSettings } from '../../daemons/Settings.js';
 import { waitForStopSignal } from '../../daemons/Signals.js';
+import { EXIT_CODES } from '../CommandResult.js';
 
 interface IHostArguments {
   settings: string;
@@ -45,7 +46,7 @@
       if (file !== undefined) appendFileSync(file, `${JSON.stringify(event)}\n`);
     },
   });
-  const port = await host.start();
+  const port = await startOrExit(host);
   log('info', 'The host is listening', { port });
   process.stdout.write(`${JSON.stringify({ event: 'listening', port })}\n`);
   await waitForStopSignal();
@@ -54,3 +55,13 @@
   log('info', 'The host has stopped');
   process.exit(0);
 }
+
+/** Starts a host. One that cannot start ends its process, which its timers would keep running without serving. */
+async function startOrExit(host: EntryHost): Promise<number> {
+  try {
+    return await host.start();
+  } catch (error) {
+    process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+    process.exit(EXIT_CODES.failure);
+  }
+}
--- a/src/daemons/EntryHost.test.ts
+++ b/src/daemons/EntryHost.test.ts
@@ -190,3 +190,14 @@
   t.deepEqual(await Promise.all([firstHost.exit, secondHost.exit]), [0, 0]);
   await platform.close();
 });
+
+// Guards against a process that neither serves nor ends, so that nothing restarts it.
+test('a host whose peer port is taken exits with an error', async (t) => {
+  const platform = await startPlatform();
+  const takenPort = Number(new URL(platform.store.address).port);
+  const settings = writeSettings(platform, 'host-1', platform.store.address, takenPort);
+  const child = spawn(process.execPath, [CLI_PATH, 'host', '--settings', settings], { stdio: 'ignore' });
+  const exitCode = await new Promise<number | null>((resolve) => child.once('exit', resolve));
+  t.is(exitCode, 1);
+  await platform.close();
+});
--- a/src/standins/HttpTools.ts
+++ b/src/standins/HttpTools.ts
@@ -20,13 +20,37 @@
   };
 }
 
-/** Finds a loopback port that is free at the time of the call; another process may take it afterwards. */
+/**
+ * Ports that `findFreePort` chooses from. Linux takes the ports of outgoing connections and of servers on port 0 from
+ * 32768 on, so none of these is taken between the choice and its use.
+ */
+const FIRST_CHOSEN_PORT = 20_000;
+const CHOSEN_PORT_COUNT = 12_000;
+
+/** Distance between the first choices of processes that were started one after the other. */
+const PORTS_PER_PROCESS = 61;
+
+let lastPortOffset = process.pid * PORTS_PER_PROCESS;
+
+/** Finds a loopback port that is free, and that this process has not found before. */
 export async function findFreePort(): Promise<number> {
+  for (let tries = 0; tries < CHOSEN_PORT_COUNT; tries += 1) {
+    lastPortOffset += 1;
+    const port = FIRST_CHOSEN_PORT + (lastPortOffset % CHOSEN_PORT_COUNT);
+    if (await isPortFree(port)) return port;
+  }
+  throw new Error('No port is free.');
+}
+
+async function isPortFree(port: number): Promise<boolean> {
   const server = createServer();
-  await startListening(server, '127.0.0.1', 0);
-  const { port } = server.address() as AddressInfo;
+  try {
+    await startListening(server, '127.0.0.1', port);
+  } catch {
+    return false;
+  }
   await new Promise((resolve) => server.close(resolve));
-  return port;
+  return true;
 }
 
 /** Reads a whole request body. */
