Reproduce answers that are cut and reach callers as complete

Callers get a part of an answer as the whole one (ORDER, MIXED).

A router that is killed while it writes a large plain answer without a length leaves a part that looks complete. PlainClient returns half an answer; a cut error body of an engine counts as not run; a cut reply of the store counts as a conflict with an absent key, or as a write without effect.

--- a/src/adapters/EngineClient.test.ts
+++ b/src/adapters/EngineClient.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { sendThenCut } from '../standins/RawServer.js';
 import {
   createChunkAnswer,
   createTokenAnswer,
@@ -69,3 +70,19 @@
   t.snapshot({ streamed, ordinary });
   await rig.close();
 });
+
+// Guards against a request that ran and counts as not run because the rest of its error body was lost.
+test('an error response that is cut in its body does not count as one of a request that has not run', async (t) => {
+  const outcomes: Record<string, boolean> = {};
+  for (const status of [429, 503]) {
+    const rig = await EntryHostRig.start();
+    rig.answerChat = (_body, { socket }) => {
+      const head = `HTTP/1.1 ${status} Error\r\ncontent-type: application/json\r\n\r\n`;
+      if (socket) void sendThenCut(socket, `${head}{"error":{"message":"failed"},"ra`, 'reset');
+    };
+    const reply = await rig.sendRaw(rig.formatChat({}));
+    outcomes[status] = /"ran":"(yes|unknown)"/.test(reply);
+    await rig.close();
+  }
+  t.deepEqual(outcomes, { 429: true, 503: true });
+});
--- /dev/null
+++ b/src/standins/platform/BrokenAnswer.ts
@@ -0,0 +1,94 @@
+import type { ServerResponse } from 'node:http';
+import { buildRunnerHeaders, startStream, type IRunnerCall } from './ScriptedRunner.js';
+
+export const FRAMINGS = ['length', 'chunks', 'connection'] as const;
+export const PLACES = [
+  'before-first',
+  'between-events',
+  'inside-event',
+  'after-comment',
+  'before-last',
+] as const;
+
+/** What marks the end of an answer: its length, its last chunk, or only the end of its connection. */
+export type AnswerFraming = (typeof FRAMINGS)[number];
+
+/** A kind of stream that breaks off. */
+export interface IBrokenAnswer {
+  framing: AnswerFraming;
+  /** Where it breaks off; `before-first` is after the head. */
+  place: (typeof PLACES)[number];
+  /** What happens to the connection; with `silence` it stays open. */
+  cut: 'fin' | 'reset' | 'silence';
+  /** When the connection is cut, counted from the last bytes. */
+  timing: 'at-once' | 'after-25-ms';
+}
+
+/** Last event of every stream. The id of an event is its number. */
+export const LAST_EVENT = 6;
+
+const CUT_DELAY_MS = 25;
+
+/** Sends the rest of a stream, from the event after the last one that the call names, and breaks it off. */
+export function sendBrokenAnswer(
+  call: IRunnerCall,
+  response: ServerResponse,
+  { cut, framing, place, timing }: IBrokenAnswer,
+): void {
+  const { socket } = response;
+  const events = listEvents(call, LAST_EVENT);
+  socket?.write(formatHead(call, framing, events) + formatPieces(framing, pickPieces(events, place)));
+  const closeConnection = (): void => {
+    if (cut === 'fin') socket?.end();
+    if (cut === 'reset') socket?.resetAndDestroy();
+  };
+  if (timing === 'at-once') closeConnection();
+  else setTimeout(closeConnection, CUT_DELAY_MS);
+}
+
+/** Sends the events of a stream after the last one that the call names, up to `to`, with its proper end. */
+export function sendStream(
+  call: IRunnerCall,
+  response: ServerResponse,
+  framing: AnswerFraming,
+  to = LAST_EVENT,
+): void {
+  const events = listEvents(call, to);
+  const text = events.join('');
+  if (framing === 'connection') {
+    response.socket?.end(formatHead(call, framing, events) + text);
+  } else {
+    if (framing === 'length') response.setHeader('content-length', text.length);
+    startStream(call, response);
+    response.end(text);
+  }
+}
+
+function listEvents({ headers }: IRunnerCall, to: number): string[] {
+  const from = Number(headers['last-event-id'] ?? 0) + 1;
+  const ids = Array.from({ length: Math.max(0, to - from + 1) }, (_, index) => from + index);
+  return ids.map((id) => `id: ${id}\ndata: piece ${id}\n\n`);
+}
+
+/** Picks what is sent of a stream before it breaks off. */
+function pickPieces(events: readonly string[], place: IBrokenAnswer['place']): string[] {
+  if (place === 'before-first') return [];
+  if (place === 'before-last') return events.slice(0, -1);
+  const half = Math.floor(events.length / 2);
+  const sent = events.slice(0, half);
+  if (place === 'inside-event') return [...sent, events[half]?.slice(0, 'id: 1\nda'.length) ?? ''];
+  return place === 'after-comment' ? [...sent, ': comment\n\n'] : sent;
+}
+
+function formatHead(call: IRunnerCall, framing: AnswerFraming, events: readonly string[]): string {
+  const headers = { ...buildRunnerHeaders(call), 'content-type': 'text/event-stream', confidence: '90' };
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+  if (framing === 'length') lines.push(`content-length: ${events.join('').length}`);
+  if (framing === 'chunks') lines.push('transfer-encoding: chunked');
+  return ['HTTP/1.1 200 OK', ...lines, '\r\n'].join('\r\n');
+}
+
+function formatPieces(framing: AnswerFraming, pieces: readonly string[]): string {
+  if (framing !== 'chunks') return pieces.join('');
+  return pieces.map((piece) => `${piece.length.toString(16)}\r\n${piece}\r\n`).join('');
+}
--- a/src/standins/platform/ScriptedRunner.ts
+++ b/src/standins/platform/ScriptedRunner.ts
@@ -82,6 +82,6 @@
 }
 
 /** Builds the headers by which a router recognizes a response of a runner to this attempt. */
-function buildRunnerHeaders({ headers }: IRunnerCall): Record<string, string> {
+export function buildRunnerHeaders({ headers }: IRunnerCall): Record<string, string> {
   return { 'attempt-id': headers['attempt-id']?.toString() ?? '', 'response-stamp': 'signed' };
 }
