Tell a reset from the end of an answer by the connection that carried it

Callers got the part of an answer that had arrived as a whole one, framed as complete, if the endpoint sent neither length nor chunks and its connection was reset in the same moment as the last bytes, or while the host's thread was busy.

Cause: libuv reads the last bytes, sees that the connection has hung up and reports an end of file without reading the error. undici takes an end of file, and also ECONNRESET, for the end of such an answer. ResetTracker waited for an `error` event, which never comes then, and took any reset at the same address within 50 ms for one of this answer.

The plain client of the other edge uses the same agent.

Evidence: PlainClient, BrokenAnswers (reset at once) and two tests of BrokenStreams (110 kinds of cuts; a busy thread) failed on the commit before and pass; RouterHost and FaultyRunners pass.

--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -1,6 +1,9 @@
 import type { Socket } from 'node:net';
 import { Agent, buildConnector, Client, Pool, type Dispatcher } from 'undici';
-import type { ConnectionState } from '../common/request/Types.js';
+import type { EndMark } from '../common/request/Types.js';
+
+/** How a connection stands: `closed` in order by the other side, or `reset`, so that bytes may be missing. */
+export type ConnectionState = 'open' | 'closed' | 'reset';
 
 /** How the connection of one response stands. Passed to the agent as the `opaque` of the request. */
 export class ResponseConnection {
@@ -21,17 +24,28 @@
   }
 }
 
+/** What tells how the end of a response is marked. */
+export interface IResponseForm {
+  method: string;
+  status: number;
+  /** Returns the value of a header by its name in lower case. */
+  findHeader: (name: string) => string | undefined;
+}
+
+/** Statuses of responses that have no body, so that they end with their head. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** System error codes of connections that broke. Errors of undici itself report what this side did. */
 const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
 
 /**
  * Creates an agent that records how the connection of a response ended. undici takes a reset for the end of a response
- * without length and chunks, so such a response is complete only if its connection was closed in order.
+ * without length and chunks, so such a response may be whole only if its connection was closed in order.
  * @example
  * const connection = new ResponseConnection();
  * const { body } = await createHttpAgent().request({ origin, path, method: 'GET', opaque: connection });
  * const text = await body.text();
- * const isComplete = connection.state === 'closed'; // for a response without length and chunks
+ * const mayBeWhole = connection.state === 'closed'; // for a response without length and chunks
  */
 export function createHttpAgent(options: Agent.Options = {}): Agent {
   const connect =
@@ -41,11 +55,30 @@
     factory: (origin, poolOptions: Pool.Options) =>
       new Pool(origin, {
         ...poolOptions,
-        factory: (clientOrigin, clientOptions) => new RecordingClient(clientOrigin, clientOptions, connect),
+        factory: (clientOrigin, clientOptions) =>
+          new RecordingClient(clientOrigin, clientOptions, connect),
       }),
   });
 }
 
+/**
+ * Finds what marks the end of a response, by the rules of HTTP/1.1 on the length of a message.
+ * @example
+ * findEndMark({ method: 'GET', status: 200, findHeader: () => undefined }); // 'connection'
+ */
+export function findEndMark({ findHeader, method, status }: IResponseForm): EndMark {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return 'length';
+  // A transfer encoding goes before a length, and one that does not end with chunks lasts until the connection ends.
+  const encoding = findHeader('transfer-encoding');
+  if (encoding !== undefined) return /\bchunked\s*$/i.test(encoding) ? 'chunks' : 'connection';
+  return findHeader('content-length') === undefined ? 'connection' : 'length';
+}
+
+/** Tells whether a response that undici has read to its end was cut by the end of its connection. */
+export function isCutByConnection(endMark: EndMark, connection: ResponseConnection): boolean {
+  return endMark === 'connection' && connection.state !== 'closed';
+}
+
 /** One connection of an agent. Tells the response in progress there how the connection ends. */
 class RecordingClient extends Client {
   private _current: ResponseConnection | undefined;
--- a/src/adapters/PlainClient.ts
+++ b/src/adapters/PlainClient.ts
@@ -1,41 +1,56 @@
 import { Result } from 'true-myth';
-import { request as sendRequest, type Dispatcher } from 'undici';
+import { request as sendRequest, type Agent } from 'undici';
 import type { IAnswer, IAttemptError } from '../common/blackboard/Types.js';
-import type { IAttemptCall } from '../common/request/Types.js';
+import type { AttemptPart, IAttemptCall } from '../common/request/Types.js';
 import type { Millis } from '../common/Types.js';
 import { mapCallError } from './EngineClient.js';
+import { createHttpAgent, findEndMark, isCutByConnection, ResponseConnection } from './HttpAgent.js';
 
 /** Options of the client of plain services. */
 export interface IPlainClientOptions {
-  dispatcher?: Dispatcher;
+  /** Created by `createHttpAgent`. Default: an agent that all calls without one share. */
+  dispatcher?: Agent;
   /** Longest wait for the response headers. Default 30,000. */
   headersTimeoutMs?: Millis;
 }
 
+const DEFAULT_AGENT = createHttpAgent();
+
 /** Runs an attempt at an endpoint of a plain service as one HTTP call. */
 export async function runPlainAttempt(
   options: IPlainClientOptions,
   call: IAttemptCall,
+  onPart: (part: AttemptPart) => void = () => undefined,
 ): Promise<Result<IAnswer, IAttemptError>> {
   const { endpoint, request, signal } = call;
   const { target } = request;
   if (target.kind !== 'plain') {
     return Result.err({ kind: 'rejected', ran: 'no', message: 'Not a request for a plain service.' });
   }
+  const { method } = target;
+  const connection = new ResponseConnection();
   try {
     const reply = await sendRequest(endpoint.address + target.path, {
-      method: target.method,
+      opaque: connection,
+      method,
       body: target.body ?? null,
       headers: target.contentType === undefined ? {} : { 'content-type': target.contentType },
       signal,
       headersTimeout: options.headersTimeoutMs ?? 30_000,
-      ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+      dispatcher: options.dispatcher ?? DEFAULT_AGENT,
     });
     const body = new Uint8Array(await reply.body.arrayBuffer());
-    const contentType = reply.headers['content-type'];
+    const { headers, statusCode: status } = reply;
+    const mark = findEndMark({ method, status, findHeader: (name) => headers[name]?.toString() });
+    if (isCutByConnection(mark, connection)) {
+      const message = 'The connection was reset at the end of the answer.';
+      return Result.err({ kind: 'crashed', ran: 'yes', message });
+    }
+    onPart({ kind: 'end', mark });
+    const contentType = headers['content-type'];
     return Result.ok({
       kind: 'plain',
-      status: reply.statusCode,
+      status,
       contentType: typeof contentType === 'string' ? contentType : undefined,
       body,
     });
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -1,7 +1,7 @@
 import type { IServiceDocument, IRolloutState } from '../config/Types.js';
 import type { JournalEntry } from '../coordination/Types.js';
 import type { GossipUpdate, HostState, UpdateUrgency } from '../coordination/Updates.js';
-import type { IResponseEnd, RunCheckResult } from '../request/Types.js';
+import type { EndMark, RunCheckResult } from '../request/Types.js';
 import type { Millis, Priority, RanStatus } from '../Types.js';
 export type { HostState } from '../coordination/Updates.js';
 export type {
@@ -302,8 +302,8 @@
    * no output for `silentMs`.
    */
   lastRunCheck?: { result: RunCheckResult; silentMs: Millis };
-  /** How the response ended. Absent while it has not, and if it broke off. */
-  end?: IResponseEnd;
+  /** What marked the end of the response. Absent while it has not ended, and if it broke off. */
+  endMark?: EndMark;
   answer: IAnswer | undefined;
   error: IAttemptError | undefined;
 }
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -214,7 +214,7 @@
       return;
     }
     if (part.kind === 'end') {
-      this._options.board.attempts.update(this._attempt.id, { end: part.end });
+      this._options.board.attempts.update(this._attempt.id, { endMark: part.mark });
       return;
     }
     if (part.kind === 'check') {
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -15,19 +15,8 @@
 import type { IStoredAnswer } from '../coordination/Types.js';
 import type { Millis } from '../Types.js';
 
-/** What marks the end of a response: its length, its last chunk, an event of its own, or only its connection. */
-export type EndMark = 'length' | 'chunks' | 'event' | 'connection';
-
-/**
- * How the connection of a response stands: `closed` in order by the other side, or `reset`, so that bytes may be missing.
- */
-export type ConnectionState = 'open' | 'closed' | 'reset';
-
-/** How a response ended. */
-export interface IResponseEnd {
-  mark: EndMark;
-  connection: ConnectionState;
-}
+/** What marks the end of a response: its length, its last chunk, or only the end of its connection. */
+export type EndMark = 'length' | 'chunks' | 'connection';
 
 /** Event that an adapter reports about a running attempt. Decisions do not look at the data of a chunk. */
 export type AttemptPart =
@@ -46,8 +35,8 @@
    * The response has begun. `confidence` is the model's confidence in its answer, 0 to 1, if it reports one.
    */
   | { kind: 'opening'; confidence: number | undefined }
-  /** The response has ended, and nothing in its bytes is wrong. */
-  | { kind: 'end'; end: IResponseEnd }
+  /** The response has ended, and nothing in its bytes or on its connection was wrong. */
+  | { kind: 'end'; mark: EndMark }
   /** The endpoint was asked, `silentMs` after the last output, whether it still runs the attempt. */
   | { kind: 'check'; check: RunCheckResult; silentMs: Millis };
 
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -117,10 +117,10 @@
 
   private _recordEnd(attempt: IAttemptEntry): void {
     const { board, record } = this._options;
-    const { answer, end, error, tokens } = attempt;
+    const { answer, endMark, error, tokens } = attempt;
     record('attempt.end', {
       ...describeAttempt(attempt),
-      ...end,
+      mark: endMark,
       tokens,
       resumeAfter: board.requests.get(attempt.request)?.resumeAfter,
       lastEvent: answer?.kind === 'model' ? answer.lastEventId : error?.lastEventId,
@@ -189,9 +189,9 @@
 }
 
 /** Tells whether a response has ended although nothing marks that it is complete, or without any event of a stream. */
-function hasDoubtfulEnd({ answer, end, phase, tokens }: IAttemptEntry): boolean {
-  if (!end || phase === 'sent' || phase === 'streaming') return false;
-  return end.mark === 'connection' || (answer?.kind === 'model' && tokens === 0);
+function hasDoubtfulEnd({ answer, endMark, phase, tokens }: IAttemptEntry): boolean {
+  if (endMark === undefined || phase === 'sent' || phase === 'streaming') return false;
+  return endMark === 'connection' || (answer?.kind === 'model' && tokens === 0);
 }
 
 /** State in the announcement of an endpoint; `undefined` if the fact is not one. */
--- a/src/daemons/RequestWiring.ts
+++ b/src/daemons/RequestWiring.ts
@@ -1,5 +1,5 @@
-import { Agent } from 'undici';
 import { runEngineAttempt } from '../adapters/EngineClient.js';
+import { createHttpAgent } from '../adapters/HttpAgent.js';
 import { runPlainAttempt } from '../adapters/PlainClient.js';
 import { createUniqueId, hashTexts } from '../adapters/Random.js';
 import { createSendSuspectMessage, createSuspectHandlers } from '../adapters/SuspectMessages.js';
@@ -42,7 +42,7 @@
 
 /** Wires the controllers that move a request from the phase `received` to `billed` or `refused`. */
 export class RequestWiring extends Disposable {
-  private readonly _agent = new Agent({ connections: 256, pipelining: 1 });
+  private readonly _agent = createHttpAgent({ connections: 256, pipelining: 1 });
   private readonly _routing: RoutingWiring;
   private readonly _crashController: CrashController;
 
@@ -167,7 +167,7 @@
 
   private readonly _runAttempt: RunAttempt = (call, onPart) =>
     call.request.target.kind === 'plain'
-      ? runPlainAttempt({ dispatcher: this._agent }, call)
+      ? runPlainAttempt({ dispatcher: this._agent }, call, onPart)
       : runEngineAttempt({ clock: systemClock, dispatcher: this._agent }, call, onPart);
 }
 
