Ask for evidence that an answer is complete whose end nothing marks

Callers got a part of a stream, or half of a plain answer, framed as complete: if the endpoint's process died while it sent an answer with neither length nor chunks, if it ended such an answer early by itself, and if the endpoint that was asked to go on with a broken stream sent an empty one.

Cause: the end of a connection, or the word of one endpoint, was taken for proof.

Change: an attempt whose end is in doubt enters the phase `ended`, and AnswerEndController decides by a policy that is passed in. The end of a connection counts only if the endpoint is alive afterwards, as the same process and without more output than has come. Where it marks the ends of its other streams, or a stream ended without any event, the stream goes on elsewhere after its last event: another endpoint sends what is missing, or agrees that nothing is. If none can be asked in time, the claim of the first counts. Endpoints that never mark an end are asked, not run twice. A reply to the question that is no report, as of a plain service, is no longer taken for an unreachable endpoint, and a report of another process is told apart. The other edge asks by a connection.

Evidence: BrokenAnswers (endpoint dies) and five tests of BrokenStreams failed on the commit before and pass; RouterHost and FaultyRunners pass.

--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -55,8 +55,7 @@
     factory: (origin, poolOptions: Pool.Options) =>
       new Pool(origin, {
         ...poolOptions,
-        factory: (clientOrigin, clientOptions) =>
-          new RecordingClient(clientOrigin, clientOptions, connect),
+        factory: (clientOrigin, clientOptions) => new RecordingClient(clientOrigin, clientOptions, connect),
       }),
   });
 }
--- /dev/null
+++ b/src/adapters/Reachability.ts
@@ -0,0 +1,29 @@
+import { connect } from 'node:net';
+import type { CheckRun } from '../common/request/Types.js';
+import type { Millis } from '../common/Types.js';
+
+const CONNECT_TIMEOUT_MS: Millis = 400;
+
+/**
+ * Asks an endpoint that cannot be asked about a run whether it still accepts connections. A process that has died does
+ * not; one that does may know nothing of the run.
+ * @example
+ * const check = await checkReachable(call, 0); // 'unreachable' or 'unknown'
+ */
+export const checkReachable: CheckRun = ({ endpoint }) =>
+  new Promise((resolve) => {
+    const { hostname, port } = new URL(endpoint.address);
+    const socket = connect({ host: hostname, port: Number(port), timeout: CONNECT_TIMEOUT_MS });
+    const end = (check: 'unreachable' | 'unknown'): void => {
+      socket.destroy();
+      resolve(check);
+    };
+    socket.once('connect', () => {
+      end('unknown');
+    });
+    for (const failure of ['error', 'timeout'] as const) {
+      socket.once(failure, () => {
+        end('unreachable');
+      });
+    }
+  });
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -168,6 +168,8 @@
   resumeAfter?: string;
   /** Whether an attempt failed after a part of its answer had been delivered to the caller. */
   hasPartialDelivery?: boolean;
+  /** Answer that its endpoint claims to be complete, until another endpoint has sent more or has agreed. */
+  claim?: { attempt: string; answer: IAnswer };
   /**
    * Refusal that was sent to the caller at the deadline of a non-idempotent request. Its attempt is not
    * cancelled, so that the outcome of the run is still recorded.
@@ -222,8 +224,11 @@
     }
   | { kind: 'stored'; status: number; contentType: string; body: string };
 
-/** State of an attempt. `sent` lasts until the first output, `streaming` until the last. */
-export type AttemptPhase = 'planned' | 'sent' | 'streaming' | 'finished' | 'failed' | 'cancelled';
+/**
+ * State of an attempt. `sent` lasts until the first output, `streaming` until the last. `ended` lasts until it is
+ * decided whether an answer is complete whose end is in doubt.
+ */
+export type AttemptPhase = 'planned' | 'sent' | 'streaming' | 'ended' | 'finished' | 'failed' | 'cancelled';
 
 /**
  * Why an attempt was made. A `hedge` runs in parallel to an attempt that is slow to answer, and an
@@ -242,6 +247,7 @@
  * - `malformed`: the response was invalid;
  * - `timed-out`: the attempt exceeded a time limit;
  * - `rejected`: the endpoint found the request invalid;
+ * - `unconfirmed`: the answer has ended, and another endpoint has to confirm that it is complete.
  * - `cancelled`: the router stopped the attempt.
  */
 export type AttemptErrorKind =
@@ -255,6 +261,7 @@
   | 'malformed'
   | 'timed-out'
   | 'rejected'
+  | 'unconfirmed'
   | 'cancelled';
 
 /**
@@ -394,6 +401,8 @@
   attemptDueAt?: Millis;
   /** Time until which the endpoint wants nothing from this host, as it said. Absent while it takes work. */
   pausedUntil?: Millis | undefined;
+  /** Whether the endpoint has marked the end of a stream by other means than its connection. Default false. */
+  marksStreamEnds?: boolean;
   /** Whether the endpoint has said in a response that it is leaving. It may not have announced it. */
   hasSaidLeaving?: boolean;
   /** Identifies the start of the endpoint's process; a later start has a higher number. Default 0. */
--- a/src/common/policy/Silence.ts
+++ b/src/common/policy/Silence.ts
@@ -73,7 +73,8 @@
   targetLatencyMs: Millis,
 ): SilenceDecision {
   const limitMs = hasOutput ? PAUSE_LIMIT_MS : FIRST_OUTPUT_LIMIT_FACTOR * targetLatencyMs;
-  if (silentMs >= limitMs || check === 'unreachable' || check === 'ahead') return { kind: 'fail' };
+  if (silentMs >= limitMs || check === 'unreachable' || check === 'replaced') return { kind: 'fail' };
+  if (check === 'ahead') return { kind: 'fail' };
   if (check === 'unknown' && silentMs >= UNKNOWN_RUN_LIMIT_MS) return { kind: 'fail' };
   if (check === 'running') return { kind: 'check', afterMs: RECHECK_DELAY_MS };
   const firstCheckMs = Math.max(CHECK_DELAY_MS, FIRST_CHECK_LATENCY_SHARE * targetLatencyMs - silentMs);
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -11,7 +11,8 @@
 import { Disposable } from '../Lifecycle.js';
 import { classifyLength } from '../policy/Queueing.js';
 import type { IClock, Millis } from '../Types.js';
-import { chargeRateLimit, releaseAttempt } from './AttemptPlan.js';
+import { recordRunCheck, releaseAttempt } from './AttemptPlan.js';
+import { hasDoubtfulEnd } from './DoubtfulEnds.js';
 import { EndpointMeter } from './EndpointMeter.js';
 import { formatPool } from './EndpointIndex.js';
 import { hasEnded } from './Refusals.js';
@@ -33,6 +34,7 @@
 /** Outcomes that do not count as failures of the endpoint. */
 const HEALTH_NEUTRAL_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
   'cancelled',
+  'unconfirmed',
   'rejected',
   'overloaded',
   'leaving',
@@ -104,20 +106,19 @@
     progress: AttemptProgress,
     result: Result<IAnswer, IAttemptError>,
   ): void {
-    const isCancelled = this._options.board.attempts.get(attempt.id)?.phase === 'cancelled';
-    this._updateEndpoint(
-      attempt,
-      progress,
-      isCancelled ? 'cancelled' : result.isOk ? 'ok' : result.error.kind,
-    );
+    const current = this._options.board.attempts.get(attempt.id);
+    const isCancelled = current?.phase === 'cancelled';
+    const isDoubtful = current && result.isOk && hasDoubtfulEnd({ ...current, answer: result.value });
+    const outcome = isDoubtful ? 'unconfirmed' : result.isOk ? 'ok' : result.error.kind;
+    this._updateEndpoint(attempt, progress, isCancelled ? 'cancelled' : outcome);
     if (isCancelled) this._finish(attempt, 'cancelled', undefined, undefined);
-    else if (result.isOk) this._finish(attempt, 'finished', result.value, undefined);
+    else if (result.isOk) this._finish(attempt, isDoubtful ? 'ended' : 'finished', result.value, undefined);
     else this._finish(attempt, 'failed', undefined, result.error);
   }
 
   private _finish(
     attempt: IAttemptEntry,
-    phase: 'finished' | 'failed' | 'cancelled',
+    phase: 'ended' | 'finished' | 'failed' | 'cancelled',
     answer: IAnswer | undefined,
     error: IAttemptError | undefined,
   ): void {
@@ -219,11 +220,7 @@
     }
     if (part.kind === 'check') {
       const { check: result, silentMs } = part;
-      const { board, clock } = this._options;
-      board.attempts.update(this._attempt.id, { lastRunCheck: { result, silentMs } });
-      const endpoint = board.endpoints.get(this._attempt.endpoint);
-      if (endpoint?.attemptIntervalMs !== undefined)
-        board.endpoints.update(endpoint.id, chargeRateLimit(endpoint, clock.now()));
+      recordRunCheck(this._options, this._attempt, { result, silentMs });
       return;
     }
     // Output of a draft that was rejected at its beginning may still arrive, and is dropped.
--- a/src/common/request/AttemptPlan.ts
+++ b/src/common/request/AttemptPlan.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { AttemptRole, IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
-import type { Millis } from '../Types.js';
+import type { AttemptRole, IAttemptEntry, IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
+import type { IClock, Millis } from '../Types.js';
 import type { LengthClass } from './Types.js';
 
 /**
@@ -70,6 +70,21 @@
   return { nextAttemptAt: dueAt + attemptIntervalMs };
 }
 
+/**
+ * Records the result of asking an endpoint about an attempt. The question counts against the limit on the endpoint's
+ * rate.
+ */
+export function recordRunCheck(
+  { board, clock }: { board: Blackboard; clock: IClock },
+  attempt: Pick<IAttemptEntry, 'id' | 'endpoint'>,
+  lastRunCheck: IAttemptEntry['lastRunCheck'] & object,
+): void {
+  board.attempts.update(attempt.id, { lastRunCheck });
+  const endpoint = board.endpoints.get(attempt.endpoint);
+  if (endpoint?.attemptIntervalMs !== undefined)
+    board.endpoints.update(endpoint.id, chargeRateLimit(endpoint, clock.now()));
+}
+
 /** Removes an attempt from the in-flight counts of its endpoint. */
 export function releaseAttempt(board: Blackboard, id: string): void {
   const attempt = board.attempts.get(id);
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -94,7 +94,8 @@
   private _hasOtherAttemptInFlight(request: IRequestEntry, attempt: IAttemptEntry): boolean {
     return (request.attemptIds ?? []).some((id) => {
       const phase = this._options.board.attempts.get(id)?.phase;
-      return id !== attempt.id && (phase === 'planned' || phase === 'sent' || phase === 'streaming');
+      const isOpen = phase === 'planned' || phase === 'sent' || phase === 'streaming' || phase === 'ended';
+      return id !== attempt.id && isOpen;
     });
   }
 
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -58,9 +58,10 @@
 /**
  * Result of asking an endpoint, on another connection, about an attempt that has stopped producing output.
  * `unreachable`: the endpoint does not answer. `unknown`: it does not know the run. `running`: it runs the
- * attempt or has it queued. `ahead`: it has produced more output than has arrived here.
+ * attempt or has it queued. `ahead`: it has produced more output than has arrived here. `replaced`: another process
+ * has its address.
  */
-export type RunCheckResult = 'unreachable' | 'unknown' | 'running' | 'ahead';
+export type RunCheckResult = 'unreachable' | 'replaced' | 'unknown' | 'running' | 'ahead';
 
 /** Asks an endpoint for the state of a run of which `outputCount` events have arrived. */
 export type CheckRun = (call: IAttemptCall, outputCount: number) => Promise<RunCheckResult>;
@@ -87,6 +88,26 @@
 /** Decides how to proceed with an attempt that produces no output. */
 export type DecideSilence = (view: ISilenceView) => SilenceDecision;
 
+/** Input of the decision on an answer whose end is in doubt. */
+export interface IAnswerEndView {
+  request: IRequestEntry;
+  attempt: IAttemptEntry;
+  /** Result of asking the endpoint after the end; `undefined` if it has not been asked. */
+  check: RunCheckResult | undefined;
+  /** Whether the endpoint has marked the end of another stream. */
+  marksEnds: boolean;
+  now: Millis;
+}
+
+/**
+ * Decision on an answer whose end is in doubt: it is complete or broken, its endpoint has to be asked first, or another
+ * endpoint is to go on after its last event.
+ */
+export type AnswerEndDecision = 'complete' | 'broken' | 'check' | 'continue';
+
+/** Decides whether an answer is complete whose end is in doubt. */
+export type DecideAnswerEnd = (view: IAnswerEndView) => AnswerEndDecision;
+
 /** Hands a chunk of the winning attempt to the front end. */
 export type DeliverChunk = (request: string, data: unknown) => void;
 
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -74,7 +74,7 @@
           const { result, silentMs } = after.lastRunCheck;
           this._options.record('attempt.checked', { ...describeAttempt(after), result, silentMs });
         }
-        if (after && after.phase !== before?.phase && hasDoubtfulEnd(after)) this._recordEnd(after);
+        if (after?.phase === 'ended' && before?.phase !== 'ended') this._recordDoubt(after);
         if (after && after.error !== before?.error && after.error) {
           const { kind, message, ran } = after.error;
           this._options.record('attempt.error', { ...describeAttempt(after), error: kind, ran, message });
@@ -115,15 +115,18 @@
     });
   }
 
-  private _recordEnd(attempt: IAttemptEntry): void {
+  private _recordDoubt(attempt: IAttemptEntry): void {
     const { board, record } = this._options;
-    const { answer, endMark, error, tokens } = attempt;
-    record('attempt.end', {
+    const { answer, endMark, endpoint, tokens } = attempt;
+    const { claim, resumeAfter } = board.requests.get(attempt.request) ?? {};
+    record('answer.doubted', {
       ...describeAttempt(attempt),
-      mark: endMark,
+      endMark,
       tokens,
-      resumeAfter: board.requests.get(attempt.request)?.resumeAfter,
-      lastEvent: answer?.kind === 'model' ? answer.lastEventId : error?.lastEventId,
+      resumeAfter,
+      lastEvent: answer?.kind === 'model' ? answer.lastEventId : undefined,
+      claimedBy: claim?.attempt,
+      marksEnds: board.endpoints.get(endpoint)?.marksStreamEnds ?? false,
     });
   }
 
@@ -188,12 +191,6 @@
   }
 }
 
-/** Tells whether a response has ended although nothing marks that it is complete, or without any event of a stream. */
-function hasDoubtfulEnd({ answer, endMark, phase, tokens }: IAttemptEntry): boolean {
-  if (endMark === undefined || phase === 'sent' || phase === 'streaming') return false;
-  return endMark === 'connection' || (answer?.kind === 'model' && tokens === 0);
-}
-
 /** State in the announcement of an endpoint; `undefined` if the fact is not one. */
 function describeAnnouncement(entry: IFactEntry | undefined): string | undefined {
   if (entry?.fact.kind !== 'endpoint') return undefined;
--- a/src/daemons/RequestWiring.ts
+++ b/src/daemons/RequestWiring.ts
@@ -2,14 +2,17 @@
 import { createHttpAgent } from '../adapters/HttpAgent.js';
 import { runPlainAttempt } from '../adapters/PlainClient.js';
 import { createUniqueId, hashTexts } from '../adapters/Random.js';
+import { checkReachable } from '../adapters/Reachability.js';
 import { createSendSuspectMessage, createSuspectHandlers } from '../adapters/SuspectMessages.js';
 import { systemClock } from '../adapters/SystemClock.js';
 import type { Blackboard } from '../common/blackboard/Blackboard.js';
 import type { PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
+import { createDecideAnswerEnd } from '../common/policy/AnswerEnds.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
+import { AnswerEndController } from '../common/request/AnswerEndController.js';
 import { AttemptController } from '../common/request/AttemptController.js';
 import { BillController } from '../common/request/BillController.js';
 import { ClaimController } from '../common/request/ClaimController.js';
@@ -144,6 +147,11 @@
     const { decideAcceptance } = versions;
     const { runAttempt } = this._crashController;
     this._register(new AttemptController({ ...this._commonOptions, runAttempt, deliverChunk }));
+    // Engines mark the ends of their streams, so only answers of plain services are in doubt, which cannot be continued.
+    const decideAnswerEnd = createDecideAnswerEnd({ hasBudget: () => false });
+    this._register(
+      new AnswerEndController({ ...this._commonOptions, checkRun: checkReachable, decideAnswerEnd }),
+    );
     const decideRetry = withBlockedRetry(board, createDecideRetry(Math.random));
     this._register(
       new OutcomeController({
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -28,6 +28,7 @@
 import { NewsPublisher } from '../common/news/NewsPublisher.js';
 import { NewsSources } from '../common/news/NewsSources.js';
 import type { DecodePassedFact, INewsNetwork, INewsNetworkContext } from '../common/news/Types.js';
+import { createDecideAnswerEnd } from '../common/policy/AnswerEnds.js';
 import { createChooseByAffinity } from '../common/policy/Affinity.js';
 import { findCrashingParts } from '../common/policy/CrashingParts.js';
 import { decideHealthByFailures } from '../common/policy/Health.js';
@@ -40,6 +41,7 @@
 import { decideReleaseRollout } from '../common/policy/ReleaseRollouts.js';
 import { createDecideSilence } from '../common/policy/Silence.js';
 import { limitBySlots } from '../common/policy/SlotLimits.js';
+import { AnswerEndController } from '../common/request/AnswerEndController.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
 import { AttemptController } from '../common/request/AttemptController.js';
 import { CleanUpController } from '../common/request/CleanUpController.js';
@@ -161,6 +163,7 @@
   'request.running',
   'request.answered',
   'attempt.planned',
+  'attempt.ended',
 ]);
 
 /** Number of hexadecimal digits of a hash that are mapped to a fraction from 0 up to but excluding 1. */
@@ -454,6 +457,13 @@
     );
     const decideRetry = suspects.protectRetry(createDecideRetry(Math.random));
     this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget }));
+    this._register(
+      new AnswerEndController({
+        ...common,
+        checkRun,
+        decideAnswerEnd: createDecideAnswerEnd({ hasBudget: retryBudgets.hasAttempt }),
+      }),
+    );
     this._register(new DeadlineController(common));
     this._register(new CleanUpController(board));
   }
