Take nothing from a reply that was cut before it said so

Callers of the OpenAI edge could be told that a request had not run although it had: a 429 or 503 of an engine whose error body was cut counted as not run. A conflict of the key-value service whose reply was cut counted as one with an absent key, so that a lease could count as lost.

--- a/src/adapters/EngineClient.ts
+++ b/src/adapters/EngineClient.ts
@@ -265,15 +265,19 @@
 
 async function mapErrorResponse(reply: Dispatcher.ResponseData): Promise<Result<IAnswer, IAttemptError>> {
   const errorBody = decodeErrorBody(await readText(reply.body, MAX_EVENT_BYTES));
-  const ran = errorBody?.ran;
+  // An error body that cannot be read may have been cut before it says that the request ran.
+  const ran = errorBody ? (errorBody.ran ?? 'no') : 'unknown';
   if (reply.statusCode === 400) return failAttempt('rejected', 'no', 'The endpoint rejected the request.');
-  if (reply.statusCode === 429) return failAttempt('overloaded', ran ?? 'no', 'The endpoint is overloaded.');
+  if (reply.statusCode === 429) return failAttempt('overloaded', ran, 'The endpoint is overloaded.');
   if (reply.statusCode === 503 && errorBody?.error?.message === 'leaving') {
-    return failAttempt('leaving', ran ?? 'no', 'The endpoint is leaving.');
+    return failAttempt('leaving', ran, 'The endpoint is leaving.');
   }
-  if (reply.statusCode === 503)
-    return failAttempt('refused', ran ?? 'no', 'The endpoint refused the request.');
-  return failAttempt('malformed', ran ?? 'unknown', `The endpoint answered with status ${reply.statusCode}.`);
+  if (reply.statusCode === 503) return failAttempt('refused', ran, 'The endpoint refused the request.');
+  return failAttempt(
+    'malformed',
+    errorBody?.ran ?? 'unknown',
+    `The endpoint answered with status ${reply.statusCode}.`,
+  );
 }
 
 function decodeErrorBody(text: string): z.output<typeof ERROR_BODY_SCHEMA> | undefined {
--- a/src/adapters/HttpStore.ts
+++ b/src/adapters/HttpStore.ts
@@ -132,7 +132,9 @@
   }
   if (reply.status === 409) {
     const parsed = CONFLICT_SCHEMA.safeParse(reply.body);
-    return Result.err({ kind: 'conflict', current: parsed.data?.current ?? undefined });
+    if (parsed.success) return Result.err({ kind: 'conflict', current: parsed.data.current ?? undefined });
+    // The write did not take effect, but a reply that was cut does not tell the current value either.
+    return Result.err({ kind: 'unavailable', message: 'The store sent a malformed reply to a conflict.' });
   }
   const kind = reply.status === 503 ? 'unavailable' : 'unknown-outcome';
   return Result.err({ kind, message: `The store answered with status ${reply.status}.` });
