Break off a stream without event ids instead of sending it from its beginning

Callers got the first events of a stream twice (ORDER) if its events have no ids and it broke off: the next endpoint cannot be told where to go on, and was asked for the whole stream. Such a stream is now broken off like one that may not be resumed.

--- a/src/common/policy/Retries.ts
+++ b/src/common/policy/Retries.ts
@@ -26,7 +26,9 @@
   if (error.kind === 'cancelled' || error.kind === 'rejected') return false;
   if (request.attemptCount >= (request.maxAttempts ?? MAX_ATTEMPTS) || !hasBudget) return false;
   const hasOutput = request.winningAttempt !== undefined && request.target.kind === 'model';
-  const isResumable = request.isResumable ?? false;
+  // Without the id of the last event the next endpoint would send the stream from its beginning.
+  const hasPosition = (error.lastEventId ?? request.resumeAfter) !== undefined;
+  const isResumable = request.isResumable === true && hasPosition;
   if (hasOutput && request.target.kind === 'model' && request.target.isStreaming && !isResumable)
     return false;
   return request.isIdempotent || request.ran === 'no';
--- a/src/daemons/BrokenStreams.test.ts
+++ b/src/daemons/BrokenStreams.test.ts
@@ -13,7 +13,7 @@
   type IBrokenAnswer,
 } from '../standins/platform/BrokenAnswer.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
-import type { IRunnerCall, IRunnerStandIn } from '../standins/platform/ScriptedRunner.js';
+import { startStream, type IRunnerCall, type IRunnerStandIn } from '../standins/platform/ScriptedRunner.js';
 
 /** A kind of broken stream, and in which run of the stream it occurs. */
 type BrokenCase = IBrokenAnswer & { run: 'first' | 'resumed' };
@@ -193,6 +193,18 @@
   });
 }
 
+// Guards against ORDER: without an id the next endpoint cannot go on, and sends the stream from its beginning.
+test('a stream without ids that breaks off is not sent twice', async (t) => {
+  const rig = await startRig((_run, call, response) => {
+    startStream(call, response);
+    response.write('data: piece\n\n');
+    setTimeout(() => response.destroy(), 20);
+  });
+  const { body, isComplete } = await rig.send('/stream/1', { model: '*' });
+  await rig.close();
+  t.deepEqual({ body, isComplete }, { body: 'data: piece\n\n', isComplete: false });
+});
+
 // Guards against ORDER: a busy thread reads the last bytes and a later reset together, and sees the end of the answer.
 test.serial('a stream whose connection is reset while the router is busy goes on elsewhere', async (t) => {
   const cuts = PLACES.map((place) => ({ ...UNMARKED_END, place, cut: 'reset' as const }));
