Let runners of the soak leave the ends of their answers unmarked, and end in order

A run that is to go on after the last event of a stream sends an empty one. The proxy tells a reset by its socket.

--- a/soak/Injectors.ts
+++ b/soak/Injectors.ts
@@ -125,6 +125,11 @@
     pickScope: pickRunner,
     inject: ({ runners }, id, durationMs) => findRunner(runners, id)?.crash(durationMs),
   },
+  'end-runner': {
+    pickScope: pickRunner,
+    inject: ({ runners }, id, durationMs) => findRunner(runners, id)?.crash(durationMs, 'close'),
+  },
+  'unmark-answers': createRunnerFault('unmark'),
   'fail-answers': createRunnerFault('fail'),
   'refuse-calls': createRunnerFault('refuse'),
   'lose-answers': createRunnerFault('lose'),
--- a/soak/LinkProxy.test.ts
+++ b/soak/LinkProxy.test.ts
@@ -36,7 +36,7 @@
 // Guards against modes without effect, and against the loss of bytes that a mode only holds back.
 test('each mode disturbs a connection as described, and bytes held back arrive later in order', async (t) => {
   const seen: Record<string, unknown> = {};
-  for (const mode of ['delay', 'mute-request', 'mute-response', 'silent', 'reset'] as LinkMode[]) {
+  for (const mode of ['delay', 'mute-request', 'mute-response', 'silent', 'reset', 'close'] as LinkMode[]) {
     const fixture = await startFixture();
     const fault = fixture.proxy.addMode(mode);
     fixture.socket.write('1');
--- a/soak/LinkProxy.ts
+++ b/soak/LinkProxy.ts
@@ -66,12 +66,13 @@
   private _applyMode(): void {
     for (const connection of [...this._connections]) {
       if (this._mode === 'reset') connection.reset();
+      else if (this._mode === 'close') connection.close();
       else connection.setMode(this._mode);
     }
   }
 
   private _openConnection(caller: Socket): void {
-    if (this._mode === 'reset') {
+    if (this._mode === 'reset' || this._mode === 'close') {
       caller.resetAndDestroy();
       return;
     }
@@ -103,6 +104,12 @@
     this._response.setMode(mode);
   }
 
+  /** Closes the connection in order, as the system does for a process that has ended. */
+  public close(): void {
+    this._caller.end();
+    this._target.resetAndDestroy();
+  }
+
   public reset(): void {
     this._caller.resetAndDestroy();
     this._target.resetAndDestroy();
@@ -131,7 +138,8 @@
       this._enqueue({ kind: 'bytes', bytes });
     });
     source.on('end', () => {
-      this._enqueue({ kind: 'end' });
+      // A reset that arrives together with the last bytes looks like an end, but the socket has lost its peer.
+      this._enqueue({ kind: source.remoteAddress === undefined ? 'reset' : 'end' });
     });
     source.on('error', () => {
       this._enqueue({ kind: 'reset' });
--- a/soak/SoakRunner.ts
+++ b/soak/SoakRunner.ts
@@ -101,14 +101,14 @@
   }
 
   /**
-   * Crashes the runner: resets its connections and ends its runs. It restarts under the same id. The store
+   * Crashes the runner: resets its connections, or closes them in order, and ends its runs. It restarts under the same id. The store
    * removes its registration meanwhile if it stays down for longer than `REGISTRATION_EXPIRY_MS`.
    */
-  public async crash(durationMs: Millis): Promise<void> {
+  public async crash(durationMs: Millis, connectionEnd: 'reset' | 'close' = 'reset'): Promise<void> {
     if (this._phase !== 'serving') return;
     this._phase = 'down';
     const { board, store } = this._options;
-    const connectionFault = this.proxy.addMode('reset');
+    const connectionFault = this.proxy.addMode(connectionEnd);
     for (const run of board.runs.list()) {
       if (run.runner === this._id && run.wasExecuted && run.outcome === undefined)
         this._endRun(run.number, 'crashed');
@@ -179,7 +179,9 @@
       response.writeHead(421, { ...buildRefusalHeaders(id), 'instance-id': this._id }).end();
       return;
     }
-    const fault = random() < FAULTY_CALL_SHARE ? this._faults.at(-1)?.fault : undefined;
+    const faults = this._faults.map(({ fault }) => fault);
+    const fault =
+      random() < FAULTY_CALL_SHARE ? faults.filter((kind) => kind !== 'unmark').at(-1) : undefined;
     if (fault === 'refuse') {
       const { call: id } = this._recordRun(call, false);
       response.writeHead(503, buildRefusalHeaders(id)).end();
@@ -197,6 +199,10 @@
     }
     const limit = this._options.board.rateLimits.get(this._id);
     if (limit) response.setHeader('Server-Limit', limit.callsPerS.toFixed(1));
+    if (faults.includes('unmark')) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     if (this._options.service === MODEL_SERVICE) await this._sendStream(run, response, fault);
     else await this._sendAnswer(run, response, fault);
   }
@@ -231,7 +237,8 @@
     }
     const status = fault === 'fail' ? 500 : 200;
     const text = formatAnswer(run);
-    response.writeHead(status, { ...buildAnswerHeaders(run), 'content-length': text.length });
+    const length = response.useChunkedEncodingByDefault ? { 'content-length': text.length } : {};
+    response.writeHead(status, { ...buildAnswerHeaders(run), ...length });
     if (fault === 'tear') {
       this._endRun(run.number, 'torn', status);
       response.write(text.slice(0, text.length / 2), () => response.destroy());
@@ -256,8 +263,10 @@
       'content-type': 'text/event-stream',
       confidence: hasLowConfidence ? '20' : '90',
     });
-    // A resumed run sends at least one more piece, because the last piece marks the end of the stream.
-    const lastPiece = run.resumeAfter + 1 + Math.floor(random() * MAX_PIECES);
+    // Unless the stream has ended, a resumed run sends at least one more piece, because the last one marks the end.
+    const lastPiece = this._hasEnded(run)
+      ? run.resumeAfter
+      : run.resumeAfter + 1 + Math.floor(random() * MAX_PIECES);
     // Entry of the runner's load report: call id, tokens, pieces sent, priority.
     const progressReport = [run.call, 100, run.resumeAfter, 0];
     this._standIn.reportedRuns.push(progressReport);
@@ -270,7 +279,10 @@
       } else if (fault === 'lose' && piece === lastPiece) {
         this._endRun(run.number, 'lost', 200);
         response.socket?.resetAndDestroy();
-      } else response.write(text);
+      } else {
+        response.write(text);
+        if (piece === lastPiece) this._options.board.runs.update(run.number, { lastPiece });
+      }
       await waitFor(random() * MAX_PIECE_INTERVAL_MS);
     }
     this._standIn.reportedRuns.splice(this._standIn.reportedRuns.indexOf(progressReport), 1);
@@ -306,6 +318,11 @@
     return entry;
   }
 
+  /** Tells whether a run before has sent the last event of a stream, after which this run is to go on. */
+  private _hasEnded({ call, resumeAfter }: IRunEntry): boolean {
+    return this._options.board.listRuns(call).some(({ lastPiece }) => lastPiece === resumeAfter);
+  }
+
   private _isWorking({ number }: IRunEntry): boolean {
     return this._options.board.runs.get(number)?.outcome === undefined;
   }
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -26,6 +26,9 @@
 export type RunnerFaultKind =
   'crash-runner' | 'fail-answers' | 'refuse-calls' | 'lose-answers' | 'tear-answers' | 'hang-answers';
 
+/** Kinds of faults of runners by which the end of a connection is no proof of a complete answer. */
+export type UnmarkedEndKind = 'unmark-answers' | 'end-runner';
+
 /** Faults of the store itself. */
 export type StoreFaultKind =
   'store-refuse' | 'store-silent' | 'store-lose-replies' | 'store-compact' | 'store-restore';
@@ -35,7 +38,13 @@
 
 /** Kind of a fault or of planned work that a soak injects. */
 export type SoakFaultKind =
-  PlannedWorkKind | RouterFaultKind | LinkFaultKind | RunnerFaultKind | StoreFaultKind | LastingFaultKind;
+  | PlannedWorkKind
+  | RouterFaultKind
+  | LinkFaultKind
+  | RunnerFaultKind
+  | UnmarkedEndKind
+  | StoreFaultKind
+  | LastingFaultKind;
 
 /** One planned injection of a fault or of planned work. */
 export type SoakFault = IChainedFault<SoakFaultKind>;
@@ -45,16 +54,16 @@
 
 /**
  * How a proxy treats its connections. `mute-request` and `mute-response` hold back the bytes of one
- * direction, `silent` holds back both.
+ * direction, `silent` holds back both. `close` ends connections in order, as the system does for a process that has ended.
  */
-export type LinkMode = 'pass' | 'delay' | 'reset' | 'mute-request' | 'mute-response' | 'silent';
+export type LinkMode = 'pass' | 'delay' | 'reset' | 'close' | 'mute-request' | 'mute-response' | 'silent';
 
 /**
  * How a faulty runner treats a request: it answers 500 (`fail`), refuses to execute it (`refuse`), resets the
  * connection before the end of the answer (`lose`), sends only a part of the answer (`tear`), or never
- * answers (`hang`).
+ * answers (`hang`). With `unmark`, beside any of these, its answers have neither length nor chunks.
  */
-export type RunnerFault = 'fail' | 'refuse' | 'lose' | 'tear' | 'hang';
+export type RunnerFault = 'fail' | 'refuse' | 'lose' | 'tear' | 'hang' | 'unmark';
 
 /** An injected fault or planned work; `endedAt` is undefined while it lasts. */
 export interface IFaultEntry {
@@ -194,6 +203,8 @@
   promptParts: string;
   /** Id of the event after which the stream is to be resumed; 0 for a new stream. */
   resumeAfter: number;
+  /** Id of the last event of the stream, once it was sent. */
+  lastPiece?: number;
   /** Time left until the deadline, if the router sent it. */
   remainingMs: Millis | undefined;
   /** Names of the headers in which the caller's forged value reached the runner. */
