--- a/soak/FaultPlan.ts
+++ b/soak/FaultPlan.ts
@@ -9,7 +9,6 @@
   SoakFault,
   SoakProfile,
   StoreFaultKind,
-  UnmarkedEndKind,
 } from './Types.js';
 
 /** Kinds of planned work. */
@@ -58,8 +57,6 @@
 
 const LASTING_KINDS: readonly LastingFaultKind[] = ['crash-on-part', 'limit-rate'];
 
-const UNMARKED_END_KINDS: readonly UnmarkedEndKind[] = ['unmark-answers', 'end-runner'];
-
 /**
  * Kinds of faults in each chain of a profile. The chains run at the same time, so that faults of different
  * chains overlap. The profile `planned` has two chains, so that planned work overlaps as well.
@@ -76,7 +73,9 @@
     // Last, so that the chains of earlier seeds stay as they were.
     LASTING_KINDS,
     RESTORE_KINDS,
-    UNMARKED_END_KINDS,
+    // In two chains, so that runners end while their answers are unmarked.
+    ['unmark-answers'],
+    ['end-runner'],
   ],
 };
 
--- a/soak/Injectors.ts
+++ b/soak/Injectors.ts
@@ -54,6 +54,9 @@
 /** Scope of faults of prompts, which disturb no process. */
 const PROMPT_SCOPE = 'prompts';
 
+/** Scope of faults of the answers of all runners, which disturb no process. */
+const ALL_RUNNERS_SCOPE = 'runners';
+
 /** Rate that a limited runner names. It is far below what it gets otherwise. */
 const LIMITED_CALLS_PER_S = 2;
 
@@ -129,7 +132,14 @@
     pickScope: pickRunner,
     inject: ({ runners }, id, durationMs) => findRunner(runners, id)?.crash(durationMs, 'close'),
   },
-  'unmark-answers': createRunnerFault('unmark'),
+  'unmark-answers': {
+    pickScope: pickFixed(ALL_RUNNERS_SCOPE),
+    inject: async ({ runners }, _scope, durationMs) => {
+      const faults = runners.map((runner) => runner.addFault('unmark'));
+      await waitFor(durationMs);
+      for (const fault of faults) fault.dispose();
+    },
+  },
   'fail-answers': createRunnerFault('fail'),
   'refuse-calls': createRunnerFault('refuse'),
   'lose-answers': createRunnerFault('lose'),
