Let no single endpoint vouch for the end of its own answer

An end in doubt is now continued or broken off, never delivered for want of a witness: the caller can resume a stream that broke off, not one that looks complete. A claim counts only if another endpoint agrees, an attempt knows the process that it was sent to, and what is known of marked ends holds for the endpoints of a service.

The phase of such attempts is `doubted`.

--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -73,7 +73,11 @@
   return findHeader('content-length') === undefined ? 'connection' : 'length';
 }
 
-/** Tells whether a response that undici has read to its end was cut by the end of its connection. */
+/**
+ * Tells whether a response that undici has read to its end was cut by the end of its connection.
+ * @example
+ * if (isCutByConnection(endMark, connection)) return Result.err({ kind: 'crashed', ran: 'yes', message });
+ */
 export function isCutByConnection(endMark: EndMark, connection: ResponseConnection): boolean {
   return endMark === 'connection' && connection.state !== 'closed';
 }
@@ -108,7 +112,8 @@
     this._current?.recordStart();
     socket.on('end', () => {
       // If a reset arrives together with the last bytes, libuv reports the end of the file instead of the error. Only
-      // the system's socket tells them apart: it has lost its peer.
+      // the system's socket tells them apart: it has lost its peer. Node.js keeps the address once it was read, so
+      // nothing may read it before.
       this._current?.recordEnd(socket.remoteAddress === undefined ? 'reset' : 'closed');
     });
     socket.on('error', ({ code }: NodeJS.ErrnoException) => {
--- a/src/adapters/Reachability.ts
+++ b/src/adapters/Reachability.ts
@@ -3,6 +3,7 @@
 import type { Millis } from '../common/Types.js';
 
 const CONNECT_TIMEOUT_MS: Millis = 400;
+const DEFAULT_HTTP_PORT = 80;
 
 /**
  * Asks an endpoint that cannot be asked about a run whether it still accepts connections. A process that has died does
@@ -13,7 +14,13 @@
 export const checkReachable: CheckRun = ({ endpoint }) =>
   new Promise((resolve) => {
     const { hostname, port } = new URL(endpoint.address);
-    const socket = connect({ host: hostname, port: Number(port), timeout: CONNECT_TIMEOUT_MS });
+    // The host name of a URL has brackets around an IPv6 address, and the default port is left out.
+    const host = hostname.replace(/^\[|\]$/g, '');
+    const socket = connect({
+      host,
+      port: port === '' ? DEFAULT_HTTP_PORT : Number(port),
+      timeout: CONNECT_TIMEOUT_MS,
+    });
     const end = (check: 'unreachable' | 'unknown'): void => {
       socket.destroy();
       resolve(check);
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -168,8 +168,8 @@
   resumeAfter?: string;
   /** Whether an attempt failed after a part of its answer had been delivered to the caller. */
   hasPartialDelivery?: boolean;
-  /** Answer that its endpoint claims to be complete, until another endpoint has sent more or has agreed. */
-  claim?: { attempt: string; answer: IAnswer };
+  /** Event after which an endpoint claims that its stream ended, until another endpoint has sent more or has agreed. */
+  claimedEnd?: { endpoint: string; lastEventId: string | undefined };
   /**
    * Refusal that was sent to the caller at the deadline of a non-idempotent request. Its attempt is not
    * cancelled, so that the outcome of the run is still recorded.
@@ -225,10 +225,10 @@
   | { kind: 'stored'; status: number; contentType: string; body: string };
 
 /**
- * State of an attempt. `sent` lasts until the first output, `streaming` until the last. `ended` lasts until it is
- * decided whether an answer is complete whose end is in doubt.
+ * State of an attempt. `sent` lasts until the first output, `streaming` until the last. `doubted` lasts until it
+ * is decided whether an answer is complete whose end is in doubt.
  */
-export type AttemptPhase = 'planned' | 'sent' | 'streaming' | 'ended' | 'finished' | 'failed' | 'cancelled';
+export type AttemptPhase = 'planned' | 'sent' | 'streaming' | 'doubted' | 'finished' | 'failed' | 'cancelled';
 
 /**
  * Why an attempt was made. A `hedge` runs in parallel to an attempt that is slow to answer, and an
@@ -309,6 +309,8 @@
    * no output for `silentMs`.
    */
   lastRunCheck?: { result: RunCheckResult; silentMs: Millis };
+  /** Process of the endpoint that the attempt is sent to, as in its entry. */
+  incarnation?: number | undefined;
   /** What marked the end of the response. Absent while it has not ended, and if it broke off. */
   endMark?: EndMark;
   answer: IAnswer | undefined;
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -1,12 +1,12 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { AttemptErrorKind, IAttemptEntry } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
-import type { IClock } from '../Types.js';
+import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck } from './AttemptPlan.js';
 import type { AnswerEndDecision, CheckRun, DecideAnswerEnd, RunCheckResult } from './Types.js';
 
 /** Options of the answer end controller. */
-export interface IAnswerEndControllerOptions {
+export interface IAnswerEndOptions {
   board: Blackboard;
   clock: IClock;
   decideAnswerEnd: DecideAnswerEnd;
@@ -14,20 +14,23 @@
   checkRun: CheckRun;
 }
 
-/** Decides whether the answers of attempts in the phase `ended` are complete, and asks their endpoints first if need be. */
+/** Delay before an endpoint is asked again that could not be reached. One at its limit resets new connections. */
+const RECHECK_DELAY_MS: Millis = 100;
+
+/** Decides whether answers are complete whose end is in doubt, and asks their endpoints first if need be. */
 export class AnswerEndController extends Disposable {
-  constructor(private readonly _options: IAnswerEndControllerOptions) {
+  constructor(private readonly _options: IAnswerEndOptions) {
     super();
     this._register(
       _options.board.attempts.onChange(({ before, after }) => {
         if (!after || after.phase === before?.phase) return;
-        if (after.phase === 'ended') void this._handleEnded(after);
+        if (after.phase === 'doubted') void this._handleDoubted(after);
         else if (after.phase === 'finished') this._recordMark(after);
       }),
     );
   }
 
-  private async _handleEnded(attempt: IAttemptEntry): Promise<void> {
+  private async _handleDoubted(attempt: IAttemptEntry): Promise<void> {
     let decision = this._decide(attempt, undefined);
     if (decision === 'check') {
       const check = await this._checkEndpoint(attempt);
@@ -38,38 +41,66 @@
   }
 
   private _decide(attempt: IAttemptEntry, check: RunCheckResult | undefined): AnswerEndDecision {
-    const { board, clock, decideAnswerEnd } = this._options;
+    const { board, decideAnswerEnd } = this._options;
     const request = board.requests.get(attempt.request);
-    // The deadline or the caller has ended the request, so the answer goes nowhere.
-    if (!request) return 'complete';
-    const marksEnds = board.endpoints.get(attempt.endpoint)?.marksStreamEnds ?? false;
-    return decideAnswerEnd({ request, attempt, check, marksEnds, now: clock.now() });
+    // The deadline or the caller has ended the request, so that nothing follows from the decision but the check.
+    if (!request) return check === 'unreachable' ? 'broken' : 'complete';
+    return decideAnswerEnd({ request, attempt, check, marksEnds: this._hasMarkedEnds(attempt) });
+  }
+
+  /** Tells whether any endpoint of the service marks the ends of its streams. */
+  private _hasMarkedEnds({ endpoint: id }: IAttemptEntry): boolean {
+    const { board } = this._options;
+    const service = board.endpoints.get(id)?.service;
+    for (const endpoint of board.endpoints.list())
+      if (endpoint.service === service && endpoint.marksStreamEnds === true) return true;
+    return false;
   }
 
   private async _checkEndpoint(attempt: IAttemptEntry): Promise<RunCheckResult> {
+    const first = await this._sendCheck(attempt);
+    const check = first === 'unreachable' ? await this._checkAgain(attempt) : first;
+    recordRunCheck(this._options, attempt, { result: check, silentMs: 0 });
+    return check;
+  }
+
+  private async _checkAgain(attempt: IAttemptEntry): Promise<RunCheckResult> {
+    const { clock } = this._options;
+    await new Promise<void>((resolve) => {
+      clock.schedule(RECHECK_DELAY_MS, resolve);
+    });
+    return this._sendCheck(attempt);
+  }
+
+  private async _sendCheck(attempt: IAttemptEntry): Promise<RunCheckResult> {
     const { board, checkRun } = this._options;
     const request = board.requests.get(attempt.request);
     const endpoint = board.endpoints.get(attempt.endpoint);
     // An endpoint that is no longer listed cannot be asked, so nothing proves that it was alive at the end.
     if (!request || !endpoint) return 'unreachable';
+    if (endpoint.incarnation !== attempt.incarnation) return 'replaced';
     const { signal } = new AbortController();
-    const check = await checkRun({ attempt, request, endpoint, signal }, attempt.tokens);
-    recordRunCheck(this._options, attempt, { result: check, silentMs: 0 });
-    return check;
+    try {
+      return await checkRun({ attempt, request, endpoint, signal }, attempt.tokens);
+    } catch {
+      // The result is logged with the check.
+      return 'unreachable';
+    }
   }
 
   private _apply(attempt: IAttemptEntry, decision: AnswerEndDecision): void {
     const { board } = this._options;
     const { answer, endpoint: id } = attempt;
-    const consecutiveFailures = board.endpoints.get(id)?.consecutiveFailures ?? 0;
     if (decision === 'complete') {
       board.endpoints.update(id, { consecutiveFailures: 0 });
       board.attempts.update(attempt.id, { phase: 'finished' });
-    } else if (decision === 'continue' && answer) {
-      board.requests.update(attempt.request, { claim: { attempt: attempt.id, answer } });
+    } else if (decision === 'continue') {
+      const lastEventId = answer?.kind === 'model' ? answer.lastEventId : undefined;
+      board.requests.update(attempt.request, { claimedEnd: { endpoint: id, lastEventId } });
       this._fail(attempt, 'unconfirmed', 'Another endpoint has to confirm the end of the answer.');
     } else {
-      board.endpoints.update(id, { consecutiveFailures: consecutiveFailures + 1 });
+      const consecutiveFailures = (board.endpoints.get(id)?.consecutiveFailures ?? 0) + 1;
+      board.endpoints.update(id, { consecutiveFailures });
       this._fail(attempt, 'crashed', 'The endpoint did not outlast its answer, whose end nothing marks.');
     }
   }
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -112,13 +112,13 @@
     const outcome = isDoubtful ? 'unconfirmed' : result.isOk ? 'ok' : result.error.kind;
     this._updateEndpoint(attempt, progress, isCancelled ? 'cancelled' : outcome);
     if (isCancelled) this._finish(attempt, 'cancelled', undefined, undefined);
-    else if (result.isOk) this._finish(attempt, isDoubtful ? 'ended' : 'finished', result.value, undefined);
+    else if (result.isOk) this._finish(attempt, isDoubtful ? 'doubted' : 'finished', result.value, undefined);
     else this._finish(attempt, 'failed', undefined, result.error);
   }
 
   private _finish(
     attempt: IAttemptEntry,
-    phase: 'ended' | 'finished' | 'failed' | 'cancelled',
+    phase: 'doubted' | 'finished' | 'failed' | 'cancelled',
     answer: IAnswer | undefined,
     error: IAttemptError | undefined,
   ): void {
@@ -164,8 +164,6 @@
   private _hasPace = false;
   private _isLong: boolean;
   private readonly _usualTokens: number | undefined;
-  /** Process of the endpoint that the attempt was sent to. */
-  private readonly _incarnation: number | undefined;
 
   constructor(
     private readonly _options: IAttemptOptions,
@@ -174,7 +172,6 @@
     private readonly _request: IRequestEntry,
   ) {
     this._isLong = _attempt.isLong ?? false;
-    this._incarnation = _options.board.endpoints.get(_attempt.endpoint)?.incarnation;
     this._usualTokens = _options.board.workEstimates.get(formatPool(_request))?.tokens;
     _meter.startWait(_attempt.endpoint, _attempt.id);
   }
@@ -251,7 +248,8 @@
   private _updateSender(patch: Partial<IEndpointEntry>): void {
     const { board } = this._options;
     const endpoint = board.endpoints.get(this._attempt.endpoint);
-    if (endpoint && endpoint.incarnation === this._incarnation) board.endpoints.update(endpoint.id, patch);
+    if (endpoint && endpoint.incarnation === this._attempt.incarnation)
+      board.endpoints.update(endpoint.id, patch);
   }
 
   private _handleRateLimit(maxRequestsPerS: number | undefined): void {
--- a/src/common/request/AttemptPlan.ts
+++ b/src/common/request/AttemptPlan.ts
@@ -47,6 +47,7 @@
     role,
     request: request.id,
     endpoint,
+    incarnation: entry?.incarnation,
     version: request.version,
     plannedAt: now,
     expectedTokens,
@@ -73,6 +74,8 @@
 /**
  * Records the result of asking an endpoint about an attempt. The question counts against the limit on the endpoint's
  * rate.
+ * @example
+ * recordRunCheck({ board, clock }, attempt, { result: 'running', silentMs: 800 });
  */
 export function recordRunCheck(
   { board, clock }: { board: Blackboard; clock: IClock },
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -94,7 +94,7 @@
   private _hasOtherAttemptInFlight(request: IRequestEntry, attempt: IAttemptEntry): boolean {
     return (request.attemptIds ?? []).some((id) => {
       const phase = this._options.board.attempts.get(id)?.phase;
-      const isOpen = phase === 'planned' || phase === 'sent' || phase === 'streaming' || phase === 'ended';
+      const isOpen = phase === 'planned' || phase === 'sent' || phase === 'streaming' || phase === 'doubted';
       return id !== attempt.id && isOpen;
     });
   }
--- a/src/common/request/Refusals.ts
+++ b/src/common/request/Refusals.ts
@@ -1,23 +1,15 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IRefusal, IRequestEntry } from '../blackboard/Types.js';
 import type { Millis, RanStatus } from '../Types.js';
-import { findStandingClaim } from './DoubtfulEnds.js';
 
 /** Time after which a caller may come back that a stopping host has turned away. Its next connection is to another host. */
 const DRAINING_RETRY_AFTER_MS: Millis = 300;
 
-/**
- * Refuses a request, unless it has already ended. If an endpoint has claimed to have answered it, and no other could
- * confirm that, the claim counts.
- */
+/** Refuses a request, unless it has already ended. */
 export function refuseRequest(board: Blackboard, id: string, refusal: IRefusal): void {
   const request = board.requests.get(id);
   if (!request || hasEnded(request)) return;
-  const claim = refusal.code === 'cancelled' ? undefined : findStandingClaim(request);
-  if (claim) {
-    const { answer, attempt } = claim;
-    board.requests.update(id, { phase: 'answered', winningAttempt: attempt, ran: 'yes', answer });
-  } else board.requests.update(id, { phase: 'refused', refusal });
+  board.requests.update(id, { phase: 'refused', refusal });
 }
 
 /**
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -94,14 +94,13 @@
   attempt: IAttemptEntry;
   /** Result of asking the endpoint after the end; `undefined` if it has not been asked. */
   check: RunCheckResult | undefined;
-  /** Whether the endpoint has marked the end of another stream. */
+  /** Whether an endpoint of the same service has marked the end of a stream. */
   marksEnds: boolean;
-  now: Millis;
 }
 
 /**
  * Decision on an answer whose end is in doubt: it is complete or broken, its endpoint has to be asked first, or another
- * endpoint is to go on after its last event.
+ * endpoint has to go on after its last event.
  */
 export type AnswerEndDecision = 'complete' | 'broken' | 'check' | 'continue';
 
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -74,7 +74,7 @@
           const { result, silentMs } = after.lastRunCheck;
           this._options.record('attempt.checked', { ...describeAttempt(after), result, silentMs });
         }
-        if (after?.phase === 'ended' && before?.phase !== 'ended') this._recordDoubt(after);
+        if (after?.phase === 'doubted' && before?.phase !== 'doubted') this._recordDoubt(after);
         if (after && after.error !== before?.error && after.error) {
           const { kind, message, ran } = after.error;
           this._options.record('attempt.error', { ...describeAttempt(after), error: kind, ran, message });
@@ -117,16 +117,15 @@
 
   private _recordDoubt(attempt: IAttemptEntry): void {
     const { board, record } = this._options;
-    const { answer, endMark, endpoint, tokens } = attempt;
-    const { claim, resumeAfter } = board.requests.get(attempt.request) ?? {};
+    const { answer, endMark, tokens } = attempt;
+    const { claimedEnd, resumeAfter } = board.requests.get(attempt.request) ?? {};
     record('answer.doubted', {
       ...describeAttempt(attempt),
       endMark,
       tokens,
       resumeAfter,
       lastEvent: answer?.kind === 'model' ? answer.lastEventId : undefined,
-      claimedBy: claim?.attempt,
-      marksEnds: board.endpoints.get(endpoint)?.marksStreamEnds ?? false,
+      claimedBy: claimedEnd?.endpoint,
     });
   }
 
--- a/src/daemons/BrokenStreams.test.ts
+++ b/src/daemons/BrokenStreams.test.ts
@@ -1,69 +1,40 @@
 import { spawnSync } from 'node:child_process';
 import { randomUUID } from 'node:crypto';
 import { once } from 'node:events';
-import type { ServerResponse } from 'node:http';
 import { Worker } from 'node:worker_threads';
 import test from 'ava';
 import {
+  EVIDENT_CUT,
   FRAMINGS,
   LAST_EVENT,
   PLACES,
   sendBrokenAnswer,
   sendStream,
+  UNMARKED_END,
   type IBrokenAnswer,
 } from '../standins/platform/BrokenAnswer.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
-import { startStream, type IRunnerCall, type IRunnerStandIn } from '../standins/platform/ScriptedRunner.js';
+import { startStream } from '../standins/platform/ScriptedRunner.js';
+import {
+  requestStream,
+  startStreamRig,
+  waitForEndpoint,
+  type AnswerRun,
+} from '../standins/platform/StreamRig.js';
 
 /** A kind of broken stream, and in which run of the stream it occurs. */
 type BrokenCase = IBrokenAnswer & { run: 'first' | 'resumed' };
 
 const WHOLE_STREAM = 'complete 1,2,3,4,5,6';
-const UNMARKED_END = { framing: 'connection', place: 'between-events', timing: 'after-25-ms' } as const;
-
-/** A cut that the end of the answer always shows. */
-const EVIDENT_CUT = { ...UNMARKED_END, framing: 'chunks', cut: 'fin' } as const;
-
 /** Pause after which an observed reset no longer affects other answers. */
 const RESET_PAUSE_MS = 80;
 
 /** Time for which a thread is blocked: longer than an answer of the worker takes to arrive and to be cut. */
 const BLOCK_S = 0.2;
 
-/** Answers a run of a stream at an endpoint; `run` counts the runs of the stream from 0. */
-type AnswerRun = (run: number, call: IRunnerCall, response: ServerResponse, runner: IRunnerStandIn) => void;
-
-function waitForEndpoint(rig: RouterRig, id: string): Promise<void> {
-  return rig.waitUntil(() => rig.events.some(({ fields }) => fields.key === `servers/${id}`));
-}
-
-/** Starts a rig with three endpoints for models, which answer the runs of each stream alike. */
-async function startRig(answerRun: AnswerRun): Promise<RouterRig> {
-  const rig = await RouterRig.startReady();
-  await rig.addRunner('m-3', 'drafts');
-  const runs = new Map<string, number>();
-  for (const runner of rig.runners) {
-    runner.answer = (call, response) => {
-      const run = runs.get(call.path) ?? 0;
-      runs.set(call.path, run + 1);
-      answerRun(run, call, response, runner);
-    };
-  }
-  await waitForEndpoint(rig, 'm-3');
-  return rig;
-}
-
-/** Requests a stream. Describes whether the response was complete, and the ids of its events. */
-async function requestStream(rig: RouterRig, name: string): Promise<string> {
-  const { body, isComplete, status } = await rig.send(`/stream/${name}`, { model: '*' });
-  const pieces = body.split('\n\n').filter((text) => text !== '' && !text.startsWith(':'));
-  const ids = pieces.map((text) => /^id: (\d+)\ndata: piece \1$/.exec(text)?.[1] ?? `"${text}"`);
-  return status === 200 ? `${isComplete ? 'complete' : 'broken'} ${ids.join()}` : `status ${status}`;
-}
-
 /** Requests a stream from a new rig. Returns its outcome and its number of runs at each endpoint that it reached. */
 async function runStream(answerRun: AnswerRun): Promise<[string, number[]]> {
-  const rig = await startRig(answerRun);
+  const rig = await startStreamRig(answerRun);
   // The name is unique, because the port of an endpoint may have belonged to one of another test.
   const name = randomUUID();
   const outcome = await requestStream(rig, name);
@@ -89,7 +60,7 @@
 }
 
 async function runCases(cases: readonly BrokenCase[]): Promise<[string, string][]> {
-  const rig = await startRig((run, call, response) => {
+  const rig = await startStreamRig((run, call, response) => {
     const brokenCase = cases[Number(call.path.split('/').at(-1))]!;
     const brokenRun = brokenCase.run === 'first' ? 0 : 1;
     if (run > brokenRun) sendStream(call, response, 'chunks');
@@ -134,7 +105,7 @@
 // Guards against ORDER: an endpoint that marks the ends of its streams is believed about one without a mark.
 test('a stream that ends with its connection goes on elsewhere if its endpoint marked the ends of others', async (t) => {
   const state = { isCut: false };
-  const rig = await startRig((_run, call, response, { calls }) => {
+  const rig = await startStreamRig((_run, call, response, { calls }) => {
     const isCutNow = !state.isCut && calls.length > 3;
     if (isCutNow) sendBrokenAnswer(call, response, { ...UNMARKED_END, cut: 'fin' });
     else sendStream(call, response, 'chunks');
@@ -150,7 +121,7 @@
 
 // Guards against streams that are broken off or run twice although their connection marks their end.
 test('a stream is complete and run once at a live endpoint that ends all its streams with the connection', async (t) => {
-  const rig = await startRig((_run, call, response) => {
+  const rig = await startStreamRig((_run, call, response) => {
     sendStream(call, response, 'connection');
   });
   const outcomes: string[] = [];
@@ -195,7 +166,7 @@
 
 // Guards against ORDER: without an id the next endpoint cannot go on, and sends the stream from its beginning.
 test('a stream without ids that breaks off is not sent twice', async (t) => {
-  const rig = await startRig((_run, call, response) => {
+  const rig = await startStreamRig((_run, call, response) => {
     startStream(call, response);
     response.write('data: piece\n\n');
     setTimeout(() => response.destroy(), 20);
@@ -229,4 +200,6 @@
   await worker.terminate();
   const expected = PLACES.map((place) => [place, WHOLE_STREAM]);
   t.deepEqual(outcomes, expected);
+  // Each reset is told at once, without a question to the endpoint.
+  t.false(rig.events.some(({ kind }) => kind === 'answer.doubted'));
 });
--- a/src/daemons/RequestWiring.ts
+++ b/src/daemons/RequestWiring.ts
@@ -9,7 +9,7 @@
 import type { PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 import { Disposable } from '../common/Lifecycle.js';
 import { decideAdmission } from '../common/policy/Admission.js';
-import { createDecideAnswerEnd } from '../common/policy/AnswerEnds.js';
+import { decideAnswerEnd } from '../common/policy/AnswerEnds.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
 import { AdmissionController } from '../common/request/AdmissionController.js';
 import { AnswerEndController } from '../common/request/AnswerEndController.js';
@@ -147,8 +147,6 @@
     const { decideAcceptance } = versions;
     const { runAttempt } = this._crashController;
     this._register(new AttemptController({ ...this._commonOptions, runAttempt, deliverChunk }));
-    // Engines mark the ends of their streams, so only answers of plain services are in doubt, which cannot be continued.
-    const decideAnswerEnd = createDecideAnswerEnd({ hasBudget: () => false });
     this._register(
       new AnswerEndController({ ...this._commonOptions, checkRun: checkReachable, decideAnswerEnd }),
     );
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -28,7 +28,7 @@
 import { NewsPublisher } from '../common/news/NewsPublisher.js';
 import { NewsSources } from '../common/news/NewsSources.js';
 import type { DecodePassedFact, INewsNetwork, INewsNetworkContext } from '../common/news/Types.js';
-import { createDecideAnswerEnd } from '../common/policy/AnswerEnds.js';
+import { decideAnswerEnd } from '../common/policy/AnswerEnds.js';
 import { createChooseByAffinity } from '../common/policy/Affinity.js';
 import { findCrashingParts } from '../common/policy/CrashingParts.js';
 import { decideHealthByFailures } from '../common/policy/Health.js';
@@ -163,7 +163,7 @@
   'request.running',
   'request.answered',
   'attempt.planned',
-  'attempt.ended',
+  'attempt.doubted',
 ]);
 
 /** Number of hexadecimal digits of a hash that are mapped to a fraction from 0 up to but excluding 1. */
@@ -457,13 +457,7 @@
     );
     const decideRetry = suspects.protectRetry(createDecideRetry(Math.random));
     this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget }));
-    this._register(
-      new AnswerEndController({
-        ...common,
-        checkRun,
-        decideAnswerEnd: createDecideAnswerEnd({ hasBudget: retryBudgets.hasAttempt }),
-      }),
-    );
+    this._register(new AnswerEndController({ ...common, checkRun, decideAnswerEnd }));
     this._register(new DeadlineController(common));
     this._register(new CleanUpController(board));
   }
--- /dev/null
+++ b/src/daemons/UnconfirmedStreams.test.ts
@@ -0,0 +1,111 @@
+import { randomUUID } from 'node:crypto';
+import type { ServerResponse } from 'node:http';
+import test from 'ava';
+import {
+  EVIDENT_CUT,
+  sendBrokenAnswer,
+  sendStream,
+  UNMARKED_END,
+} from '../standins/platform/BrokenAnswer.js';
+import { RouterRig } from '../standins/platform/RouterRig.js';
+import { buildRunnerHeaders, type IRunnerCall } from '../standins/platform/ScriptedRunner.js';
+import {
+  requestStream,
+  startStreamRig,
+  waitForEndpoint,
+  WARM_UP_NAME,
+} from '../standins/platform/StreamRig.js';
+import { startServer } from '../standins/HttpTools.js';
+
+const UNMARKED_CUT = { ...UNMARKED_END, cut: 'fin' } as const;
+
+/** Lets each endpoint mark the end of a stream. */
+async function sendWarmUps(rig: RouterRig): Promise<void> {
+  const hasAllServed = (): boolean =>
+    rig.runners.filter(({ id, calls }) => id.startsWith('m-') && calls.length > 0).length === 3;
+  for (let index = 0; index < 60 && !hasAllServed(); index += 1)
+    await requestStream(rig, `${WARM_UP_NAME}-${index}`);
+}
+
+function refuseRun(call: IRunnerCall, response: ServerResponse): void {
+  response.writeHead(503, { ...buildRunnerHeaders(call), 'not-executed': '1', 'content-length': 0 }).end();
+}
+
+// Guards against ORDER: if no other endpoint takes a stream, the end that was in doubt is framed as complete after all.
+test('a stream without a mark of its end is broken off if its endpoint marks others and no endpoint goes on', async (t) => {
+  const rig = await startStreamRig((run, call, response) => {
+    if (run === 0) sendBrokenAnswer(call, response, UNMARKED_CUT);
+    else refuseRun(call, response);
+  });
+  await sendWarmUps(rig);
+  const outcome = await requestStream(rig, randomUUID());
+  await rig.close();
+  t.is(outcome, 'broken 1,2,3');
+});
+
+// Guards against ORDER: endpoints break off, so the empty end of the first one is framed as complete.
+test('a stream without any event does not end as complete because the other endpoints broke off', async (t) => {
+  const rig = await startStreamRig((run, call, response) => {
+    if (run === 0) sendStream(call, response, 'chunks', 0);
+    else response.socket?.resetAndDestroy();
+  });
+  const outcome = await requestStream(rig, randomUUID());
+  await rig.close();
+  t.is(outcome, 'status 502');
+});
+
+// Guards against ORDER: an endpoint that cannot resume is asked twice and confirms its own claim.
+test('a stream does not end as complete because one endpoint claims its end twice', async (t) => {
+  const rig = await startStreamRig((run, call, response) => {
+    if (run === 0) sendBrokenAnswer(call, response, EVIDENT_CUT);
+    else sendStream(call, response, 'chunks', 0);
+  });
+  for (const id of ['m-2', 'm-3']) rig.store.remove(`servers/${id}`);
+  await rig.waitUntil(() => rig.events.filter(({ fields }) => fields.health === 'gone').length === 2);
+  const outcome = await requestStream(rig, randomUUID());
+  await rig.close();
+  t.is(outcome, 'broken 1,2,3');
+});
+
+// Guards against ORDER: nobody is left to ask, so the word of one endpoint is framed as complete.
+test('a stream does not end as complete because the last endpoint allowed sends nothing', async (t) => {
+  const rig = await startStreamRig((run, call, response) => {
+    if (run === 0) sendBrokenAnswer(call, response, EVIDENT_CUT);
+    else if (run === 1) sendBrokenAnswer(call, response, { ...EVIDENT_CUT, place: 'before-first' });
+    else sendStream(call, response, 'chunks', 0);
+  });
+  const outcome = await requestStream(rig, randomUUID());
+  await rig.close();
+  t.is(outcome, 'broken 1,2,3');
+});
+
+// Guards against ORDER: a host that reads the end late asks the next process of the endpoint, which is alive.
+test('a stream goes on elsewhere if its endpoint has restarted under its id before the end is read', async (t) => {
+  const rig = await RouterRig.startReady();
+  let born = 1;
+  let cutSocket: ServerResponse['socket'] = null;
+  const server = await startServer((request, response) => {
+    const { headers, method = '', url = '' } = request;
+    const call = { method, path: url, headers, body: '' };
+    if (url === '/-/report') response.end(JSON.stringify({ born, numWaiting: 0, runs: [] }));
+    else if (cutSocket) sendStream(call, response, 'chunks');
+    else {
+      cutSocket = response.socket;
+      sendBrokenAnswer(call, response, { ...UNMARKED_CUT, cut: 'silence' });
+    }
+  });
+  for (const id of ['m-1', 'm-2']) rig.store.remove(`servers/${id}`);
+  const restarting = { ...rig.runners[0]!, id: 'w-1', address: server.address.replace('http://', '') };
+  rig.publish(restarting, 'drafts');
+  await waitForEndpoint(rig, 'w-1');
+  const outcome = requestStream(rig, randomUUID());
+  await rig.waitUntil(() => cutSocket !== null);
+  born = 2;
+  rig.publish(restarting, 'drafts', { born });
+  await rig.waitUntil(() => rig.events.some(({ fields }) => fields.state === 'ready since start 2'));
+  (cutSocket as ServerResponse['socket'])?.end();
+  const result = await outcome;
+  await rig.close();
+  await server.close();
+  t.is(result, 'complete 1,2,3,4,5,6');
+});
--- a/src/standins/platform/BrokenAnswer.ts
+++ b/src/standins/platform/BrokenAnswer.ts
@@ -24,6 +24,16 @@
   timing: 'at-once' | 'after-25-ms';
 }
 
+/** Part of a kind of broken stream: nothing but the end of its connection would mark its end. */
+export const UNMARKED_END = {
+  framing: 'connection',
+  place: 'between-events',
+  timing: 'after-25-ms',
+} as const satisfies Partial<IBrokenAnswer>;
+
+/** A cut that the framing of the answer always shows. */
+export const EVIDENT_CUT: IBrokenAnswer = { ...UNMARKED_END, framing: 'chunks', cut: 'fin' };
+
 /** Last event of every stream. The id of an event is its number. */
 export const LAST_EVENT = 6;
 
--- /dev/null
+++ b/src/standins/platform/StreamRig.ts
@@ -0,0 +1,45 @@
+import type { ServerResponse } from 'node:http';
+import { sendStream } from './BrokenAnswer.js';
+import { RouterRig } from './RouterRig.js';
+import type { IRunnerCall, IRunnerStandIn } from './ScriptedRunner.js';
+
+/** Answers a run of a stream at an endpoint; `run` counts the runs of the stream from 0. */
+export type AnswerRun = (
+  run: number,
+  call: IRunnerCall,
+  response: ServerResponse,
+  runner: IRunnerStandIn,
+) => void;
+
+/** Beginning of the names of streams that are always answered well. */
+export const WARM_UP_NAME = 'warm';
+
+/** Starts a rig with three endpoints for models, which answer the runs of each stream alike. */
+export async function startStreamRig(answerRun: AnswerRun): Promise<RouterRig> {
+  const rig = await RouterRig.startReady();
+  await rig.addRunner('m-3', 'drafts');
+  const runs = new Map<string, number>();
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      const run = runs.get(call.path) ?? 0;
+      runs.set(call.path, run + 1);
+      if (call.path.startsWith(`/stream/${WARM_UP_NAME}`)) sendStream(call, response, 'chunks');
+      else answerRun(run, call, response, runner);
+    };
+  }
+  await waitForEndpoint(rig, 'm-3');
+  return rig;
+}
+
+/** Waits until the host of a rig has read the announcement of an endpoint. */
+export function waitForEndpoint(rig: RouterRig, id: string): Promise<void> {
+  return rig.waitUntil(() => rig.events.some(({ fields }) => fields.key === `servers/${id}`));
+}
+
+/** Requests a stream. Describes whether the response was complete, and the ids of its events. */
+export async function requestStream(rig: RouterRig, name: string): Promise<string> {
+  const { body, isComplete, status } = await rig.send(`/stream/${name}`, { model: '*' });
+  const pieces = body.split('\n\n').filter((text) => text !== '' && !text.startsWith(':'));
+  const ids = pieces.map((text) => /^id: (\d+)\ndata: piece \1$/.exec(text)?.[1] ?? `"${text}"`);
+  return status === 200 ? `${isComplete ? 'complete' : 'broken'} ${ids.join()}` : `status ${status}`;
+}
