Add failing tests of limits that are forgotten while an endpoint is not announced

The new entry begins without a limit, and the first host that missed the entry deletes the shared limit. The interval is set in a later notification than the limit. - An answer of an earlier process ends the limit of its successor.

--- a/src/common/fleet/RateLimitController.test.ts
+++ b/src/common/fleet/RateLimitController.test.ts
@@ -7,6 +7,10 @@
 import { hasRoom } from '../policy/Endpoints.js';
 import { createComputeAttemptInterval } from '../policy/RateLimitShares.js';
 import { planAttempt, releaseAttempt } from '../request/AttemptPlan.js';
+import { AttemptController } from '../request/AttemptController.js';
+import { EndpointIndex } from '../request/EndpointIndex.js';
+import { RouteController } from '../request/RouteController.js';
+import type { AttemptPart } from '../request/Types.js';
 import type { Millis } from '../Types.js';
 import { HostPresenceController } from './HostPresenceController.js';
 import { RateLimitController } from './RateLimitController.js';
@@ -27,6 +31,8 @@
   public readonly clock = new ManualClock();
   public readonly boards: Blackboard[] = [];
   public isStoreDown = false;
+  /** Whether writes have no reply and are carried out later. */
+  public isLosingWrites = false;
   /** Limit that the endpoint names. */
   public requestsPerS: number | undefined;
   /** Times of the requests that hosts sent 500 ms or more after an answer had told them the limit. */
@@ -34,6 +40,7 @@
   public sent = 0;
   private readonly _toldAt = new Map<Blackboard, Millis>();
   private readonly _random = createSeededRandom(21);
+  private readonly _lateWrites: { key: string; fact: FleetFact | undefined }[] = [];
   private _revision = 0;
   private _era = 0;
   private readonly _lagMs: Millis;
@@ -52,6 +59,24 @@
     }
   }
 
+  /** Takes the endpoint off the boards of some hosts, as when its announcement has expired in the store. */
+  public removeEndpoint(boards: readonly Blackboard[] = this.boards): void {
+    for (const { endpoints } of boards) endpoints.delete(ENDPOINT);
+  }
+
+  /** Puts the endpoint, whose process has not changed, on the boards that lack it. */
+  public addEndpoint(): void {
+    for (const { endpoints } of this.boards)
+      if (!endpoints.has(ENDPOINT))
+        endpoints.set(ENDPOINT, createTestEndpoint(ENDPOINT, { inFlightLimit: 64, incarnation: 1 }));
+  }
+
+  /** Carries out the writes whose replies were lost. */
+  public applyLateWrites(): void {
+    this.isLosingWrites = false;
+    for (const { fact, key } of this._lateWrites.splice(0)) void this._write(key, fact);
+  }
+
   /** Restores the store from a copy without the limit, of which all hosts learn. Returns the number of writes that follow. */
   public async restore(): Promise<number> {
     const before = this._revision;
@@ -89,8 +114,8 @@
 
   private _sendIfAllowed(board: Blackboard): void {
     const now = this.clock.now();
-    const endpoint = board.endpoints.get(ENDPOINT)!;
-    if (!hasRoom(endpoint, 'short')) return;
+    const endpoint = board.endpoints.get(ENDPOINT);
+    if (!endpoint || !hasRoom(endpoint, 'short')) return;
     this.sent += 1;
     const id = `r-${this.sent}`;
     const request = createTestRequest(id);
@@ -112,7 +137,8 @@
   }
 
   private _write(key: string, fact: FleetFact | undefined): Promise<Result<number, never>> {
-    if (this.isStoreDown)
+    if (this.isLosingWrites) this._lateWrites.push({ key, fact });
+    if (this.isStoreDown || this.isLosingWrites)
       return Promise.resolve(Result.err({ kind: 'unavailable', message: 'down' }) as Result<number, never>);
     this._revision += 1;
     const [revision, era] = [this._revision, this._era];
@@ -206,3 +232,108 @@
     writes.join(),
   );
 });
+
+// Guards against LIMIT: an announcement that expires and comes back, as its heartbeats were lost, is no new process.
+for (const [hostCount, requestsPerS, isStoreDown] of [
+  [7, 3, false],
+  [7, 3, true],
+  [61, 2.4, false],
+] as const) {
+  const store = isStoreDown ? 'is away' : 'has it';
+  test(`${hostCount} hosts keep to the limit of an endpoint that is announced again if the store ${store}`, async (t) => {
+    const fleet = await startFleet({ hostCount, requestsPerS });
+    fleet.isStoreDown = isStoreDown;
+    await fleet.sendFor(8000, 0.5);
+    fleet.removeEndpoint();
+    await fleet.clock.advance(1500);
+    fleet.addEndpoint();
+    await fleet.sendFor(6000, 0.5);
+    const allowed = 1.5 * 4 * requestsPerS + 5;
+    t.true(fleet.findPeak(6000) <= allowed, `${fleet.findPeak(6000)} of ${allowed}`);
+  });
+}
+
+// Guards against LIMIT: a host that takes an endpoint for gone ends its limit for the hosts that still send to it.
+test('hosts that know an endpoint keep to its limit after another host has lost it', async (t) => {
+  const fleet = await startFleet({ hostCount: 61, requestsPerS: 2.4 });
+  await fleet.sendFor(8000, 0.5);
+  fleet.removeEndpoint(fleet.boards.slice(0, 1));
+  await fleet.sendFor(14_000, 0.5);
+  t.true(fleet.findPeak(6000) <= 19.4, `${fleet.findPeak(6000)} of 19.4`);
+});
+
+// Guards against LIMIT: a write that ended an earlier limit and is carried out late ends the present one.
+test('a limit that an endpoint names again outlasts a late write of its end', async (t) => {
+  const fleet = await startFleet({ hostCount: 61, requestsPerS: 2.4 });
+  await fleet.sendFor(6000, 0.5);
+  fleet.isLosingWrites = true;
+  fleet.requestsPerS = undefined;
+  await fleet.sendFor(3000, 0.5);
+  fleet.requestsPerS = 2.4;
+  await fleet.sendFor(8000, 0.5);
+  const settledAt = fleet.clock.now();
+  fleet.applyLateWrites();
+  await fleet.sendFor(6000, 0.5);
+  t.true(fleet.findPeak(settledAt) <= 19.4, `${fleet.findPeak(settledAt)} of 19.4`);
+});
+
+// Guards against LIMIT: the queue is emptied into an endpoint whose limit is known from the store before it is in force.
+test('requests that wait keep to the known limit of an endpoint that appears', async (t) => {
+  const board = new Blackboard();
+  const clock = new ManualClock();
+  const random = createSeededRandom(21);
+  const common = { board, clock, host: 'h-0', random };
+  new RateLimitController({
+    ...common,
+    store: { writeRateLimit: () => Promise.resolve(Result.ok(1)) },
+    computeAttemptInterval: createComputeAttemptInterval(hashTexts),
+  });
+  new RouteController({
+    ...common,
+    zone: 'a',
+    index: new EndpointIndex({ board, host: 'h-0', zone: 'a', hashTexts }),
+    chooseEndpoint: ({ candidates, lengthClass }) =>
+      candidates.find((endpoint) => hasRoom(endpoint, lengthClass))?.id,
+    createId: () => `a-${board.attempts.size}`,
+    isChosenVersionAllowed: () => true,
+  });
+  const limit = { endpoint: ENDPOINT, startedAt: 1, requestsPerS: 2 };
+  board.facts.set('limit', { key: 'limit', revision: 1, fact: { kind: 'rate-limit', limit } });
+  board.endpoints.set('busy', createTestEndpoint('busy', { inFlight: 8, inFlightLimit: 8 }));
+  for (let index = 0; index < 20; index += 1)
+    board.requests.set(`r-${index}`, createTestRequest(`r-${index}`));
+  const sent = [board.attempts.size];
+  board.endpoints.set(ENDPOINT, createTestEndpoint(ENDPOINT, { inFlightLimit: 64, incarnation: 1 }));
+  sent.push(board.attempts.size);
+  for (let second = 0; second < 4; second += 1) {
+    await clock.advance(1000);
+    sent.push(board.attempts.size);
+  }
+  t.deepEqual(sent.slice(0, 2), [0, 0]);
+  t.true(sent.at(-1)! >= 6 && sent.at(-1)! <= 9, sent.join());
+});
+
+// Guards against LIMIT: the end of a limit that an earlier process named counts for its successor.
+test('an answer of an earlier process does not end the limit of an endpoint', (t) => {
+  const board = new Blackboard();
+  const clock = new ManualClock();
+  const handlers: ((part: AttemptPart) => void)[] = [];
+  new AttemptController({
+    board,
+    clock,
+    runAttempt: (_call, onPart) => {
+      handlers.push(onPart);
+      return new Promise(() => undefined);
+    },
+    deliverChunk: () => undefined,
+  });
+  board.endpoints.set(ENDPOINT, createTestEndpoint(ENDPOINT, { incarnation: 1 }));
+  const request = createTestRequest('r-1');
+  board.requests.set('r-1', request);
+  const rest = { expectedTokens: 1, lengthClass: 'short' as const, now: 0 };
+  planAttempt(board, { id: 'a-1', role: 'primary', request, endpoint: ENDPOINT, ...rest });
+  board.endpoints.set(ENDPOINT, createTestEndpoint(ENDPOINT, { incarnation: 2, maxRequestsPerS: 2 }));
+  for (const handlePart of handlers) handlePart({ kind: 'rate-limit', requestsPerS: undefined });
+  t.is(handlers.length, 1);
+  t.is(board.endpoints.get(ENDPOINT)?.maxRequestsPerS, 2);
+});
