Drop the limit that an earlier process of an endpoint named

What endpoints saw: a restarted endpoint that names its limit got requests at the full rate. Cause: an answer that comes late from the process before it ended the limit of its successor, as the rate limit of an answer was taken without a look at the process. Leaving and pauses are checked by _updateSender. Change: the limit goes through _updateSender too. Evidence: 'an answer of an earlier process does not end the limit of an endpoint' failed before and passes after.

--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -254,9 +254,9 @@
 
   private _handleRateLimit(maxRequestsPerS: number | undefined): void {
     const { board, clock } = this._options;
-    const endpoint = board.endpoints.get(this._attempt.endpoint);
-    if (!endpoint || (maxRequestsPerS === undefined && endpoint.maxRequestsPerS === undefined)) return;
-    board.endpoints.update(endpoint.id, { maxRequestsPerS, rateLimitHeardAt: clock.now() });
+    const known = board.endpoints.get(this._attempt.endpoint)?.maxRequestsPerS;
+    if (maxRequestsPerS === undefined && known === undefined) return;
+    this._updateSender({ maxRequestsPerS, rateLimitHeardAt: clock.now() });
   }
 
   private _handleFirstToken(now: Millis): void {
