Set a known limit and the interval of this host in one update

What endpoints saw: an endpoint that appears, and whose limit this host knows from the store, got the whole queue at once. Cause: the limit was written first and the interval in the notification that follows. RouteController empties its queue into the endpoint in between, which has room until nextAttemptAt is set. Change: _applySharedLimit writes both together. An update of the interval that changes nothing is left out. Evidence: 'requests that wait keep to the known limit of an endpoint that appears' failed before (20 requests at once) and passes after.

--- a/src/common/fleet/RateLimitController.ts
+++ b/src/common/fleet/RateLimitController.ts
@@ -108,7 +108,10 @@
     if (maxRequestsPerS === endpoint.maxRequestsPerS) return;
     const ownNewsAgeMs = clock.now() - (endpoint.rateLimitHeardAt ?? -Infinity);
     if (ownNewsAgeMs >= OWN_NEWS_PRECEDENCE_MS) {
-      board.endpoints.update(id, { maxRequestsPerS });
+      board.endpoints.update(id, {
+        maxRequestsPerS,
+        ...this._computeInterval({ ...endpoint, maxRequestsPerS }),
+      });
       return;
     }
     const timer = clock.schedule(OWN_NEWS_PRECEDENCE_MS - ownNewsAgeMs, () => {
@@ -123,12 +126,21 @@
     return shared?.startedAt === incarnation ? shared.requestsPerS : undefined;
   }
 
-  private _updateInterval({ id, maxRequestsPerS, nextAttemptAt }: IEndpointEntry): void {
+  /** Brings the interval in line with the limit and the hosts, if it is not. */
+  private _updateInterval(endpoint: IEndpointEntry): void {
+    const pace = this._computeInterval(endpoint);
+    if (pace.attemptIntervalMs !== endpoint.attemptIntervalMs)
+      this._options.board.endpoints.update(endpoint.id, pace);
+  }
+
+  /** Computes this host's interval for the limit of an endpoint. It is set in the same update as the limit. */
+  private _computeInterval({
+    id,
+    maxRequestsPerS,
+    nextAttemptAt,
+  }: IEndpointEntry): Pick<IEndpointEntry, 'attemptIntervalMs' | 'nextAttemptAt'> {
     const { board, clock, computeAttemptInterval, host, random } = this._options;
-    if (maxRequestsPerS === undefined) {
-      board.endpoints.update(id, { attemptIntervalMs: undefined, nextAttemptAt: undefined });
-      return;
-    }
+    if (maxRequestsPerS === undefined) return { attemptIntervalMs: undefined, nextAttemptAt: undefined };
     const hosts = [...board.presentHosts.list()].map((entry) => entry.host);
     const attemptIntervalMs = computeAttemptInterval({
       endpoint: id,
@@ -140,10 +152,10 @@
     const firstAt =
       attemptIntervalMs === Infinity ? Infinity : clock.now() + attemptIntervalMs * (0.5 + 0.5 * random());
     const isWaiting = nextAttemptAt !== undefined && nextAttemptAt !== Infinity;
-    board.endpoints.update(id, {
+    return {
       attemptIntervalMs,
       nextAttemptAt: isWaiting ? Math.min(nextAttemptAt, firstAt) : firstAt,
-    });
+    };
   }
 
   private _scheduleReopening({ id, nextAttemptAt }: IEndpointEntry): void {
