Keep what an endpoint said while it is not announced

What endpoints saw: an endpoint whose heartbeats to the store were lost for a time got more requests than its limit once it was announced again, and requests during a pause that it had asked for. Cause: the registry deletes the entry when the announcement vanishes, and made a new one of the same process without limit, pause and leaving. Change: RateLimitController keeps the limit of a process that is not announced, with the time of this host's turn, and gives it back when the same process (id, start and address) appears. The registry does so with the pause and the leaving that the process told.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -391,7 +391,7 @@
    */
   maxRequestsPerS?: number | undefined;
   /** When a response to this host last named that limit, or ended it. */
-  rateLimitHeardAt?: Millis;
+  rateLimitHeardAt?: Millis | undefined;
   /**
    * Least time between two requests of this host to an endpoint that limits its rate; `Infinity` if other hosts use the
    * rate. Absent without a limit.
@@ -400,7 +400,7 @@
   /** Time until which this host sends the endpoint nothing, because of its limit. Absent while it may send. */
   nextAttemptAt?: Millis | undefined;
   /** When `nextAttemptAt` was reached last. A request that comes later shortens the wait after it. */
-  attemptDueAt?: Millis;
+  attemptDueAt?: Millis | undefined;
   /** Time until which the endpoint wants nothing from this host, as it said. Absent while it takes work. */
   pausedUntil?: Millis | undefined;
   /** Whether the endpoint has marked the end of a stream by other means than its connection. Default false. */
--- a/src/common/fleet/EndpointRegistryController.test.ts
+++ b/src/common/fleet/EndpointRegistryController.test.ts
@@ -161,3 +161,23 @@
   await clock.advance(2100);
   t.deepEqual([...states, readHealth()], ['healthy', 'absent']);
 });
+
+// Guards against requests to a process that wants none, as its heartbeats were lost and it is announced again.
+test('a process that is announced again is paused and leaving as before', async (t) => {
+  const seen: Record<string, unknown> = {};
+  for (const [name, patch] of [
+    ['same process', {}],
+    ['later process', { startedAt: 2 }],
+    ['other address', { address: '10.0.0.2:80' }],
+  ] as const) {
+    const { publish, board, clock } = createFixture();
+    publish();
+    board.endpoints.update('e-1', { pausedUntil: 5000, hasSaidLeaving: true });
+    board.facts.delete('e-1');
+    await clock.advance(1500);
+    publish(patch);
+    const { hasSaidLeaving, pausedUntil } = board.endpoints.get('e-1')!;
+    seen[name] = { hasSaidLeaving, pausedUntil };
+  }
+  t.snapshot(seen);
+});
--- a/src/common/fleet/EndpointRegistryController.ts
+++ b/src/common/fleet/EndpointRegistryController.ts
@@ -29,7 +29,7 @@
 const MAX_DEPARTURES = 1024;
 
 /** A process of an endpoint that has left, or whose announcement was deleted. */
-interface IDeparture {
+interface IDeparture extends Pick<IEndpointEntry, 'address' | 'hasSaidLeaving' | 'pausedUntil'> {
   startedAt: number;
   wasLeaving: boolean;
   /** Era of the store in which it was removed. */
@@ -42,7 +42,10 @@
   private readonly _removalTimers = new Map<string, IDisposable>();
   /** Ids of endpoints by the store keys of their announcements, which may have become unreadable. */
   private readonly _idsByKey = new Map<string, string>();
-  /** By endpoint. A restored store may announce these processes again. */
+  /**
+   * By endpoint. These processes may be announced again: by a restored store, or by themselves if their announcements
+   * expired because heartbeats were lost.
+   */
   private readonly _departures = new Map<string, IDeparture>();
   /** Timers by key that take over the announcement of a process that had gone before the store was restored. */
   private readonly _staleTimers = new Map<string, IDisposable>();
@@ -103,12 +106,22 @@
     const known = board.endpoints.get(announcement.id);
     const isSameProcess =
       known?.address === announcement.address && known.incarnation === announcement.startedAt;
-    const entry = isSameProcess ? known : createEndpointEntry(announcement, clock.now());
+    const entry = isSameProcess ? known : this._createEntry(announcement);
     if (announcement.isLeaving && entry.health !== 'leaving') {
       board.endpoints.set(announcement.id, { ...entry, health: 'leaving', healthChangedAt: clock.now() });
     } else if (!isSameProcess) board.endpoints.set(announcement.id, entry);
   }
 
+  /** Creates the entry of a process, with what it said before its announcement was deleted, if it was. */
+  private _createEntry(announcement: IEndpointAnnouncement): IEndpointEntry {
+    const now = this._options.clock.now();
+    const entry = createEndpointEntry(announcement, now);
+    const departure = this._findDeparture(announcement);
+    if (departure?.address !== announcement.address) return entry;
+    const { hasSaidLeaving = false, pausedUntil = now } = departure;
+    return { ...entry, hasSaidLeaving, pausedUntil: pausedUntil > now ? pausedUntil : undefined };
+  }
+
   private _handleRemovedKey(key: string): void {
     const { clock } = this._options;
     const id = this._idsByKey.get(key);
@@ -131,10 +144,11 @@
     const { board } = this._options;
     const endpoint = board.endpoints.get(id);
     if (!endpoint) return;
-    const { health, incarnation: startedAt = 0 } = endpoint;
+    const { address, hasSaidLeaving = false, health, incarnation: startedAt = 0, pausedUntil } = endpoint;
     const era = board.storeConnection.get('store')?.era ?? 0;
     this._departures.delete(id);
-    this._departures.set(id, { startedAt, wasLeaving: health === 'leaving', era });
+    const wasLeaving = health === 'leaving';
+    this._departures.set(id, { address, startedAt, wasLeaving, hasSaidLeaving, pausedUntil, era });
     const [oldest] = this._departures.keys();
     if (this._departures.size > MAX_DEPARTURES && oldest !== undefined) this._departures.delete(oldest);
     board.endpoints.delete(id);
--- a/src/common/fleet/RateLimitController.ts
+++ b/src/common/fleet/RateLimitController.ts
@@ -21,6 +21,9 @@
  */
 const MAX_WRITE_DELAY_MS: Millis = 400;
 
+/** Largest number of processes without an announcement whose limits are kept. */
+const MAX_SAVED_LIMITS = 1024;
+
 /** Largest random delay before the limit of an endpoint that is gone is deleted from the store. */
 const MAX_DELETION_DELAY_MS: Millis = 10_000;
 
@@ -37,11 +40,14 @@
 /**
  * Keeps this host to its share of the rate that an endpoint takes from all hosts together. Hosts share through the
  * store what an endpoint said, so that those that it has not told keep to the limit too, and those that send it nothing
- * hear of its end. A new incarnation of an endpoint begins without a limit.
+ * hear of its end. A new incarnation of an endpoint begins without a limit. A process that is announced again is the same
+ * as before, and so is its limit.
  */
 export class RateLimitController extends Disposable {
   /** Limits in the store, by endpoint. */
   private readonly _sharedLimits = new Map<string, ISharedLimit>();
+  /** Last entries of endpoints that named a limit and are not announced any more, by endpoint. */
+  private readonly _departedEndpoints = new Map<string, IEndpointEntry>();
   /** Timers that let this host send to an endpoint again. */
   private readonly _reopenTimers = new Map<string, IDisposable>();
   private readonly _writeTimers = new Map<string, IDisposable>();
@@ -54,7 +60,7 @@
     this._register(
       board.endpoints.onChange(({ key, before, after }) => {
         if (after) this._handleChange(before, after);
-        else this._removeEndpoint(key);
+        else if (before) this._removeEndpoint(key, before);
       }),
     );
     this._register(
@@ -91,7 +97,10 @@
 
   private _handleChange(before: IEndpointEntry | undefined, after: IEndpointEntry): void {
     const isSameProcess = before?.incarnation === after.incarnation;
-    if (!before || !isSameProcess) this._applySharedLimit(after.id);
+    if (!before || !isSameProcess) {
+      this._restoreLimit(after.id);
+      if (this._sharedLimits.has(after.id)) this._applySharedLimit(after.id);
+    }
     if (after.maxRequestsPerS !== before?.maxRequestsPerS) {
       this._updateInterval(after);
       if (isSameProcess || after.maxRequestsPerS !== undefined) this._scheduleWrite(after.id);
@@ -99,6 +108,25 @@
     if (after.nextAttemptAt !== before?.nextAttemptAt) this._scheduleReopening(after);
   }
 
+  /** Gives an endpoint that is announced again the limit that its process had, and this host the time of its turn. */
+  private _restoreLimit(id: string): void {
+    const { board } = this._options;
+    const departed = this._departedEndpoints.get(id);
+    this._departedEndpoints.delete(id);
+    const endpoint = board.endpoints.get(id);
+    if (!endpoint || !departed || endpoint.rateLimitHeardAt !== undefined) return;
+    if (departed.incarnation !== endpoint.incarnation || departed.address !== endpoint.address) return;
+    const { attemptDueAt, attemptIntervalMs, maxRequestsPerS, nextAttemptAt, rateLimitHeardAt } = departed;
+    const pace = this._computeInterval({ ...endpoint, maxRequestsPerS, nextAttemptAt });
+    const hasKeptPace = pace.attemptIntervalMs === attemptIntervalMs;
+    board.endpoints.update(id, {
+      maxRequestsPerS,
+      rateLimitHeardAt,
+      attemptDueAt,
+      ...(hasKeptPace ? { attemptIntervalMs, nextAttemptAt } : pace),
+    });
+  }
+
   /** Takes over what another host heard from an endpoint, unless this host has heard otherwise since. */
   private _applySharedLimit(id: string): void {
     const { board, clock } = this._options;
@@ -198,11 +226,22 @@
     if (written.isErr) this._scheduleWrite(id, WRITE_RETRY_MS);
   }
 
-  private _removeEndpoint(id: string): void {
+  private _removeEndpoint(id: string, departed: IEndpointEntry): void {
     for (const timers of [this._reopenTimers, this._writeTimers, this._compareTimers]) {
       timers.get(id)?.dispose();
       timers.delete(id);
     }
+    this._saveLimit(departed);
     this._scheduleWrite(id, MAX_DELETION_DELAY_MS * this._options.random());
   }
+
+  private _saveLimit(departed: IEndpointEntry): void {
+    const { id, maxRequestsPerS, rateLimitHeardAt } = departed;
+    this._departedEndpoints.delete(id);
+    if (maxRequestsPerS === undefined && rateLimitHeardAt === undefined) return;
+    this._departedEndpoints.set(id, departed);
+    const [oldest] = this._departedEndpoints.keys();
+    if (this._departedEndpoints.size > MAX_SAVED_LIMITS && oldest !== undefined)
+      this._departedEndpoints.delete(oldest);
+  }
 }
