Do not end the limit of an endpoint that one host has lost

What endpoints saw: as soon as one host had lost an endpoint, the others sent it requests at the full rate. Cause: a host that lost an endpoint deleted its limit from the store within 10 s, and the deletion lifted the limit on every host that had not heard it within 2.5 s, such as all that send the endpoint nothing. Change: a host deletes the limit only after the endpoint was not announced for an hour, as outages that keep an endpoint from announcing itself last minutes. A host that starts also does so with limits of endpoints that it has never seen. Evidence: 'hosts that know an endpoint keep to its limit after another host has lost it' failed before (184 of 19.4) and passes after. 'the shared limit of an endpoint that is gone for over an hour is deleted' is new.

--- a/src/common/fleet/RateLimitController.test.ts
+++ b/src/common/fleet/RateLimitController.test.ts
@@ -262,6 +262,22 @@
   t.true(fleet.findPeak(6000) <= 19.4, `${fleet.findPeak(6000)} of 19.4`);
 });
 
+// Guards against records of endpoints that are gone, which would fill the store.
+test('the shared limit of an endpoint that is gone for over an hour is deleted', async (t) => {
+  const fleet = await startFleet({ hostCount: 7, requestsPerS: 3 });
+  await fleet.sendFor(4000, 0.5);
+  const countLimits = () =>
+    fleet.boards.map(
+      (board) => [...board.facts.list()].filter(({ fact }) => fact.kind === 'rate-limit').length,
+    );
+  fleet.removeEndpoint();
+  await fleet.clock.advance(3_500_000);
+  const counts = [countLimits()];
+  await fleet.clock.advance(800_000);
+  counts.push(countLimits());
+  t.deepEqual(counts, [Array(7).fill(1), Array(7).fill(0)]);
+});
+
 // Guards against LIMIT: a write that ended an earlier limit and is carried out late ends the present one.
 test('a limit that an endpoint names again outlasts a late write of its end', async (t) => {
   const fleet = await startFleet({ hostCount: 61, requestsPerS: 2.4 });
--- a/src/common/fleet/RateLimitController.ts
+++ b/src/common/fleet/RateLimitController.ts
@@ -24,8 +24,14 @@
 /** Largest number of processes without an announcement whose limits are kept. */
 const MAX_SAVED_LIMITS = 1024;
 
+/**
+ * Time after which an endpoint that is not announced is gone for good. It is alive and limited if its heartbeats are lost or
+ * it is cut off from the store, or if only this host has lost it. Such outages last minutes.
+ */
+const GONE_PERIOD_MS: Millis = 3_600_000;
+
 /** Largest random delay before the limit of an endpoint that is gone is deleted from the store. */
-const MAX_DELETION_DELAY_MS: Millis = 10_000;
+const MAX_DELETION_DELAY_MS: Millis = 600_000;
 
 const WRITE_RETRY_MS: Millis = 1000;
 
@@ -51,6 +57,8 @@
   /** Timers that let this host send to an endpoint again. */
   private readonly _reopenTimers = new Map<string, IDisposable>();
   private readonly _writeTimers = new Map<string, IDisposable>();
+  /** Timers that delete the shared limits of endpoints that are gone. */
+  private readonly _deletionTimers = new Map<string, IDisposable>();
   /** Timers that look again at a shared limit that was older than what the endpoint had said. */
   private readonly _compareTimers = new Map<string, IDisposable>();
 
@@ -69,8 +77,12 @@
         if (fact?.kind !== 'rate-limit') return;
         const { endpoint } = fact.limit;
         if (after) this._sharedLimits.set(endpoint, { ...fact.limit, era: after.era ?? 0 });
-        else this._sharedLimits.delete(endpoint);
+        else {
+          this._sharedLimits.delete(endpoint);
+          clearTimer(this._deletionTimers, endpoint);
+        }
         this._applySharedLimit(endpoint);
+        if (!board.endpoints.has(endpoint)) this._scheduleDeletion(endpoint);
       }),
     );
     this._register(
@@ -89,7 +101,7 @@
 
   public override dispose(): void {
     super.dispose();
-    for (const timers of [this._reopenTimers, this._writeTimers, this._compareTimers]) {
+    for (const timers of [this._reopenTimers, this._writeTimers, this._compareTimers, this._deletionTimers]) {
       for (const timer of timers.values()) timer.dispose();
       timers.clear();
     }
@@ -97,6 +109,7 @@
 
   private _handleChange(before: IEndpointEntry | undefined, after: IEndpointEntry): void {
     const isSameProcess = before?.incarnation === after.incarnation;
+    if (!before) clearTimer(this._deletionTimers, after.id);
     if (!before || !isSameProcess) {
       this._restoreLimit(after.id);
       if (this._sharedLimits.has(after.id)) this._applySharedLimit(after.id);
@@ -188,8 +201,7 @@
 
   private _scheduleReopening({ id, nextAttemptAt }: IEndpointEntry): void {
     const { board, clock } = this._options;
-    this._reopenTimers.get(id)?.dispose();
-    this._reopenTimers.delete(id);
+    clearTimer(this._reopenTimers, id);
     if (nextAttemptAt === undefined || nextAttemptAt === Infinity) return;
     const timer = clock.schedule(nextAttemptAt - clock.now(), () => {
       this._reopenTimers.delete(id);
@@ -213,26 +225,46 @@
       if (maxRequestsPerS !== undefined) this._scheduleWrite(id);
   }
 
-  /** Writes what an endpoint said, or deletes it once the endpoint is gone, unless another host has done so. */
+  /** Writes what an endpoint said, unless another host has done so. */
   private async _writeLimit(id: string): Promise<void> {
     const { board, store } = this._options;
     const endpoint = board.endpoints.get(id);
-    const shared = endpoint ? this._findSharedLimit(endpoint) : this._sharedLimits.get(id)?.requestsPerS;
+    if (!endpoint) return;
+    const shared = this._findSharedLimit(endpoint);
     const era = board.storeConnection.get('store')?.era ?? 0;
     const isInStore = shared === undefined || this._sharedLimits.get(id)?.era === era;
-    if (shared === endpoint?.maxRequestsPerS && isInStore) return;
-    const { incarnation: startedAt = 0, maxRequestsPerS: requestsPerS } = endpoint ?? {};
+    if (shared === endpoint.maxRequestsPerS && isInStore) return;
+    const { incarnation: startedAt = 0, maxRequestsPerS: requestsPerS } = endpoint;
     const written = await store.writeRateLimit({ endpoint: id, startedAt, requestsPerS });
     if (written.isErr) this._scheduleWrite(id, WRITE_RETRY_MS);
   }
 
   private _removeEndpoint(id: string, departed: IEndpointEntry): void {
-    for (const timers of [this._reopenTimers, this._writeTimers, this._compareTimers]) {
-      timers.get(id)?.dispose();
-      timers.delete(id);
-    }
+    for (const timers of [this._reopenTimers, this._writeTimers, this._compareTimers]) clearTimer(timers, id);
     this._saveLimit(departed);
-    this._scheduleWrite(id, MAX_DELETION_DELAY_MS * this._options.random());
+    this._scheduleDeletion(id);
+  }
+
+  private _scheduleDeletion(id: string): void {
+    const { clock, random } = this._options;
+    if (!this._sharedLimits.has(id) || this._deletionTimers.has(id)) return;
+    const timer = clock.schedule(GONE_PERIOD_MS + MAX_DELETION_DELAY_MS * random(), () => {
+      this._deletionTimers.delete(id);
+      void this._deleteSharedLimit(id);
+    });
+    this._deletionTimers.set(id, timer);
+  }
+
+  /** Deletes the limit of an endpoint that is gone, unless another host has done so. */
+  private async _deleteSharedLimit(id: string): Promise<void> {
+    const shared = this._sharedLimits.get(id);
+    if (!shared || this._isDisposed) return;
+    const written = await this._options.store.writeRateLimit({
+      endpoint: id,
+      startedAt: shared.startedAt,
+      requestsPerS: undefined,
+    });
+    if (written.isErr) this._scheduleDeletion(id);
   }
 
   private _saveLimit(departed: IEndpointEntry): void {
@@ -245,3 +277,8 @@
       this._departedEndpoints.delete(oldest);
   }
 }
+
+function clearTimer(timers: Map<string, IDisposable>, id: string): void {
+  timers.get(id)?.dispose();
+  timers.delete(id);
+}
