Write the end of a limit as a record, on the condition of the record known

What endpoints saw: an endpoint that named its limit again got requests at the full rate from all hosts seconds later. Cause: the end of a limit was a deletion without a condition. The store may carry out a write seconds after its reply was lost, and then the late end of an earlier limit lifted the present one. Change: the end is a record too (requestsPerS: none), with the process that it is of, and every write names the revision of the record that the host knows. A host whose write had no reply writes the record again once the endpoint says otherwise, so that the late write conflicts. The end of a limit counts 4 s after a host has read it, unless the endpoint names the limit to it in that time; then the host writes the limit again. A deleted record is an end like that, as builds before this one delete it. They cannot read the record of an end and keep the limit until an answer to them ends it. Tests: the stand-in of the store keeps the record of an end and checks the revision when it carries out a write, also a late one, as the store does with the new form of the call. Its ends were deletions before. No check or bound is changed. 'a limit that is named again is written again if the write of its end has no reply' is new and fails if a write without a reply is forgotten.

--- a/src/common/fleet/RateLimitController.test.ts
+++ b/src/common/fleet/RateLimitController.test.ts
@@ -14,6 +14,7 @@
 import type { Millis } from '../Types.js';
 import { HostPresenceController } from './HostPresenceController.js';
 import { RateLimitController } from './RateLimitController.js';
+import type { StoreError } from '../coordination/Types.js';
 import type { FleetFact, IFactStore } from './Types.js';
 
 const ENDPOINT = 'e-1';
@@ -40,7 +41,9 @@
   public sent = 0;
   private readonly _toldAt = new Map<Blackboard, Millis>();
   private readonly _random = createSeededRandom(21);
-  private readonly _lateWrites: { key: string; fact: FleetFact | undefined }[] = [];
+  private readonly _lateWrites: (() => void)[] = [];
+  /** Revisions of the records of limits. */
+  private readonly _limitRevisions = new Map<string, number>();
   private _revision = 0;
   private _era = 0;
   private readonly _lagMs: Millis;
@@ -71,16 +74,23 @@
         endpoints.set(ENDPOINT, createTestEndpoint(ENDPOINT, { inFlightLimit: 64, incarnation: 1 }));
   }
 
+  /** Deletes the record of the limit, as a host of the build before does. */
+  public deleteLimit(): void {
+    this._limitRevisions.clear();
+    void this._write(`limit ${ENDPOINT}`, undefined);
+  }
+
   /** Carries out the writes whose replies were lost. */
   public applyLateWrites(): void {
     this.isLosingWrites = false;
-    for (const { fact, key } of this._lateWrites.splice(0)) void this._write(key, fact);
+    for (const write of this._lateWrites.splice(0)) write();
   }
 
   /** Restores the store from a copy without the limit, of which all hosts learn. Returns the number of writes that follow. */
   public async restore(): Promise<number> {
     const before = this._revision;
     this._era += 1;
+    this._limitRevisions.clear();
     for (const board of this.boards) board.storeConnection.update('store', { era: this._era });
     await this.clock.advance(2000);
     return this._revision - before;
@@ -136,10 +146,10 @@
     });
   }
 
-  private _write(key: string, fact: FleetFact | undefined): Promise<Result<number, never>> {
-    if (this.isLosingWrites) this._lateWrites.push({ key, fact });
+  private _write(key: string, fact: FleetFact | undefined): Promise<Result<number, StoreError>> {
+    if (this.isLosingWrites) this._lateWrites.push(() => void this._write(key, fact));
     if (this.isStoreDown || this.isLosingWrites)
-      return Promise.resolve(Result.err({ kind: 'unavailable', message: 'down' }) as Result<number, never>);
+      return Promise.resolve(Result.err({ kind: 'unknown-outcome', message: 'down' }));
     this._revision += 1;
     const [revision, era] = [this._revision, this._era];
     this.clock.schedule(this._lagMs, () => {
@@ -151,14 +161,23 @@
     return Promise.resolve(Result.ok(revision));
   }
 
+  /** Writes if the record has the expected revision when the write is carried out, late ones too. */
+  private readonly _writeLimit: IFactStore['writeRateLimit'] = (endpoint, limit, expectedRevision, era) => {
+    if (this.isLosingWrites)
+      this._lateWrites.push(() => void this._writeLimit(endpoint, limit, expectedRevision, era));
+    if (this.isStoreDown || this.isLosingWrites)
+      return Promise.resolve(Result.err({ kind: 'unknown-outcome', message: 'down' }));
+    const key = `limit ${endpoint}`;
+    if (era !== this._era || (this._limitRevisions.get(key) ?? 0) !== expectedRevision)
+      return Promise.resolve(Result.err({ kind: 'conflict', current: undefined }));
+    this._limitRevisions.set(key, limit ? this._revision + 1 : 0);
+    return this._write(key, limit && { kind: 'rate-limit', limit });
+  };
+
   private readonly _store: Pick<IFactStore, 'writeHostPresence' | 'writeRateLimit'> = {
     writeHostPresence: (presence) =>
       this._write(`host ${presence.host}`, { kind: 'host-presence', presence }),
-    writeRateLimit: (limit) =>
-      this._write(
-        `limit ${limit.endpoint}`,
-        limit.requestsPerS === undefined ? undefined : { kind: 'rate-limit', limit },
-      ),
+    writeRateLimit: this._writeLimit,
   };
 }
 
@@ -293,6 +312,37 @@
   t.true(fleet.findPeak(settledAt) <= 19.4, `${fleet.findPeak(settledAt)} of 19.4`);
 });
 
+// Guards against a limit that stays on hosts of this build because one of the build before has deleted its record.
+test('a limit whose record is deleted ends, unless an endpoint names it again', async (t) => {
+  const fleet = await startFleet({ hostCount: 61, requestsPerS: 2.4 });
+  await fleet.sendFor(6000, 0.5);
+  const countLimited = () =>
+    fleet.boards.filter((board) => board.endpoints.get(ENDPOINT)?.maxRequestsPerS !== undefined).length;
+  fleet.deleteLimit();
+  await fleet.sendFor(6000, 0.5);
+  const named = countLimited();
+  fleet.requestsPerS = undefined;
+  fleet.deleteLimit();
+  await fleet.sendFor(6000, 0.5);
+  t.deepEqual([named, countLimited()], [61, 0]);
+});
+
+// Guards against LIMIT: the store carries out the lost write of an end after the endpoint has named its limit again.
+test('a limit that is named again is written again if the write of its end has no reply', async (t) => {
+  const fleet = await startFleet({ hostCount: 7, requestsPerS: 2.4 });
+  await fleet.sendFor(6000, 0.5);
+  fleet.isLosingWrites = true;
+  fleet.requestsPerS = undefined;
+  await fleet.sendFor(3000, 0.5);
+  fleet.requestsPerS = 2.4;
+  await fleet.sendFor(3000, 0.5);
+  fleet.isLosingWrites = false;
+  await fleet.sendFor(4000, 0.5);
+  fleet.applyLateWrites();
+  await fleet.clock.advance(8000);
+  t.true(fleet.boards.every((board) => board.endpoints.get(ENDPOINT)?.maxRequestsPerS === 2.4));
+});
+
 // Guards against LIMIT: the queue is emptied into an endpoint whose limit is known from the store before it is in force.
 test('requests that wait keep to the known limit of an endpoint that appears', async (t) => {
   const board = new Blackboard();
--- a/src/common/fleet/RateLimitController.ts
+++ b/src/common/fleet/RateLimitController.ts
@@ -1,5 +1,7 @@
+import type { Result } from 'true-myth';
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IEndpointEntry } from '../blackboard/Types.js';
+import type { StoreError } from '../coordination/Types.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
 import type { IClock, Millis, RandomSource } from '../Types.js';
 import type { ComputeAttemptInterval, IEndpointRateLimit, IFactStore } from './Types.js';
@@ -34,37 +36,59 @@
 const MAX_DELETION_DELAY_MS: Millis = 600_000;
 
 const WRITE_RETRY_MS: Millis = 1000;
+const MAX_WRITE_RETRY_MS: Millis = 32_000;
 
 /** Time for which what an endpoint said to this host goes before what another host wrote, which may be older. */
 const OWN_NEWS_PRECEDENCE_MS: Millis = 2500;
 
-/** A limit in the store, and the era of the store in which it was read. */
+/**
+ * Time from reading of the end of a limit until it counts. The store may carry out the write of an end seconds late, when
+ * the endpoint names a limit again. A host that hears so has time to write it and the others to read it.
+ */
+const END_SETTLING_MS: Millis = 4000;
+
+/** A limit in the store, or its end. */
 interface ISharedLimit extends IEndpointRateLimit {
+  /** Revision of the record; 0 if it was deleted. */
+  revision: number;
+  /** Era of the store in which it was read. */
   era: number;
+  readAt: Millis;
+}
+
+/** How far what an endpoint said to this host has been written. */
+interface IWriteState {
+  /** Whether the endpoint has said something else than the store has. */
+  hasNews: boolean;
+  /** Number of conflicts in a row, each with the same known record. */
+  conflicts: number;
+  /** Revision of the record at which the store may still carry out a write of this host. */
+  doubtfulRevision?: number;
 }
 
 /**
  * Keeps this host to its share of the rate that an endpoint takes from all hosts together. Hosts share through the
  * store what an endpoint said, so that those that it has not told keep to the limit too, and those that send it nothing
- * hear of its end. A new incarnation of an endpoint begins without a limit. A process that is announced again is the same
- * as before, and so is its limit.
+ * hear of its end. Each write is on the condition that the record is the one that the host knows. A new incarnation of an
+ * endpoint begins without a limit. A process that is announced again is the same as before, and so is its limit.
  */
 export class RateLimitController extends Disposable {
-  /** Limits in the store, by endpoint. */
+  /** Limits in the store and their ends, by endpoint. */
   private readonly _sharedLimits = new Map<string, ISharedLimit>();
   /** Last entries of endpoints that named a limit and are not announced any more, by endpoint. */
   private readonly _departedEndpoints = new Map<string, IEndpointEntry>();
   /** Timers that let this host send to an endpoint again. */
   private readonly _reopenTimers = new Map<string, IDisposable>();
   private readonly _writeTimers = new Map<string, IDisposable>();
+  private readonly _writeStates = new Map<string, IWriteState>();
   /** Timers that delete the shared limits of endpoints that are gone. */
   private readonly _deletionTimers = new Map<string, IDisposable>();
-  /** Timers that look again at a shared limit that was older than what the endpoint had said. */
+  /** Timers that look again at a shared limit or end that does not count yet. */
   private readonly _compareTimers = new Map<string, IDisposable>();
 
   constructor(private readonly _options: IRateLimitOptions) {
     super();
-    const { board } = _options;
+    const { board, clock } = _options;
     this._register(
       board.endpoints.onChange(({ key, before, after }) => {
         if (after) this._handleChange(before, after);
@@ -76,11 +100,10 @@
         const { fact } = after ?? before ?? {};
         if (fact?.kind !== 'rate-limit') return;
         const { endpoint } = fact.limit;
-        if (after) this._sharedLimits.set(endpoint, { ...fact.limit, era: after.era ?? 0 });
-        else {
-          this._sharedLimits.delete(endpoint);
-          clearTimer(this._deletionTimers, endpoint);
-        }
+        // Builds before this one delete the record of a limit that has ended.
+        const limit: IEndpointRateLimit = after ? fact.limit : { ...fact.limit, requestsPerS: 'none' };
+        const [revision, era] = after ? [after.revision, after.era ?? 0] : [0, this._era];
+        this._recordSharedLimit({ ...limit, revision, era, readAt: clock.now() });
         this._applySharedLimit(endpoint);
         if (!board.endpoints.has(endpoint)) this._scheduleDeletion(endpoint);
       }),
@@ -94,7 +117,7 @@
       board.presentHosts.onChange(({ before, after }) => {
         if (before && after) return;
         for (const endpoint of [...board.endpoints.list()])
-          if (endpoint.maxRequestsPerS !== undefined) this._updateInterval(endpoint);
+          if (endpoint.maxRequestsPerS !== undefined) this._updateInterval(endpoint.id);
       }),
     );
   }
@@ -108,17 +131,55 @@
   }
 
   private _handleChange(before: IEndpointEntry | undefined, after: IEndpointEntry): void {
-    const isSameProcess = before?.incarnation === after.incarnation;
-    if (!before) clearTimer(this._deletionTimers, after.id);
-    if (!before || !isSameProcess) {
-      this._restoreLimit(after.id);
-      if (this._sharedLimits.has(after.id)) this._applySharedLimit(after.id);
-    }
-    if (after.maxRequestsPerS !== before?.maxRequestsPerS) {
-      this._updateInterval(after);
-      if (isSameProcess || after.maxRequestsPerS !== undefined) this._scheduleWrite(after.id);
+    const { id, maxRequestsPerS, nextAttemptAt, rateLimitHeardAt } = after;
+    const isSameProcess = before !== undefined && isProcessOf(before, after);
+    if (!before) clearTimer(this._deletionTimers, id);
+    if (!isSameProcess) {
+      this._restoreLimit(id);
+      this._applySharedLimit(id);
     }
-    if (after.nextAttemptAt !== before?.nextAttemptAt) this._scheduleReopening(after);
+    if (maxRequestsPerS !== before?.maxRequestsPerS) this._updateInterval(id);
+    if (isSameProcess && rateLimitHeardAt !== before.rateLimitHeardAt) this._compareWithShared(id);
+    if (nextAttemptAt !== before?.nextAttemptAt) this._scheduleReopening(after);
+  }
+
+  /** Lets this host write what an endpoint has said to it, if the store has something else. */
+  private _compareWithShared(id: string): void {
+    const endpoint = this._options.board.endpoints.get(id);
+    if (!endpoint || this._isStored(endpoint)) return;
+    const { rateLimitHeardAt: heardAt = -Infinity } = endpoint;
+    if (heardAt < (this._findSharedLimit(endpoint)?.readAt ?? -Infinity)) return;
+    this._updateWriteState(id, { hasNews: true });
+    this._scheduleWrite(id);
+  }
+
+  private _updateWriteState(id: string, patch: Partial<IWriteState>): void {
+    const state = this._writeStates.get(id) ?? { hasNews: false, conflicts: 0 };
+    this._writeStates.set(id, { ...state, ...patch });
+  }
+
+  /** Tells whether the store has the limit that is known of an endpoint, and no late write of this host replaces it. */
+  private _isStored(endpoint: IEndpointEntry): boolean {
+    const shared = this._findSharedLimit(endpoint);
+    const requestsPerS = endpoint.maxRequestsPerS ?? 'none';
+    if (!shared) return requestsPerS === 'none';
+    const isInDoubt = this._writeStates.get(endpoint.id)?.doubtfulRevision === shared.revision;
+    return shared.requestsPerS === requestsPerS && shared.era === this._era && !isInDoubt;
+  }
+
+  private get _era(): number {
+    return this._options.board.storeConnection.get('store')?.era ?? 0;
+  }
+
+  private _recordSharedLimit(shared: ISharedLimit): void {
+    const { endpoint: id, era, requestsPerS, revision } = shared;
+    const known = this._sharedLimits.get(id);
+    // This host knows of its own write before it reads it, and may read an earlier one in between.
+    if (known?.era === era && revision > 0 && revision <= known.revision) return;
+    this._sharedLimits.set(id, shared);
+    // Of two hosts that write at the same time, the one with a limit goes first. If it has ended, the endpoint says so again.
+    const hasNews = requestsPerS === 'none' && (this._writeStates.get(id)?.hasNews ?? false);
+    this._updateWriteState(id, { hasNews, conflicts: 0 });
   }
 
   /** Gives an endpoint that is announced again the limit that its process had, and this host the time of its turn. */
@@ -127,8 +188,11 @@
     const departed = this._departedEndpoints.get(id);
     this._departedEndpoints.delete(id);
     const endpoint = board.endpoints.get(id);
-    if (!endpoint || !departed || endpoint.rateLimitHeardAt !== undefined) return;
-    if (departed.incarnation !== endpoint.incarnation || departed.address !== endpoint.address) return;
+    if (!endpoint || endpoint.rateLimitHeardAt !== undefined) return;
+    if (!departed || !isProcessOf(departed, endpoint)) {
+      this._writeStates.delete(id);
+      return;
+    }
     const { attemptDueAt, attemptIntervalMs, maxRequestsPerS, nextAttemptAt, rateLimitHeardAt } = departed;
     const pace = this._computeInterval({ ...endpoint, maxRequestsPerS, nextAttemptAt });
     const hasKeptPace = pace.attemptIntervalMs === attemptIntervalMs;
@@ -143,35 +207,42 @@
   /** Takes over what another host heard from an endpoint, unless this host has heard otherwise since. */
   private _applySharedLimit(id: string): void {
     const { board, clock } = this._options;
+    clearTimer(this._compareTimers, id);
     const endpoint = board.endpoints.get(id);
-    if (!endpoint || this._compareTimers.has(id)) return;
-    const maxRequestsPerS = this._findSharedLimit(endpoint);
-    if (maxRequestsPerS === endpoint.maxRequestsPerS) return;
-    const ownNewsAgeMs = clock.now() - (endpoint.rateLimitHeardAt ?? -Infinity);
-    if (ownNewsAgeMs >= OWN_NEWS_PRECEDENCE_MS) {
+    const shared = endpoint && this._findSharedLimit(endpoint);
+    if (!shared) return;
+    const maxRequestsPerS = shared.requestsPerS === 'none' ? undefined : shared.requestsPerS;
+    const { rateLimitHeardAt: heardAt = -Infinity } = endpoint;
+    if (maxRequestsPerS === endpoint.maxRequestsPerS || heardAt > shared.readAt) return;
+    const dueAt =
+      maxRequestsPerS === undefined ? shared.readAt + END_SETTLING_MS : heardAt + OWN_NEWS_PRECEDENCE_MS;
+    if (clock.now() >= dueAt) {
+      this._updateWriteState(id, { hasNews: false });
       board.endpoints.update(id, {
         maxRequestsPerS,
         ...this._computeInterval({ ...endpoint, maxRequestsPerS }),
       });
       return;
     }
-    const timer = clock.schedule(OWN_NEWS_PRECEDENCE_MS - ownNewsAgeMs, () => {
+    const timer = clock.schedule(dueAt - clock.now(), () => {
       this._compareTimers.delete(id);
       this._applySharedLimit(id);
     });
     this._compareTimers.set(id, timer);
   }
 
-  private _findSharedLimit({ id, incarnation = 0 }: IEndpointEntry): number | undefined {
+  private _findSharedLimit({ id, incarnation = 0 }: IEndpointEntry): ISharedLimit | undefined {
     const shared = this._sharedLimits.get(id);
-    return shared?.startedAt === incarnation ? shared.requestsPerS : undefined;
+    return shared?.startedAt === incarnation ? shared : undefined;
   }
 
   /** Brings the interval in line with the limit and the hosts, if it is not. */
-  private _updateInterval(endpoint: IEndpointEntry): void {
+  private _updateInterval(id: string): void {
+    const { endpoints } = this._options.board;
+    const endpoint = endpoints.get(id);
+    if (!endpoint) return;
     const pace = this._computeInterval(endpoint);
-    if (pace.attemptIntervalMs !== endpoint.attemptIntervalMs)
-      this._options.board.endpoints.update(endpoint.id, pace);
+    if (pace.attemptIntervalMs !== endpoint.attemptIntervalMs) endpoints.update(id, pace);
   }
 
   /** Computes this host's interval for the limit of an endpoint. It is set in the same update as the limit. */
@@ -225,18 +296,44 @@
       if (maxRequestsPerS !== undefined) this._scheduleWrite(id);
   }
 
-  /** Writes what an endpoint said, unless another host has done so. */
+  /** Writes what an endpoint said to this host, or what a restored store has lost, unless another host has done so. */
   private async _writeLimit(id: string): Promise<void> {
-    const { board, store } = this._options;
-    const endpoint = board.endpoints.get(id);
-    if (!endpoint) return;
-    const shared = this._findSharedLimit(endpoint);
-    const era = board.storeConnection.get('store')?.era ?? 0;
-    const isInStore = shared === undefined || this._sharedLimits.get(id)?.era === era;
-    if (shared === endpoint.maxRequestsPerS && isInStore) return;
-    const { incarnation: startedAt = 0, maxRequestsPerS: requestsPerS } = endpoint;
-    const written = await store.writeRateLimit({ endpoint: id, startedAt, requestsPerS });
-    if (written.isErr) this._scheduleWrite(id, WRITE_RETRY_MS);
+    const endpoint = this._options.board.endpoints.get(id);
+    if (!endpoint || this._isStored(endpoint)) return;
+    const { incarnation: startedAt = 0, maxRequestsPerS: requestsPerS = 'none' } = endpoint;
+    const shared = this._sharedLimits.get(id);
+    const { conflicts = 0, hasNews = false } = this._writeStates.get(id) ?? {};
+    const isLost = shared?.startedAt === startedAt && shared.requestsPerS === requestsPerS;
+    const isOfLaterProcess = shared !== undefined && shared.startedAt > startedAt;
+    if (isOfLaterProcess || !(isLost || hasNews)) return;
+    const written = await this._putLimit(id, { endpoint: id, startedAt, requestsPerS });
+    if (written.isOk) return;
+    const isConflict = written.error.kind === 'conflict';
+    // The news of the other write may still come. If the record cannot be read, they never do.
+    if (isConflict) this._updateWriteState(id, { conflicts: conflicts + 1 });
+    const delayMs = isConflict ? WRITE_RETRY_MS * 2 ** conflicts : WRITE_RETRY_MS;
+    this._scheduleWrite(id, Math.min(MAX_WRITE_RETRY_MS, delayMs));
+  }
+
+  /** Replaces the record of an endpoint's limit, if it is the one known, or deletes it. */
+  private async _putLimit(
+    id: string,
+    limit: IEndpointRateLimit | undefined,
+  ): Promise<Result<number, StoreError>> {
+    const { clock, store } = this._options;
+    const { _era: era } = this;
+    const readAt = clock.now();
+    const shared = this._sharedLimits.get(id);
+    const expectedRevision = shared?.era === era ? shared.revision : 0;
+    const written = await store.writeRateLimit(id, limit, expectedRevision, era);
+    if (written.isOk) {
+      this._writeStates.delete(id);
+      if (limit) this._recordSharedLimit({ ...limit, revision: written.value, era, readAt });
+      this._compareWithShared(id);
+    } else if (limit && written.error.kind !== 'conflict') {
+      this._updateWriteState(id, { doubtfulRevision: expectedRevision });
+    }
+    return written;
   }
 
   private _removeEndpoint(id: string, departed: IEndpointEntry): void {
@@ -247,6 +344,11 @@
 
   private _scheduleDeletion(id: string): void {
     const { clock, random } = this._options;
+    if (this._sharedLimits.get(id)?.revision === 0) {
+      this._sharedLimits.delete(id);
+      this._writeStates.delete(id);
+      clearTimer(this._deletionTimers, id);
+    }
     if (!this._sharedLimits.has(id) || this._deletionTimers.has(id)) return;
     const timer = clock.schedule(GONE_PERIOD_MS + MAX_DELETION_DELAY_MS * random(), () => {
       this._deletionTimers.delete(id);
@@ -257,13 +359,8 @@
 
   /** Deletes the limit of an endpoint that is gone, unless another host has done so. */
   private async _deleteSharedLimit(id: string): Promise<void> {
-    const shared = this._sharedLimits.get(id);
-    if (!shared || this._isDisposed) return;
-    const written = await this._options.store.writeRateLimit({
-      endpoint: id,
-      startedAt: shared.startedAt,
-      requestsPerS: undefined,
-    });
+    if (this._isDisposed) return;
+    const written = await this._putLimit(id, undefined);
     if (written.isErr) this._scheduleDeletion(id);
   }
 
@@ -278,6 +375,10 @@
   }
 }
 
+function isProcessOf(first: IEndpointEntry, second: IEndpointEntry): boolean {
+  return first.incarnation === second.incarnation && first.address === second.address;
+}
+
 function clearTimer(timers: Map<string, IDisposable>, id: string): void {
   timers.get(id)?.dispose();
   timers.delete(id);
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -216,8 +216,8 @@
   endpoint: string;
   /** Start of the endpoint's process. */
   startedAt: number;
-  /** `undefined` if the endpoint sets no limit. */
-  requestsPerS: number | undefined;
+  /** `none` if the endpoint has ended its limit. */
+  requestsPerS: number | 'none';
 }
 
 /**
@@ -352,8 +352,16 @@
     era?: number,
   ) => Promise<Result<number, StoreError>>;
   writeHostPresence: (presence: IHostPresence) => Promise<Result<number, StoreError>>;
-  /** Replaces the limit of an endpoint, or deletes it if the endpoint sets none. */
-  writeRateLimit: (limit: IEndpointRateLimit) => Promise<Result<number, StoreError>>;
+  /**
+   * Replaces the record of an endpoint's limit, or deletes it, if it has the expected revision, where 0 stands for no
+   * record. Conflicts if the store is no longer in the era of the expected revision.
+   */
+  writeRateLimit: (
+    endpoint: string,
+    limit: IEndpointRateLimit | undefined,
+    expectedRevision: number,
+    era: number,
+  ) => Promise<Result<number, StoreError>>;
   writeRolloutEvidence: (evidence: IRolloutEvidence) => Promise<Result<number, StoreError>>;
   /** Replaces the durations that a host has measured of the old release of a service. */
   writeReleaseBaseline: (baseline: IReleaseBaseline) => Promise<Result<number, StoreError>>;
