Log whether an answer or another host named a limit

What operators saw: endpoint.limited said source=shared for limits that an answer to the host itself had named. Cause: the interval is set in a later update than the limit, so the time of the answer was the same before and after it. Change: the endpoint's entry keeps the source with the limit. Evidence: 'the log tells whether an answer or another host named a limit' failed before and passes after.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -343,6 +343,9 @@
   receivedAt: Millis;
 }
 
+/** How this host knows of the limit on an endpoint's rate: by an `answer` to it, or `shared` by another host. */
+export type RateLimitSource = 'answer' | 'shared';
+
 /** An endpoint: a model engine or an instance of a plain service. */
 export interface IEndpointEntry {
   id: string;
@@ -390,6 +393,8 @@
    * Requests a second that the endpoint takes from all hosts together, as it last said. Absent if it sets no limit.
    */
   maxRequestsPerS?: number | undefined;
+  /** How this host knows of the limit or of its end. Absent before it has heard of any. */
+  rateLimitSource?: RateLimitSource | undefined;
   /** When a response to this host last named that limit, or ended it. */
   rateLimitHeardAt?: Millis | undefined;
   /**
--- a/src/common/fleet/RateLimitController.test.ts
+++ b/src/common/fleet/RateLimitController.test.ts
@@ -10,6 +10,7 @@
 import { AttemptController } from '../request/AttemptController.js';
 import { EndpointIndex } from '../request/EndpointIndex.js';
 import { RouteController } from '../request/RouteController.js';
+import { DecisionRecorder } from '../timeline/DecisionRecorder.js';
 import type { AttemptPart } from '../request/Types.js';
 import type { Millis } from '../Types.js';
 import { HostPresenceController } from './HostPresenceController.js';
@@ -403,3 +404,41 @@
   t.is(handlers.length, 1);
   t.is(board.endpoints.get(ENDPOINT)?.maxRequestsPerS, 2);
 });
+
+// Guards against logs that name another host as the source of a limit that an answer to this host named.
+test('the log tells whether an answer or another host named a limit', async (t) => {
+  const board = new Blackboard();
+  const clock = new ManualClock();
+  const logged: unknown[] = [];
+  new DecisionRecorder({
+    board,
+    clock,
+    record: (kind, { source }) => kind === 'endpoint.limited' && logged.push(source),
+  });
+  new RateLimitController({
+    board,
+    clock,
+    host: 'h-0',
+    random: createSeededRandom(21),
+    store: { writeRateLimit: () => Promise.resolve(Result.ok(3)) },
+    computeAttemptInterval: ({ requestsPerS }) => 1000 / requestsPerS,
+  });
+  new AttemptController({
+    board,
+    clock,
+    runAttempt: (_call, onPart) => {
+      onPart({ kind: 'rate-limit', requestsPerS: 4 });
+      return new Promise(() => undefined);
+    },
+    deliverChunk: () => undefined,
+  });
+  board.endpoints.set(ENDPOINT, createTestEndpoint(ENDPOINT, { incarnation: 1 }));
+  const limit = { endpoint: ENDPOINT, startedAt: 1, requestsPerS: 2 };
+  board.facts.set('limit', { key: 'limit', revision: 1, fact: { kind: 'rate-limit', limit } });
+  await clock.advance(5000);
+  const request = createTestRequest('r-1');
+  board.requests.set('r-1', request);
+  const rest = { expectedTokens: 1, lengthClass: 'short' as const, now: clock.now() };
+  planAttempt(board, { id: 'a-1', role: 'primary', request, endpoint: ENDPOINT, ...rest });
+  t.deepEqual(logged, ['shared', 'answer']);
+});
--- a/src/common/fleet/RateLimitController.ts
+++ b/src/common/fleet/RateLimitController.ts
@@ -193,11 +193,13 @@
       this._writeStates.delete(id);
       return;
     }
-    const { attemptDueAt, attemptIntervalMs, maxRequestsPerS, nextAttemptAt, rateLimitHeardAt } = departed;
+    const { attemptDueAt, attemptIntervalMs, maxRequestsPerS, nextAttemptAt } = departed;
+    const { rateLimitHeardAt, rateLimitSource } = departed;
     const pace = this._computeInterval({ ...endpoint, maxRequestsPerS, nextAttemptAt });
     const hasKeptPace = pace.attemptIntervalMs === attemptIntervalMs;
     board.endpoints.update(id, {
       maxRequestsPerS,
+      rateLimitSource,
       rateLimitHeardAt,
       attemptDueAt,
       ...(hasKeptPace ? { attemptIntervalMs, nextAttemptAt } : pace),
@@ -220,6 +222,7 @@
       this._updateWriteState(id, { hasNews: false });
       board.endpoints.update(id, {
         maxRequestsPerS,
+        rateLimitSource: 'shared',
         ...this._computeInterval({ ...endpoint, maxRequestsPerS }),
       });
       return;
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -256,7 +256,7 @@
     const { board, clock } = this._options;
     const known = board.endpoints.get(this._attempt.endpoint)?.maxRequestsPerS;
     if (maxRequestsPerS === undefined && known === undefined) return;
-    this._updateSender({ maxRequestsPerS, rateLimitHeardAt: clock.now() });
+    this._updateSender({ maxRequestsPerS, rateLimitSource: 'answer', rateLimitHeardAt: clock.now() });
   }
 
   private _handleFirstToken(now: Millis): void {
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -31,12 +31,12 @@
     this._register(
       this._options.board.endpoints.onChange(({ key, before, after }) => {
         if (!after || after.attemptIntervalMs === before?.attemptIntervalMs) return;
-        const { attemptIntervalMs: intervalMs, maxRequestsPerS, rateLimitHeardAt } = after;
+        const { attemptIntervalMs: intervalMs, maxRequestsPerS, rateLimitSource } = after;
         this._options.record('endpoint.limited', {
           endpoint: key,
           requestsPerS: maxRequestsPerS ?? 'none',
           intervalMs: intervalMs === Infinity ? 'never' : intervalMs && Math.round(intervalMs),
-          source: rateLimitHeardAt === before?.rateLimitHeardAt ? 'shared' : 'answer',
+          source: rateLimitSource,
         });
       }),
     );
