Start router processes of tests in a rig of their own

The test of streams at the end of a router held the start of a process, its store and its endpoints besides its checks. They are a stand-in now that other tests can use.

--- a/src/daemons/RouterProcessStreams.test.ts
+++ b/src/daemons/RouterProcessStreams.test.ts
@@ -1,20 +1,12 @@
-import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { request as sendRequest, type IncomingMessage } from 'node:http';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { finished } from 'node:stream/promises';
-import { fileURLToPath } from 'node:url';
 import test from 'ava';
-import { findFreePort, waitFor } from '../standins/HttpTools.js';
 import { sendCall } from '../standins/platform/CallSender.js';
-import { startRevisionStoreServer } from '../standins/platform/RevisionStoreServer.js';
-import { TEST_CONFIGURATION } from '../standins/platform/RouterRig.js';
-import { formatTestSettings } from '../standins/platform/RouterSettings.js';
-import { startRunnerStandIn, type AnswerRunnerCall } from '../standins/platform/ScriptedRunner.js';
+import { startRouterProcess, stopProcess } from '../standins/platform/RouterProcessRig.js';
+import type { AnswerRunnerCall } from '../standins/platform/ScriptedRunner.js';
 
-const SCRIPT = fileURLToPath(new URL('../../router/RouterMain.cjs', import.meta.url));
+/** Shorter than the streams, so that a stop cuts them. */
 const STOP_MS = 1500;
 const CALL_HEADERS = {
   host: 'a.example',
@@ -25,45 +17,6 @@
 /** Larger than what the buffers of a connection hold, so that a process that ends has not sent it. */
 const LARGE_BODY = Buffer.alloc(8_000_000, 'x');
 
-/** Starts a router process with one endpoint of each service. Returns its front address. */
-async function startRouter(answer: AnswerRunnerCall) {
-  const store = await startRevisionStoreServer();
-  store.put('op/config', TEST_CONFIGURATION);
-  const runners = [await startRunnerStandIn('m-1'), await startRunnerStandIn('p-1')];
-  for (const [index, runner] of runners.entries()) {
-    runner.answer = answer;
-    const { address, id } = runner;
-    const offer = index === 0 ? ['drafts', [{ name: 'small', version: 1 }]] : ['ledger', []];
-    const common = { address, zone: 'a', version: 'v1', slots: 8, state: 'ready', born: 1 };
-    store.put(`servers/${id}`, { ...common, service: offer[0], models: offer[1] });
-  }
-  const folder = mkdtempSync(join(tmpdir(), 'mulberryweir-'));
-  const file = join(folder, 'router.ini');
-  const [front, ready, metrics] = [await findFreePort(), await findFreePort(), await findFreePort()];
-  const ports = { front, ready, metrics };
-  const address = store.address.replace('http://', '');
-  const host = { id: 'host-1', ip: '127.0.0.1', ports, store: address, retryShare: 0.9, stopMs: STOP_MS };
-  writeFileSync(file, formatTestSettings(host));
-  const child = spawn(process.execPath, [SCRIPT, file], { stdio: ['ignore', 'ignore', 'inherit'] });
-  const fetchStatus = async (): Promise<number> => {
-    const reply = await fetch(`http://127.0.0.1:${ready}/-/ready`).catch(() => undefined);
-    return reply?.status ?? 0;
-  };
-  for (let tries = 0; tries < 400 && (await fetchStatus()) !== 200; tries += 1) await waitFor(10);
-  const close = async (): Promise<void> => {
-    child.kill('SIGKILL');
-    for (const runner of runners) await runner.close();
-    await store.close();
-    rmSync(folder, { recursive: true });
-  };
-  return { child, address: `127.0.0.1:${front}`, close };
-}
-
-async function stopProcess(child: ChildProcess, signal: NodeJS.Signals): Promise<void> {
-  child.kill(signal);
-  await once(child, 'exit');
-}
-
 /** Creates an endpoint that sends an event every 50 ms without end. Calls `onEvent` after each. */
 function createEndlessStream(hasChunks: boolean, onEvent: (id: number) => void): AnswerRunnerCall {
   return ({ headers }, response) => {
@@ -95,7 +48,7 @@
       const answer = createEndlessStream(hasChunks, (id) => {
         if (id === 5) onFifthEvent();
       });
-      const router = await startRouter(answer);
+      const router = await startRouterProcess(answer, STOP_MS);
       t.teardown(router.close);
       const headers = { ...CALL_HEADERS, model: '*' };
       const call = sendCall({ address: router.address, path: '/stream/1', headers, method: 'POST' });
@@ -111,11 +64,11 @@
   test.serial(
     `a large plain answer without length is not complete when its router ends by ${signal}`,
     async (t) => {
-      const router = await startRouter(({ headers }, { socket }) => {
+      const router = await startRouterProcess(({ headers }, { socket }) => {
         const id = headers['attempt-id']?.toString() ?? '';
         socket?.write(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nresponse-stamp: s\r\n\r\n`);
         socket?.end(LARGE_BODY);
-      });
+      }, STOP_MS);
       t.teardown(router.close);
       const [host, port] = router.address.split(':');
       const request = sendRequest({ host, port, path: '/look/1', method: 'POST', headers: CALL_HEADERS });
