Do not take a question without a reply for the death of an endpoint

Callers lost whole plain answers that only their connection ended: 502, or 504 after the answer had been held for up to 0.9 s.

A process that has died refuses connections; silence shows nothing. It is a result of its own now, `unanswered`: a stream then goes on elsewhere, a plain answer counts.

--- a/src/adapters/Reachability.ts
+++ b/src/adapters/Reachability.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net';
-import type { CheckRun } from '../common/request/Types.js';
+import type { CheckRun, RunCheckResult } from '../common/request/Types.js';
 import type { Millis } from '../common/Types.js';
 
 const CONNECT_TIMEOUT_MS: Millis = 400;
@@ -9,7 +9,7 @@
  * Asks an endpoint that cannot be asked about a run whether it still accepts connections. A process that has died does
  * not; one that does may know nothing of the run.
  * @example
- * const check = await checkReachable(call, 0); // 'unreachable' or 'unknown'
+ * const check = await checkReachable(call, 0); // 'unreachable', 'unanswered' or 'unknown'
  */
 export const checkReachable: CheckRun = ({ endpoint }) =>
   new Promise((resolve) => {
@@ -21,16 +21,17 @@
       port: port === '' ? DEFAULT_HTTP_PORT : Number(port),
       timeout: CONNECT_TIMEOUT_MS,
     });
-    const end = (check: 'unreachable' | 'unknown'): void => {
+    const end = (check: RunCheckResult): void => {
       socket.destroy();
       resolve(check);
     };
     socket.once('connect', () => {
       end('unknown');
     });
-    for (const failure of ['error', 'timeout'] as const) {
-      socket.once(failure, () => {
-        end('unreachable');
-      });
-    }
+    socket.once('timeout', () => {
+      end('unanswered');
+    });
+    socket.once('error', () => {
+      end('unreachable');
+    });
   });
--- a/src/common/fleet/CrashDetector.ts
+++ b/src/common/fleet/CrashDetector.ts
@@ -95,7 +95,8 @@
     const { id, service } = endpoint;
     const attempts = this._ended.filter((attempt) => attempt.endpoint === id && !this._reported.has(attempt));
     if (!attempts.some(({ end }) => end === 'broken')) return;
-    if ((await checkEndpoint()) !== 'unreachable' || this._isDisposed) return;
+    const check = await checkEndpoint();
+    if ((check !== 'unreachable' && check !== 'unanswered') || this._isDisposed) return;
     const unreported = attempts.filter((attempt) => !this._reported.has(attempt));
     if (unreported.length === 0) return;
     for (const attempt of unreported) this._reported.add(attempt);
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -9,9 +9,9 @@
 
 /**
  * Believes an end only with evidence. The end of a connection is none by itself: the system closes the connections of a
- * process that dies in order. So the endpoint has to be alive, and if the endpoints of its service mark the ends of
- * streams, or a stream ended without any event, the stream is continued elsewhere: another endpoint then sends what is
- * missing, or agrees that nothing is. A stream that none can continue is broken off.
+ * process that dies in order. So the endpoint must not be found dead, and if it cannot be asked, the endpoints of its
+ * service mark the ends of streams, or a stream ended without any event, the stream is continued elsewhere: another
+ * endpoint then sends what is missing, or agrees that nothing is. A stream that none can continue is broken off.
  * @example
  * decideAnswerEnd({ request, attempt, check: undefined, marksEnds: false }); // 'check' if only the connection ended
  */
@@ -21,7 +21,8 @@
   if (attempt.endMark === 'connection' && check === undefined) return 'check';
   if (check !== undefined && BREAKING_CHECKS.has(check)) return 'broken';
   const isStream = attempt.answer?.kind === 'model';
-  return isStream && (attempt.tokens === 0 || marksEnds) ? 'continue' : 'complete';
+  const isDoubtful = attempt.tokens === 0 || marksEnds || check === 'unanswered';
+  return isStream && isDoubtful ? 'continue' : 'complete';
 };
 
 /** Tells whether another endpoint has claimed the same end before, and this one has found nothing after it. */
--- a/src/common/policy/Silence.ts
+++ b/src/common/policy/Silence.ts
@@ -1,5 +1,5 @@
 import type { IRequestEntry } from '../blackboard/Types.js';
-import type { DecideSilence, ISilenceView, SilenceDecision } from '../request/Types.js';
+import type { DecideSilence, ISilenceView, RunCheckResult, SilenceDecision } from '../request/Types.js';
 import type { Millis } from '../Types.js';
 
 /**
@@ -40,6 +40,14 @@
 /** Lower bound on the silence limit of plain services. Busy endpoints and networks cause shorter pauses. */
 const MIN_SILENCE_LIMIT_MS: Millis = 300;
 
+/** Results of asking an endpoint after which no output of the attempt is expected on its connection. */
+const FAILING_CHECKS: ReadonlySet<RunCheckResult> = new Set<RunCheckResult>([
+  'unreachable',
+  'unanswered',
+  'replaced',
+  'ahead',
+]);
+
 /** Options of the decision on silent attempts. */
 export interface ISilenceOptions {
   /** Tells whether the retry budget allows another attempt of a request. */
@@ -73,8 +81,7 @@
   targetLatencyMs: Millis,
 ): SilenceDecision {
   const limitMs = hasOutput ? PAUSE_LIMIT_MS : FIRST_OUTPUT_LIMIT_FACTOR * targetLatencyMs;
-  if (silentMs >= limitMs || check === 'unreachable' || check === 'replaced') return { kind: 'fail' };
-  if (check === 'ahead') return { kind: 'fail' };
+  if (silentMs >= limitMs || (check !== undefined && FAILING_CHECKS.has(check))) return { kind: 'fail' };
   if (check === 'unknown' && silentMs >= UNKNOWN_RUN_LIMIT_MS) return { kind: 'fail' };
   if (check === 'running') return { kind: 'check', afterMs: RECHECK_DELAY_MS };
   const firstCheckMs = Math.max(CHECK_DELAY_MS, FIRST_CHECK_LATENCY_SHARE * targetLatencyMs - silentMs);
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -64,27 +64,29 @@
     return check;
   }
 
+  /** Asks once more an endpoint that has refused the connection. No reply does not take the refusal back. */
   private async _checkAgain(attempt: IAttemptEntry): Promise<RunCheckResult> {
     const { clock } = this._options;
     await new Promise<void>((resolve) => {
       clock.schedule(RECHECK_DELAY_MS, resolve);
     });
-    return this._sendCheck(attempt);
+    const check = await this._sendCheck(attempt);
+    return check === 'unanswered' ? 'unreachable' : check;
   }
 
   private async _sendCheck(attempt: IAttemptEntry): Promise<RunCheckResult> {
     const { board, checkRun } = this._options;
     const request = board.requests.get(attempt.request);
     const endpoint = board.endpoints.get(attempt.endpoint);
-    // An endpoint that is no longer listed cannot be asked, so nothing proves that it was alive at the end.
-    if (!request || !endpoint) return 'unreachable';
+    // An endpoint that is no longer listed cannot be asked.
+    if (!request || !endpoint) return 'unanswered';
     if (endpoint.incarnation !== attempt.incarnation) return 'replaced';
     const { signal } = new AbortController();
     try {
       return await checkRun({ attempt, request, endpoint, signal }, attempt.tokens);
     } catch {
       // The result is logged with the check.
-      return 'unreachable';
+      return 'unanswered';
     }
   }
 
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -57,11 +57,11 @@
 
 /**
  * Result of asking an endpoint, on another connection, about an attempt that has stopped producing output.
- * `unreachable`: the endpoint does not answer. `unknown`: it does not know the run. `running`: it runs the
+ * `unreachable`: the endpoint takes no connection. `unanswered`: no reply came in time. `unknown`: it does not know the run. `running`: it runs the
  * attempt or has it queued. `ahead`: it has produced more output than has arrived here. `replaced`: another process
  * has its address.
  */
-export type RunCheckResult = 'unreachable' | 'replaced' | 'unknown' | 'running' | 'ahead';
+export type RunCheckResult = 'unreachable' | 'unanswered' | 'replaced' | 'unknown' | 'running' | 'ahead';
 
 /** Asks an endpoint for the state of a run of which `outputCount` events have arrived. */
 export type CheckRun = (call: IAttemptCall, outputCount: number) => Promise<RunCheckResult>;
