Reset the torn plain answers of the soak that have no length

A fault of 1.45 s tore its plain answers by closing the connection in order, while the answers of all runners had neither length nor chunks; the router asked the runner, which was alive. A torn plain answer without a length is now reset; in streams, which are torn inside an event, nothing changes, and the checks are the same.

--- a/soak/SoakRunner.ts
+++ b/soak/SoakRunner.ts
@@ -241,7 +241,11 @@
     response.writeHead(status, { ...buildAnswerHeaders(run), ...length });
     if (fault === 'tear') {
       this._endRun(run.number, 'torn', status);
-      response.write(text.slice(0, text.length / 2), () => response.destroy());
+      response.write(text.slice(0, text.length / 2), () => {
+        // Without a length, nothing but a reset would tell a torn answer from a whole one.
+        if (response.useChunkedEncodingByDefault) response.destroy();
+        else response.socket?.resetAndDestroy();
+      });
       return;
     }
     this._endRun(run.number, fault === 'fail' ? 'failed' : 'done', status);
