--- a/soak/SoakRunner.ts
+++ b/soak/SoakRunner.ts
@@ -101,8 +101,8 @@
   }
 
   /**
-   * Crashes the runner: resets its connections, or closes them in order, and ends its runs. It restarts under the same id. The store
-   * removes its registration meanwhile if it stays down for longer than `REGISTRATION_EXPIRY_MS`.
+   * Crashes the runner: resets its connections, or closes them in order, and ends its runs. It restarts under the same
+   * id. The store removes its registration meanwhile if it stays down for longer than `REGISTRATION_EXPIRY_MS`.
    */
   public async crash(durationMs: Millis, connectionEnd: 'reset' | 'close' = 'reset'): Promise<void> {
     if (this._phase !== 'serving') return;
--- a/src/common/fleet/RateLimitController.ts
+++ b/src/common/fleet/RateLimitController.ts
@@ -27,8 +27,8 @@
 const MAX_SAVED_LIMITS = 1024;
 
 /**
- * Time after which an endpoint that is not announced is gone for good. It is alive and limited if its heartbeats are lost or
- * it is cut off from the store, or if only this host has lost it. Such outages last minutes.
+ * Time after which an endpoint that is not announced is gone for good. Until then it may be alive and limited: its
+ * heartbeats are lost, it is cut off from the store, or only this host has lost it. Such outages last minutes.
  */
 const GONE_PERIOD_MS: Millis = 3_600_000;
 
@@ -177,7 +177,8 @@
     // This host knows of its own write before it reads it, and may read an earlier one in between.
     if (known?.era === era && revision > 0 && revision <= known.revision) return;
     this._sharedLimits.set(id, shared);
-    // Of two hosts that write at the same time, the one with a limit goes first. If it has ended, the endpoint says so again.
+    // Of two hosts that write at the same time, the one with a limit goes first. If the limit has ended, the endpoint
+    // says so again.
     const hasNews = requestsPerS === 'none' && (this._writeStates.get(id)?.hasNews ?? false);
     this._updateWriteState(id, { hasNews, conflicts: 0 });
   }
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -56,10 +56,10 @@
 ) => Promise<Result<IAnswer, IAttemptError>>;
 
 /**
- * Result of asking an endpoint, on another connection, about an attempt that has stopped producing output.
- * `unreachable`: the endpoint takes no connection. `unanswered`: no reply came in time. `unknown`: it does not know the run. `running`: it runs the
- * attempt or has it queued. `ahead`: it has produced more output than has arrived here. `replaced`: another process
- * has its address.
+ * Result of asking an endpoint, on another connection, about an attempt that has stopped producing output or whose end
+ * is in doubt. `unreachable`: the endpoint takes no connection. `unanswered`: no reply came in time. `unknown`: it does
+ * not know the run. `running`: it runs the attempt or has it queued. `ahead`: it has produced more output than has
+ * arrived here. `replaced`: another process has its address.
  */
 export type RunCheckResult = 'unreachable' | 'unanswered' | 'replaced' | 'unknown' | 'running' | 'ahead';
 
