End a run whose ids show a missing or repeated event

A caller got streams that were framed as complete and in which events were missing or came twice: `1,2,3,5,6`, `1,2,3,3,4,5,6`, or event 1 five hundred times.

Ids rise along a stream, but only the first event of a resumed run was compared with the position it resumes.

A run whose id steps back or repeats is `malformed` at that event. So is one that leaves out numbers where the ids have risen by one, also at the position of a resumed run; how they have risen is kept with the request. The events before the fault are delivered, also those of the same block, and the stream goes on elsewhere. A second endpoint that leaves out at most as many events there agrees with the first, and ids may then step as they like. Streams whose first step is larger than one, or with events without a number, are not checked for gaps.

The three tests of FaultyEvents fail on the code before: all six kinds of spoilt runs arrive as complete, in one block and one by one. They pass now, as do those of broken, unconfirmed, endless and faulty streams. The third one also counts runs: a stream whose ids leave out numbers only later costs one more run.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -1,7 +1,7 @@
 import type { IServiceDocument, IRolloutState } from '../config/Types.js';
 import type { JournalEntry } from '../coordination/Types.js';
 import type { GossipUpdate, HostState, UpdateUrgency } from '../coordination/Updates.js';
-import type { EndMark, RunCheckResult } from '../request/Types.js';
+import type { EndMark, EventSteps, RunCheckResult } from '../request/Types.js';
 import type { Millis, Priority, RanStatus } from '../Types.js';
 export type { HostState } from '../coordination/Updates.js';
 export type {
@@ -170,6 +170,10 @@
   hasPartialDelivery?: boolean;
   /** Event after which an endpoint claims that its stream ended, until another endpoint has sent more or has agreed. */
   claimedEnd?: { endpoint: string; lastEventId: string | undefined };
+  /** How the ids of the events have risen that the caller has received. Default `unknown`. */
+  eventSteps?: EventSteps;
+  /** Event after which an endpoint went on with `nextEventId`, though the ids had risen by one up to there. */
+  claimedGap?: { endpoint: string; lastEventId: string; nextEventId: string };
   /**
    * Refusal that was sent to the caller at the deadline of a non-idempotent request. Its attempt is not
    * cancelled, so that the outcome of the run is still recorded.
@@ -213,6 +217,8 @@
       content: unknown;
       /** Id of the last event of the stream. Absent if events have no ids. */
       lastEventId?: string;
+      /** How the ids of its events have risen. */
+      eventSteps?: EventSteps;
     }
   | {
       kind: 'plain';
@@ -274,6 +280,10 @@
   ran: RanStatus;
   /** Id of the last complete event that was delivered before the failure. */
   lastEventId?: string;
+  /** How the ids have risen up to that event. */
+  eventSteps?: EventSteps;
+  /** Id of the event that followed it, if the ids show that others between them are missing. */
+  nextEventId?: string;
   /** Error response of the endpoint. It is delivered to the caller if no other attempt follows. */
   answer?: IAnswer;
 }
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -108,8 +108,11 @@
   }
 
   private _fail({ answer, id }: IAttemptEntry, kind: AttemptErrorKind, message: string): void {
-    const lastEventId = answer?.kind === 'model' ? answer.lastEventId : undefined;
-    const position = lastEventId === undefined ? {} : { lastEventId };
+    const { eventSteps, lastEventId } = answer?.kind === 'model' ? answer : {};
+    const position = {
+      ...(lastEventId === undefined ? {} : { lastEventId }),
+      ...(eventSteps === undefined ? {} : { eventSteps }),
+    };
     const error = { kind, ran: 'yes' as const, message, ...position };
     this._options.board.attempts.update(id, { phase: 'failed', answer: undefined, error });
   }
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -63,9 +63,15 @@
     if (!request || !attempt.error || hasEnded(request)) return;
     const ran = combineRan(request.ran, attempt.error.ran);
     const failedEndpoints = [...(request.failedEndpoints ?? []), attempt.endpoint];
-    const { lastEventId } = attempt.error;
+    const { eventSteps, lastEventId, nextEventId } = attempt.error;
     const hasNewEvents = lastEventId !== undefined && lastEventId !== request.resumeAfter;
-    const progress = hasNewEvents ? { resumeAfter: lastEventId, hasPartialDelivery: true } : {};
+    const progress = {
+      ...(hasNewEvents ? { resumeAfter: lastEventId, hasPartialDelivery: true } : {}),
+      ...(eventSteps === undefined ? {} : { eventSteps }),
+      ...(lastEventId === undefined || nextEventId === undefined
+        ? {}
+        : { claimedGap: { endpoint: attempt.endpoint, lastEventId, nextEventId } }),
+    };
     board.requests.update(request.id, { ran, failedEndpoints, ...progress });
     if (this._hasOtherAttemptInFlight(request, attempt)) return;
     const view = { request: { ...request, ran }, attempt, error: attempt.error, now: clock.now() };
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -18,6 +18,12 @@
 /** What marks the end of a response: its length, its last chunk, or only the end of its connection. */
 export type EndMark = 'length' | 'chunks' | 'connection';
 
+/**
+ * How the ids of the events of a stream rise: by one each, by any amount, or `unknown` before two of them have come.
+ * Only where they rise by one does a larger step show that events are missing.
+ */
+export type EventSteps = 'unknown' | 'single' | 'free';
+
 /** Event that an adapter reports about a running attempt. Decisions do not look at the data of a chunk. */
 export type AttemptPart =
   | { kind: 'chunk'; tokens: number; data: unknown }
--- a/src/daemons/BrokenStreams.test.ts
+++ b/src/daemons/BrokenStreams.test.ts
@@ -1,5 +1,4 @@
 import { spawnSync } from 'node:child_process';
-import { randomUUID } from 'node:crypto';
 import { once } from 'node:events';
 import { Worker } from 'node:worker_threads';
 import test from 'ava';
@@ -15,12 +14,7 @@
 } from '../standins/platform/BrokenAnswer.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
 import { startStream } from '../standins/platform/ScriptedRunner.js';
-import {
-  requestStream,
-  startStreamRig,
-  waitForEndpoint,
-  type AnswerRun,
-} from '../standins/platform/StreamRig.js';
+import { requestStream, runStream, startStreamRig, waitForEndpoint } from '../standins/platform/StreamRig.js';
 
 /** A kind of broken stream, and in which run of the stream it occurs. */
 type BrokenCase = IBrokenAnswer & { run: 'first' | 'resumed' };
@@ -32,17 +26,6 @@
 /** Time for which a thread is blocked: longer than an answer of the worker takes to arrive and to be cut. */
 const BLOCK_S = 0.2;
 
-/** Requests a stream from a new rig. Returns its outcome and its number of runs at each endpoint that it reached. */
-async function runStream(answerRun: AnswerRun): Promise<[string, number[]]> {
-  const rig = await startStreamRig(answerRun);
-  // The name is unique, because the port of an endpoint may have belonged to one of another test.
-  const name = randomUUID();
-  const outcome = await requestStream(rig, name);
-  await rig.close();
-  const runs = rig.runners.map(({ calls }) => calls.filter(({ path }) => path.endsWith(name)).length);
-  return [outcome, runs.filter((count) => count > 0)];
-}
-
 function listCases(): BrokenCase[] {
   const cuts = FRAMINGS.flatMap((framing) => [
     { framing, place: 'between-events', cut: 'silence', timing: 'at-once' } as const,
--- /dev/null
+++ b/src/daemons/FaultyEvents.test.ts
@@ -0,0 +1,79 @@
+import type { ServerResponse } from 'node:http';
+import test from 'ava';
+import { EVIDENT_CUT, sendBrokenAnswer, sendStream } from '../standins/platform/BrokenAnswer.js';
+import { formatEvents, startStream, type IRunnerCall } from '../standins/platform/ScriptedRunner.js';
+import { runStream, type AnswerRun } from '../standins/platform/StreamRig.js';
+
+/** Sends a complete stream of pieces, all of them at once or each by itself. */
+type SendPieces = (call: IRunnerCall, response: ServerResponse, pieces: readonly string[]) => Promise<void>;
+
+const sendAtOnce: SendPieces = (call, response, pieces) => {
+  startStream(call, response);
+  response.end(pieces.join(''));
+  return Promise.resolve();
+};
+
+const sendEach: SendPieces = async (call, response, pieces) => {
+  startStream(call, response);
+  for (const piece of pieces) {
+    response.write(piece);
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+  response.end();
+};
+
+const SENDERS: readonly (readonly [string, SendPieces])[] = [
+  ['in one block', sendAtOnce],
+  ['one by one', sendEach],
+];
+
+const WHOLE_STREAM = 'complete 1,2,3,4,5,6';
+
+/** Ids of a spoilt run, and whether an evident cut after event 3 precedes it. */
+const SPOILT_RUNS: readonly (readonly [string, readonly number[], boolean])[] = [
+  ['an id again', [1, 2, 3, 3, 4, 5, 6], false],
+  ['an id again and again', [1, ...Array.from({ length: 500 }, () => 1)], false],
+  ['a step back', [1, 2, 3, 1, 2, 3, 4, 5, 6], false],
+  ['a gap', [1, 2, 3, 5, 6], false],
+  ['a gap at the position of a resumed run', [5, 6], true],
+  ['a gap within a resumed run', [4, 6], true],
+];
+
+for (const [way, send] of SENDERS) {
+  // Guards against ORDER: pieces that are missing or come twice within one run reach the caller of a complete stream.
+  test(`a run whose ids show a missing or repeated event goes on elsewhere, ${way}`, async (t) => {
+    const outcomes: Record<string, unknown> = {};
+    for (const [name, ids, isResumed] of SPOILT_RUNS) {
+      const [outcome] = await runStream((run, call, response) => {
+        if (run === 0 && isResumed) sendBrokenAnswer(call, response, EVIDENT_CUT);
+        else if (run === Number(isResumed)) void send(call, response, formatEvents(ids));
+        else sendStream(call, response, 'chunks');
+      });
+      outcomes[name] = outcome;
+    }
+    t.deepEqual(outcomes, Object.fromEntries(SPOILT_RUNS.map(([name]) => [name, WHOLE_STREAM])));
+  });
+}
+
+/** Sends the events with those of the ids that lie after the position that the call names. */
+function createIdAnswer(ids: readonly number[]): AnswerRun {
+  return (_run, call, response) => {
+    const after = Number(call.headers['last-event-id'] ?? 0);
+    const isLeft = (id: number): boolean => id > after;
+    void sendAtOnce(call, response, formatEvents(ids.filter(isLeft)));
+  };
+}
+
+// Guards against streams that are broken off because their ids are not consecutive.
+test('a stream whose ids leave out numbers by their nature is complete', async (t) => {
+  const outcomes: unknown[] = [];
+  for (const ids of [
+    [10, 20, 30, 31, 40],
+    [1, 2, 3, 7, 8, 12],
+  ])
+    outcomes.push(await runStream(createIdAnswer(ids)));
+  t.deepEqual(outcomes, [
+    ['complete 10,20,30,31,40', [1]],
+    ['complete 1,2,3,7,8,12', [1, 1]],
+  ]);
+});
--- a/src/standins/platform/ScriptedRunner.ts
+++ b/src/standins/platform/ScriptedRunner.ts
@@ -76,6 +76,11 @@
   });
 }
 
+/** Formats events with the given ids. The data of an event repeats its id. */
+export function formatEvents(ids: readonly number[]): string[] {
+  return ids.map((id) => `id: ${id}\ndata: piece ${id}\n\n`);
+}
+
 /** Sends the events `from` to `to` of a stream, both included. The id of an event is its number. */
 export function sendEvents(response: ServerResponse, from: number, to: number): void {
   for (let id = from; id <= to; id += 1) response.write(`id: ${id}\ndata: piece ${id}\n\n`);
--- a/src/standins/platform/StreamRig.ts
+++ b/src/standins/platform/StreamRig.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import type { ServerResponse } from 'node:http';
 import { sendStream } from './BrokenAnswer.js';
 import { RouterRig } from './RouterRig.js';
@@ -43,3 +44,14 @@
   const ids = pieces.map((text) => /^id: (\d+)\ndata: piece \1$/.exec(text)?.[1] ?? `"${text}"`);
   return status === 200 ? `${isComplete ? 'complete' : 'broken'} ${ids.join()}` : `status ${status}`;
 }
+
+/** Requests a stream from a new rig. Returns its outcome and its number of runs at each endpoint that it reached. */
+export async function runStream(answerRun: AnswerRun): Promise<[string, number[]]> {
+  const rig = await startStreamRig(answerRun);
+  // The name is unique, because the port of an endpoint may have belonged to one of another test.
+  const name = randomUUID();
+  const outcome = await requestStream(rig, name);
+  await rig.close();
+  const runs = rig.runners.map(({ calls }) => calls.filter(({ path }) => path.endsWith(name)).length);
+  return [outcome, runs.filter((count) => count > 0)];
+}
