--- a/src/daemons/FaultyEvents.test.ts
+++ b/src/daemons/FaultyEvents.test.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
+import { EventSplitter } from '../../platform/EventSplitter.js';
 import { EVIDENT_CUT, sendBrokenAnswer, sendStream } from '../standins/platform/BrokenAnswer.js';
 import { formatEvents, startStream, type IRunnerCall } from '../standins/platform/ScriptedRunner.js';
 import { runStream, type AnswerRun } from '../standins/platform/StreamRig.js';
@@ -55,6 +56,29 @@
   });
 }
 
+// Guards against ORDER: the chunk sizes of a response whose head hides its chunks reach the caller as text.
+test('lines that belong to no event are not delivered, and lines that may stand in one are', async (t) => {
+  const [first = '', second = ''] = formatEvents([1, 2]);
+  const [legal, framed, ...rest] = [
+    `: comment\n\nweight-versions: 3\r\nid: 1\r\ndata\r\nevent\r\n\r\n`,
+    `${first.length.toString(16)}\r\n${first}\r\n${second.length.toString(16)}\r\n${second}\r\n0\r\n\r\n`,
+    ...[`${first}1b\r\n${second}`, `${first}id: 2\ndata: piece 2\nid 3\n\n`],
+  ];
+  const outcomes: unknown[] = [];
+  for (const text of [framed, ...rest])
+    outcomes.push(
+      await runStream((run, call, response) => {
+        if (run === 0) void sendAtOnce(call, response, [text!]);
+        else sendStream(call, response, 'chunks');
+      }),
+    );
+  t.deepEqual(
+    outcomes,
+    outcomes.map(() => [WHOLE_STREAM, [1, 1]]),
+  );
+  t.is(new EventSplitter().push(Buffer.from(legal!))?.bytes.toString(), legal);
+});
+
 /** Sends the events with those of the ids that lie after the position that the call names. */
 function createIdAnswer(ids: readonly number[]): AnswerRun {
   return (_run, call, response) => {
