--- a/src/standins/platform/CallSender.ts
+++ b/src/standins/platform/CallSender.ts
@@ -1,4 +1,5 @@
 import { request as sendRequest, type Agent, type IncomingHttpHeaders } from 'node:http';
+import { connect } from 'node:net';
 
 /** A response as a caller sees it. */
 export interface ICallResult {
@@ -56,3 +57,18 @@
     },
   };
 }
+
+/** Sends a call as text, as a caller does that speaks another version of HTTP. Resolves to all that it receives. */
+export function sendText(address: string, text: string): Promise<string> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host);
+    let received = '';
+    socket.on('data', (bytes: Buffer) => (received += bytes.toString('latin1')));
+    socket.on('error', () => undefined);
+    socket.once('close', () => {
+      resolve(received);
+    });
+    socket.write(text);
+  });
+}
