--- a/src/daemons/FaultyEvents.test.ts
+++ b/src/daemons/FaultyEvents.test.ts
@@ -68,7 +68,7 @@
   for (const text of [framed, ...rest])
     outcomes.push(
       await runStream((run, call, response) => {
-        if (run === 0) void sendAtOnce(call, response, [text!]);
+        if (run === 0) void sendAtOnce(call, response, [text]);
         else sendStream(call, response, 'chunks');
       }),
     );
@@ -76,7 +76,7 @@
     outcomes,
     outcomes.map(() => [WHOLE_STREAM, [1, 1]]),
   );
-  t.is(new EventSplitter().push(Buffer.from(legal!))?.bytes.toString(), legal);
+  t.is(new EventSplitter().push(Buffer.from(legal))?.bytes.toString(), legal);
 });
 
 /** Sends the events with those of the ids that lie after the position that the call names. */
