Inject empty resumptions and missing events in the soak

The soak's runners never gave a stream a false end: they fail, lose, tear and hang, and each shows as a failure. Two faults are new. All runners answer half of the calls that are to go on with a stream by an empty, complete one; a runner leaves out an event of a stream.

Callers name 100 tokens of output instead of 10, since a stream has up to 12 events in each run.

--- a/soak/FaultPlan.ts
+++ b/soak/FaultPlan.ts
@@ -1,6 +1,7 @@
 import type { Millis, RandomSource } from '../src/common/Types.js';
 import { planFaultChain } from '../src/testing/FaultChains.js';
 import type {
+  FalseEndKind,
   LastingFaultKind,
   LinkFaultKind,
   PlannedWorkKind,
@@ -55,6 +56,8 @@
 
 const RESTORE_KINDS: readonly StoreFaultKind[] = ['store-restore'];
 
+const FALSE_END_KINDS: readonly FalseEndKind[] = ['deny-resumptions', 'skip-events'];
+
 const LASTING_KINDS: readonly LastingFaultKind[] = ['crash-on-part', 'limit-rate'];
 
 /**
@@ -76,6 +79,7 @@
     // In two chains, so that runners end while their answers are unmarked.
     ['unmark-answers'],
     ['end-runner'],
+    FALSE_END_KINDS,
   ],
 };
 
--- a/soak/Injectors.ts
+++ b/soak/Injectors.ts
@@ -132,14 +132,9 @@
     pickScope: pickRunner,
     inject: ({ runners }, id, durationMs) => findRunner(runners, id)?.crash(durationMs, 'close'),
   },
-  'unmark-answers': {
-    pickScope: pickFixed(ALL_RUNNERS_SCOPE),
-    inject: async ({ runners }, _scope, durationMs) => {
-      const faults = runners.map((runner) => runner.addFault('unmark'));
-      await waitFor(durationMs);
-      for (const fault of faults) fault.dispose();
-    },
-  },
+  'unmark-answers': createCommonFault('unmark'),
+  'deny-resumptions': createCommonFault('deny'),
+  'skip-events': createRunnerFault('skip'),
   'fail-answers': createRunnerFault('fail'),
   'refuse-calls': createRunnerFault('refuse'),
   'lose-answers': createRunnerFault('lose'),
@@ -218,6 +213,18 @@
   };
 }
 
+/** Creates a fault that all runners have at the same time. */
+function createCommonFault(fault: RunnerFault): IInjector {
+  return {
+    pickScope: pickFixed(ALL_RUNNERS_SCOPE),
+    inject: async ({ runners }, _scope, durationMs) => {
+      const faults = runners.map((runner) => runner.addFault(fault));
+      await waitFor(durationMs);
+      for (const entry of faults) entry.dispose();
+    },
+  };
+}
+
 function createStoreFault(fault: RevisionStoreFault): IInjector {
   return {
     pickScope: pickFixed(STORE_SCOPE),
--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -99,7 +99,7 @@
         'deadline-ms': String(deadlineMs),
         authorization: `Token ${key}`,
         ...(kind === 'streaming'
-          ? { model: '*', 'token-usage': '100,10', 'prompt-prefix': promptParts }
+          ? { model: '*', 'token-usage': '100,100', 'prompt-prefix': promptParts }
           : {}),
       },
     });
--- a/soak/SoakRunner.ts
+++ b/soak/SoakRunner.ts
@@ -267,6 +267,11 @@
       'content-type': 'text/event-stream',
       confidence: hasLowConfidence ? '20' : '90',
     });
+    if (fault === 'deny' && run.resumeAfter > 0) {
+      this._endRun(run.number, 'torn', 200);
+      response.end();
+      return;
+    }
     // Unless the stream has ended, a resumed run sends at least one more piece, because the last one marks the end.
     const lastPiece = this._hasEnded(run)
       ? run.resumeAfter
@@ -274,7 +279,10 @@
     // Entry of the runner's load report: call id, tokens, pieces sent, priority.
     const progressReport = [run.call, 100, run.resumeAfter, 0];
     this._standIn.reportedRuns.push(progressReport);
-    for (let piece = run.resumeAfter + 1; piece <= lastPiece && this._isWorking(run); piece += 1) {
+    const firstPiece = run.resumeAfter + 1;
+    for (let piece = firstPiece; piece <= lastPiece && this._isWorking(run); piece += 1) {
+      // A gap shows only after two events that follow one another.
+      if (fault === 'skip' && piece === firstPiece + 2 && piece < lastPiece) continue;
       const text = formatPiece(run, piece, piece === lastPiece);
       progressReport[2] = piece;
       if (fault === 'tear' && piece === lastPiece) {
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -29,6 +29,9 @@
 /** Kinds of faults of runners by which the end of a connection is no proof of a complete answer. */
 export type UnmarkedEndKind = 'unmark-answers' | 'end-runner';
 
+/** Kinds of faults of runners by which a stream with a proper end is not complete. */
+export type FalseEndKind = 'deny-resumptions' | 'skip-events';
+
 /** Faults of the store itself. */
 export type StoreFaultKind =
   'store-refuse' | 'store-silent' | 'store-lose-replies' | 'store-compact' | 'store-restore';
@@ -43,6 +46,7 @@
   | LinkFaultKind
   | RunnerFaultKind
   | UnmarkedEndKind
+  | FalseEndKind
   | StoreFaultKind
   | LastingFaultKind;
 
@@ -60,10 +64,11 @@
 
 /**
  * How a faulty runner treats a request: it answers 500 (`fail`), refuses to execute it (`refuse`), resets the
- * connection before the end of the answer (`lose`), sends only a part of the answer (`tear`), or never
- * answers (`hang`). With `unmark`, beside any of these, its answers have neither length nor chunks.
+ * connection before the end of the answer (`lose`), sends only a part of the answer (`tear`), never answers (`hang`),
+ * answers a call that is to go on with a stream by an empty one (`deny`), or leaves out an event of a stream (`skip`).
+ * With `unmark`, beside any of these, its answers have neither length nor chunks.
  */
-export type RunnerFault = 'fail' | 'refuse' | 'lose' | 'tear' | 'hang' | 'unmark';
+export type RunnerFault = 'fail' | 'refuse' | 'lose' | 'tear' | 'hang' | 'deny' | 'skip' | 'unmark';
 
 /** An injected fault or planned work; `endedAt` is undefined while it lasts. */
 export interface IFaultEntry {
