Refuse a stream that has no event at any endpoint

A caller that had received nothing got an empty, complete stream if two endpoints answered without any event, as with a length of 0 from all of them.

Two endpoints that found nothing after the same event agreed, and `undefined`, no event at all, counted as the same event. A generation has at least one token. Without a position there is nothing now that endpoints can agree on: the stream is tried elsewhere while attempts are left, and refused with 502 then.

The test fails for all three framings on the commit before (`complete`), and passes now.

--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -11,7 +11,8 @@
  * Believes an end only with evidence. The end of a connection is none by itself: the system closes the connections of a
  * process that dies in order. So the endpoint must not be found dead, and if it cannot be asked, the endpoints of its
  * service mark the ends of streams, or a stream ended without any event, the stream is continued elsewhere: another
- * endpoint then sends what is missing, or agrees that nothing is. A stream that none can continue is broken off.
+ * endpoint then sends what is missing, or agrees that nothing is. A stream that none can continue is broken off, and one
+ * of which nothing has come at all is refused.
  * @example
  * decideAnswerEnd({ request, attempt, check: undefined, marksEnds: false }); // 'check' if only the connection ended
  */
@@ -25,10 +26,13 @@
   return isStream && isDoubtful ? 'continue' : 'complete';
 };
 
-/** Tells whether another endpoint has claimed the same end before, and this one has found nothing after it. */
+/**
+ * Tells whether another endpoint has claimed the same end before, and this one has found nothing after it. A generation
+ * has at least one token, so endpoints cannot agree that there is no event at all.
+ */
 function isAgreedEnd({ attempt, request }: IAnswerEndView): boolean {
   const { answer, endpoint, tokens } = attempt;
   const { claimedEnd } = request;
   if (answer?.kind !== 'model' || !claimedEnd || claimedEnd.endpoint === endpoint) return false;
-  return tokens === 0 && claimedEnd.lastEventId === answer.lastEventId;
+  return tokens === 0 && answer.lastEventId !== undefined && claimedEnd.lastEventId === answer.lastEventId;
 }
--- a/src/daemons/UnconfirmedStreams.test.ts
+++ b/src/daemons/UnconfirmedStreams.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 import {
   EVIDENT_CUT,
+  FRAMINGS,
   sendBrokenAnswer,
   sendStream,
   UNMARKED_END,
@@ -11,6 +12,7 @@
 import { buildRunnerHeaders, type IRunnerCall } from '../standins/platform/ScriptedRunner.js';
 import {
   requestStream,
+  runStream,
   startStreamRig,
   waitForEndpoint,
   WARM_UP_NAME,
@@ -54,6 +56,21 @@
   t.is(outcome, 'status 502');
 });
 
+// Guards against an empty success: a generation has at least one token, whatever the endpoints agree about.
+test('a stream that has no event at any endpoint is not complete', async (t) => {
+  const outcomes: unknown[] = [];
+  for (const framing of FRAMINGS) {
+    const [outcome] = await runStream((_run, call, response) => {
+      sendStream(call, response, framing, 0);
+    });
+    outcomes.push(outcome);
+  }
+  t.deepEqual(
+    outcomes,
+    FRAMINGS.map(() => 'status 502'),
+  );
+});
+
 // Guards against ORDER: an endpoint that cannot resume is asked twice and confirms its own claim.
 test('a stream does not end as complete because one endpoint claims its end twice', async (t) => {
   const rig = await startStreamRig((run, call, response) => {
