Limit the bytes that every client reads of a reply

Callers of a host lost their requests when an endpoint sent a body without end: the host kept all of it until its memory was gone.

The client of plain services and those of the store, the host list, the peers, the ratings, the weight store and the orders read whole bodies without a limit. Only the platform's clients and the client of engines had one.

Move the limited reading to src/adapters and use it in every client, the load generator and the quickstart too. A body above its limit closes its connection and is an error that says so; for an attempt it is `malformed` and `ran: yes`. The budget of answers that are read at the same time moves as well, and plain answers of both edges use it. Every client has an agent whose header limit is a named constant, and headers above it are `malformed` instead of `crashed`.

--- a/src/adapters/EngineClient.ts
+++ b/src/adapters/EngineClient.ts
@@ -5,6 +5,8 @@
 import type { AttemptErrorKind, IAnswer, IAttemptError, ILoadReport } from '../common/blackboard/Types.js';
 import type { AttemptPart, IAttemptCall } from '../common/request/Types.js';
 import type { IClock, Millis, RanStatus } from '../common/Types.js';
+import { DEFAULT_AGENT } from './HttpAgent.js';
+import { isMalformedResponse } from './ResponseErrors.js';
 
 /** Options of the engine client. */
 export interface IEngineClientOptions {
@@ -81,7 +83,7 @@
       signal,
       headersTimeout: options.headersTimeoutMs ?? 30_000,
       bodyTimeout: options.chunkTimeoutMs ?? 5000,
-      ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+      dispatcher: options.dispatcher ?? DEFAULT_AGENT,
     });
     const report = decodeLoadReport(reply.headers['x-load-report'], options.clock.now());
     if (report) onPart({ kind: 'report', report });
@@ -99,7 +101,7 @@
     const reply = await sendRequest(`${address}/v1/runs/${encodeURIComponent(run)}`, {
       method: 'DELETE',
       headersTimeout: CANCEL_TIMEOUT_MS,
-      ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+      dispatcher: options.dispatcher ?? DEFAULT_AGENT,
     });
     await reply.body.dump();
   } catch {
@@ -303,6 +305,7 @@
   if (signal.aborted) return failAttempt('cancelled', 'unknown', 'The attempt was cancelled.');
   if (CONNECT_ERROR_CODES.has(code)) return failAttempt('connect-failed', 'no', message);
   if (TIMEOUT_ERROR_CODES.has(code)) return failAttempt('silent', 'unknown', message);
+  if (isMalformedResponse(error)) return failAttempt('malformed', 'unknown', message);
   return failAttempt('crashed', 'unknown', message);
 }
 
--- a/src/adapters/EngineOrders.ts
+++ b/src/adapters/EngineOrders.ts
@@ -3,6 +3,8 @@
 import * as z from 'zod';
 import type { OrderError, SendOrder } from '../common/rollout/Types.js';
 import type { Millis } from '../common/Types.js';
+import { DEFAULT_AGENT } from './HttpAgent.js';
+import { readLimitedText } from './LimitedBody.js';
 
 /** Options of the function that sends orders to engines. */
 export interface IEngineOrderOptions {
@@ -11,6 +13,9 @@
   timeoutMs?: Millis;
 }
 
+/** Largest reply of an engine that is read. */
+const MAX_REPLY_BYTES = 1_048_576;
+
 const REPORT_SCHEMA = z.object({ versions: z.array(z.string()) });
 
 /**
@@ -25,9 +30,9 @@
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(order),
         signal: AbortSignal.timeout(options.timeoutMs ?? 5000),
-        ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+        dispatcher: options.dispatcher ?? DEFAULT_AGENT,
       });
-      const text = await reply.body.text();
+      const text = await readLimitedText(reply.body, { maxBytes: MAX_REPLY_BYTES });
       if (reply.statusCode === 409) return Result.err('fenced');
       const report = reply.statusCode < 300 ? REPORT_SCHEMA.safeParse(JSON.parse(text)) : undefined;
       return report?.success ? Result.ok(report.data.versions) : Result.err('failed');
--- a/src/adapters/HostListClient.ts
+++ b/src/adapters/HostListClient.ts
@@ -1,6 +1,11 @@
 import { Result } from 'true-myth';
 import { request as sendRequest } from 'undici';
 import * as z from 'zod';
+import { DEFAULT_AGENT } from './HttpAgent.js';
+import { readLimitedJson } from './LimitedBody.js';
+
+/** Largest list that is read. An entry takes about 200 bytes. */
+const MAX_LIST_BYTES = 8_388_608;
 
 const LIST_SCHEMA = z.object({
   machines: z.array(
@@ -33,8 +38,11 @@
   timeoutMs = 1000,
 ): Promise<Result<readonly ListedMachine[], IHostListError>> {
   try {
-    const reply = await sendRequest(`${address}/machines`, { signal: AbortSignal.timeout(timeoutMs) });
-    const parsed = LIST_SCHEMA.safeParse(await reply.body.json());
+    const reply = await sendRequest(`${address}/machines`, {
+      signal: AbortSignal.timeout(timeoutMs),
+      dispatcher: DEFAULT_AGENT,
+    });
+    const parsed = LIST_SCHEMA.safeParse(await readLimitedJson(reply.body, { maxBytes: MAX_LIST_BYTES }));
     if (parsed.success) return Result.ok(parsed.data.machines);
     return Result.err({ kind: 'malformed', message: parsed.error.message });
   } catch (error) {
--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -38,9 +38,13 @@
 /** System error codes of connections that broke. Errors of undici itself report what this side did. */
 const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
 
+/** Bytes that the names and values of the headers of a response may have, and those of its trailers. */
+const MAX_HEADER_BYTES = 16_384;
+
 /**
- * Creates an agent that records how the connection of a response ended. undici takes a reset for the end of a response
- * without length and chunks, so such a response may be whole only if its connection was closed in order.
+ * Creates an agent that limits the headers of a response, and that records how its connection ended. undici
+ * takes a reset for the end of a response without length and chunks, so such a response may be whole only if its
+ * connection was closed in order.
  * @example
  * const connection = new ResponseConnection();
  * const { body } = await createHttpAgent().request({ origin, path, method: 'GET', opaque: connection });
@@ -54,12 +58,16 @@
     ...options,
     factory: (origin, poolOptions: Pool.Options) =>
       new Pool(origin, {
+        maxHeaderSize: MAX_HEADER_BYTES,
         ...poolOptions,
         factory: (clientOrigin, clientOptions) => new RecordingClient(clientOrigin, clientOptions, connect),
       }),
   });
 }
 
+/** Agent of all calls that are given none. */
+export const DEFAULT_AGENT = createHttpAgent();
+
 /**
  * Finds what marks the end of a response, by the rules of HTTP/1.1 on the length of a message.
  * @example
--- a/src/adapters/HttpStore.ts
+++ b/src/adapters/HttpStore.ts
@@ -3,6 +3,8 @@
 import * as z from 'zod';
 import type { IStore, IStoreValue, StoreError } from '../common/coordination/Types.js';
 import type { Millis } from '../common/Types.js';
+import { DEFAULT_AGENT } from './HttpAgent.js';
+import { readLimitedText } from './LimitedBody.js';
 
 /** Options of the client of the key-value service. */
 export interface IHttpStoreOptions {
@@ -18,6 +20,9 @@
 /** Operations of the key-value service. Each call counts against the rate limits of the service. */
 export type StoreOperation = 'get' | 'put' | 'delete' | 'watch';
 
+/** Largest reply that is read. */
+const MAX_REPLY_BYTES = 8_388_608;
+
 const VALUE_SCHEMA = z.object({ value: z.string(), version: z.number().int() });
 const VERSION_SCHEMA = z.object({ version: z.number().int() });
 const CONFLICT_SCHEMA = z.object({ current: VALUE_SCHEMA.nullable() });
@@ -91,7 +96,7 @@
         body: body === undefined ? null : JSON.stringify(body),
         headers: { 'content-type': 'application/json' },
         signal: AbortSignal.timeout(timeoutMs),
-        ...(this._options.dispatcher ? { dispatcher: this._options.dispatcher } : {}),
+        dispatcher: this._options.dispatcher ?? DEFAULT_AGENT,
       });
       return Result.ok({ status: reply.statusCode, body: await readJson(reply.body, reply.statusCode) });
     } catch (error) {
@@ -111,7 +116,7 @@
 }
 
 async function readJson(body: Dispatcher.ResponseData['body'], status: number): Promise<unknown> {
-  const text = await body.text();
+  const text = await readLimitedText(body, { maxBytes: MAX_REPLY_BYTES });
   return status === 204 || text === '' ? undefined : JSON.parse(text);
 }
 
--- a/src/adapters/PeerRpc.ts
+++ b/src/adapters/PeerRpc.ts
@@ -3,9 +3,11 @@
 import type { AddressInfo } from 'node:net';
 import { JSONRPCClient, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse } from 'json-rpc-2.0';
 import { Result } from 'true-myth';
-import { Agent } from 'undici';
+import type { Agent } from 'undici';
 import type { PeerError, PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 import type { Millis } from '../common/Types.js';
+import { createHttpAgent } from './HttpAgent.js';
+import { readLimitedText } from './LimitedBody.js';
 import { startListening } from './Listening.js';
 
 /**
@@ -59,6 +61,7 @@
 
 const DEFAULT_TIMEOUT_MS: Millis = 1000;
 
+/** Largest request or reply that is read. */
 const MAX_MESSAGE_BYTES = 8_388_608;
 /** Codes of errors that occur before any byte of the request is sent. */
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
@@ -69,7 +72,7 @@
 
 /** Creates the client side of JSON-RPC 2.0 over HTTP between hosts. */
 export function createPeerClient(options: IPeerClientOptions): IPeerClient {
-  const agent = new Agent({ connections: 4, keepAliveTimeout: 30_000 });
+  const agent = createHttpAgent({ connections: 4, keepAliveTimeout: 30_000 });
   return {
     send: async (host, method, params, timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS) => {
       const address = options.findAddress(host);
@@ -133,7 +136,7 @@
     },
     signal: AbortSignal.timeout(timeoutMs),
   });
-  const text = await reply.body.text();
+  const text = await readLimitedText(reply.body, { maxBytes: MAX_MESSAGE_BYTES });
   options.onTraffic?.(body.length + text.length);
   if (reply.statusCode !== 200) throw new PeerStatusError(reply.statusCode);
   options.lamport.observe(Number(reply.headers['x-peer-lamport'] ?? 0));
--- a/src/adapters/PlainClient.ts
+++ b/src/adapters/PlainClient.ts
@@ -3,8 +3,11 @@
 import type { IAnswer, IAttemptError } from '../common/blackboard/Types.js';
 import type { AttemptPart, IAttemptCall } from '../common/request/Types.js';
 import type { Millis } from '../common/Types.js';
+import { BufferBudget } from './BufferBudget.js';
 import { mapCallError } from './EngineClient.js';
-import { createHttpAgent, findEndMark, isCutByConnection, ResponseConnection } from './HttpAgent.js';
+import { DEFAULT_AGENT, findEndMark, isCutByConnection, ResponseConnection } from './HttpAgent.js';
+import { readLimitedBytes } from './LimitedBody.js';
+import { BodyLimitError } from './ResponseErrors.js';
 
 /** Options of the client of plain services. */
 export interface IPlainClientOptions {
@@ -12,9 +15,14 @@
   dispatcher?: Agent;
   /** Longest wait for the response headers. Default 30,000. */
   headersTimeoutMs?: Millis;
+  /** Largest answer that is read. Default 8,388,608. */
+  maxAnswerBytes?: number;
+  /** Limits the answers that are read at the same time. Default: a budget that all calls without one share. */
+  budget?: BufferBudget;
 }
 
-const DEFAULT_AGENT = createHttpAgent();
+const MAX_ANSWER_BYTES = 8_388_608;
+const DEFAULT_BUDGET = new BufferBudget();
 
 /** Runs an attempt at an endpoint of a plain service as one HTTP call. */
 export async function runPlainAttempt(
@@ -39,7 +47,8 @@
       headersTimeout: options.headersTimeoutMs ?? 30_000,
       dispatcher: options.dispatcher ?? DEFAULT_AGENT,
     });
-    const body = new Uint8Array(await reply.body.arrayBuffer());
+    const { budget = DEFAULT_BUDGET, maxAnswerBytes: maxBytes = MAX_ANSWER_BYTES } = options;
+    const body = await readLimitedBytes(reply.body, { maxBytes, budget });
     const { headers, statusCode: status } = reply;
     const mark = findEndMark({ method, status, findHeader: (name) => headers[name]?.toString() });
     if (isCutByConnection(mark, connection)) {
@@ -55,6 +64,8 @@
       body,
     });
   } catch (error) {
+    if (error instanceof BodyLimitError)
+      return Result.err({ kind: 'malformed', ran: 'yes', message: error.message });
     return mapCallError(error, signal);
   }
 }
--- a/src/adapters/RatingClient.ts
+++ b/src/adapters/RatingClient.ts
@@ -4,6 +4,8 @@
 import type { ScoreDraft } from '../common/request/EscalationController.js';
 import type { FetchRatings, IRatingError, SubmitAnswer } from '../common/rollout/Types.js';
 import type { IClock, Millis } from '../common/Types.js';
+import { DEFAULT_AGENT } from './HttpAgent.js';
+import { readLimitedText } from './LimitedBody.js';
 
 /** Options of the client of the rating service. */
 export interface IRatingClientOptions {
@@ -30,6 +32,9 @@
   isCheckAvailable: () => boolean;
 }
 
+/** Largest reply that is read, a page of ratings among them. */
+const MAX_REPLY_BYTES = 8_388_608;
+
 const PAGE_SCHEMA = z.object({
   next: z.number().int(),
   ratings: z.array(z.object({ request: z.string(), score: z.enum(['good', 'bad']) })),
@@ -81,9 +86,9 @@
       body,
       headers: { 'content-type': 'application/json' },
       signal: AbortSignal.timeout(timeoutMs),
-      ...(options.dispatcher ? { dispatcher: options.dispatcher } : {}),
+      dispatcher: options.dispatcher ?? DEFAULT_AGENT,
     });
-    const text = await reply.body.text();
+    const text = await readLimitedText(reply.body, { maxBytes: MAX_REPLY_BYTES });
     if (reply.statusCode < 300) return Result.ok(JSON.parse(text) as unknown);
     return Result.err({ kind: 'unavailable', message: `The rating service replied ${reply.statusCode}.` });
   } catch (error) {
--- a/src/cli/commands/QuickstartCommand.ts
+++ b/src/cli/commands/QuickstartCommand.ts
@@ -1,5 +1,7 @@
 import { request as sendRequest } from 'undici';
 import type { CommandModule } from 'yargs';
+import { DEFAULT_AGENT } from '../../adapters/HttpAgent.js';
+import { readLimitedText } from '../../adapters/LimitedBody.js';
 import { createLog } from '../../adapters/Logs.js';
 import { filterEvents, mergeEvents } from '../../common/timeline/Merge.js';
 import type { ITimelineEvent } from '../../common/timeline/Types.js';
@@ -9,6 +11,9 @@
 import { startDemoPlatform, type IDemoPlatform } from '../quickstart/Platform.js';
 import { renderTimelineText } from '../timeline/TextRenderer.js';
 
+/** Largest answer that is printed. */
+const MAX_ANSWER_BYTES = 1_048_576;
+
 /**
  * `mulberryweir quickstart`: starts two hosts, and stand-ins for the store, the host list and the endpoints,
  * in one process, and sends the hosts a few requests.
@@ -109,8 +114,11 @@
     method: 'POST',
     headers: { authorization: `Bearer ${DEMO_ACCOUNT_KEY}`, 'content-type': 'application/json', ...headers },
     body: JSON.stringify(body),
+    dispatcher: DEFAULT_AGENT,
   });
-  printLine(`${title}: ${response.statusCode} ${await response.body.text()}`);
+  printLine(
+    `${title}: ${response.statusCode} ${await readLimitedText(response.body, { maxBytes: MAX_ANSWER_BYTES })}`,
+  );
 }
 
 function printSection(title: string): void {
--- a/src/load/LoadCall.ts
+++ b/src/load/LoadCall.ts
@@ -1,6 +1,8 @@
 import { createParser } from 'eventsource-parser';
 import { request as sendRequest, type Dispatcher } from 'undici';
 import * as z from 'zod';
+import { readLimitedText } from '../adapters/LimitedBody.js';
+import { BodyLimitError } from '../adapters/ResponseErrors.js';
 import type { Millis, RanStatus } from '../common/Types.js';
 import type { ICallOutcome, ILoadTarget, IPlannedRequest } from './Types.js';
 
@@ -34,6 +36,9 @@
 const USAGE_SCHEMA = z.looseObject({ usage: z.looseObject({ completion_tokens: z.number() }) });
 const DEFAULT_TIMEOUT_MS = 120_000;
 
+/** Largest answer that is read. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
 /**
  * Formats the name that a request carries in its body. Simulated endpoints record it, so that a test can tell
  * which requests an endpoint ran.
@@ -57,7 +62,8 @@
   try {
     const response = await sendCallRequest(options);
     progress.status = response.statusCode;
-    if (response.statusCode !== 200) recordError(progress, await response.body.text());
+    if (response.statusCode !== 200)
+      recordError(progress, await readLimitedText(response.body, { maxBytes: MAX_ANSWER_BYTES }));
     else if (request.kind === 'stream') await readStreamedAnswer(options, response, progress);
     else await readUnstreamedAnswer(request, response, progress);
   } catch (error) {
@@ -119,7 +125,7 @@
   response: Dispatcher.ResponseData,
   progress: IResponseProgress,
 ): Promise<void> {
-  const text = await response.body.text();
+  const text = await readLimitedText(response.body, { maxBytes: MAX_ANSWER_BYTES });
   progress.isComplete = true;
   if (request.kind === 'plain') return;
   progress.tokens = USAGE_SCHEMA.parse(JSON.parse(text)).usage.completion_tokens;
@@ -139,8 +145,11 @@
     },
   });
   const decoder = new TextDecoder();
-  for await (const bytes of response.body) {
-    parser.feed(decoder.decode(bytes as Uint8Array, { stream: true }));
+  let length = 0;
+  for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
+    length += bytes.length;
+    if (length > MAX_ANSWER_BYTES) throw new BodyLimitError(`The stream exceeds ${MAX_ANSWER_BYTES} bytes.`);
+    parser.feed(decoder.decode(bytes, { stream: true }));
   }
   if (!progress.isComplete) progress.code ??= 'incomplete';
 }
--- a/src/load/LoadRunner.ts
+++ b/src/load/LoadRunner.ts
@@ -1,4 +1,5 @@
-import { Agent, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
+import { createHttpAgent } from '../adapters/HttpAgent.js';
 import type { Millis } from '../common/Types.js';
 import { sendCall } from './LoadCall.js';
 import { LoadRecorder } from './LoadRecorder.js';
@@ -30,7 +31,7 @@
  * answered. Resolves when all requests have a final outcome.
  */
 export async function runLoad(options: ILoadRunOptions): Promise<ILoadSummary> {
-  const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+  const dispatcher = createHttpAgent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
   const recorder = new LoadRecorder();
   const startedAt = performance.now();
   const calls: Promise<void>[] = [];
