Let only marked answers of sound endpoints confirm an empty continuation

A caller got `1,2,3` of a stream of six events as complete: an endpoint broke the stream off visibly, and two endpoints that cannot resume sent an empty, complete continuation.

Two that agree are believed, and whether two agreed depended on the choice of the last endpoint. With two endpoints, the third attempt goes to the one that broke off, whose empty answer then agrees with that of the other, or again to the other, which does not agree with itself.

The endpoint's entry now tells when it last sent an answer that was malformed or broke off after output (`spoiltAt`); a connection that is closed before any output counts for nothing, since busy and leaving endpoints close them so. The endpoint that confirms it has to mark the end of its empty answer by a length or a last chunk. The claim may still be one that only the connection ended: its endpoint was asked then, and a test has such a claim. A stream that is not confirmed is broken off, so that its caller can resume it.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -420,6 +420,8 @@
   pausedUntil?: Millis | undefined;
   /** Whether the endpoint has marked the end of a stream by other means than its connection. Default false. */
   marksStreamEnds?: boolean;
+  /** When the endpoint last sent this host an answer that was malformed or broke off. Absent if it never did. */
+  spoiltAt?: Millis;
   /** Whether the endpoint has said in a response that it is leaving. It may not have announced it. */
   hasSaidLeaving?: boolean;
   /** Identifies the start of the endpoint's process; a later start has a higher number. Default 0. */
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -14,7 +14,8 @@
  * endpoint then sends what is missing, or agrees that nothing is. A stream that none can continue is broken off, and one
  * of which nothing has come at all is refused.
  * @example
- * decideAnswerEnd({ request, attempt, check: undefined, marksEnds: false }); // 'check' if only the connection ended
+ * // 'check' if only the connection ended
+ * decideAnswerEnd({ request, attempt, check: undefined, marksEnds: false, hasSpoiltLately: () => false });
  */
 export const decideAnswerEnd: DecideAnswerEnd = (view) => {
   const { attempt, check, marksEnds } = view;
@@ -28,11 +29,14 @@
 
 /**
  * Tells whether another endpoint has claimed the same end before, and this one has found nothing after it. A generation
- * has at least one token, so endpoints cannot agree that there is no event at all.
+ * has at least one token, so endpoints cannot agree that there is no event at all. An endpoint that spoils answers is not
+ * believed, nor one that does not mark the end of its empty answer.
  */
-function isAgreedEnd({ attempt, request }: IAnswerEndView): boolean {
-  const { answer, endpoint, tokens } = attempt;
+function isAgreedEnd({ attempt, hasSpoiltLately, request }: IAnswerEndView): boolean {
+  const { answer, endMark, endpoint, tokens } = attempt;
   const { claimedEnd } = request;
   if (answer?.kind !== 'model' || !claimedEnd || claimedEnd.endpoint === endpoint) return false;
+  if (endMark === 'connection' || hasSpoiltLately(endpoint) || hasSpoiltLately(claimedEnd.endpoint))
+    return false;
   return tokens === 0 && answer.lastEventId !== undefined && claimedEnd.lastEventId === answer.lastEventId;
 }
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -3,6 +3,7 @@
 import { Disposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck } from './AttemptPlan.js';
+import { hasSpoiltLately } from './DoubtfulEnds.js';
 import type { AnswerEndDecision, CheckRun, DecideAnswerEnd, RunCheckResult } from './Types.js';
 
 /** Options of the answer end controller. */
@@ -41,11 +42,17 @@
   }
 
   private _decide(attempt: IAttemptEntry, check: RunCheckResult | undefined): AnswerEndDecision {
-    const { board, decideAnswerEnd } = this._options;
+    const { board, clock, decideAnswerEnd } = this._options;
     const request = board.requests.get(attempt.request);
     // The deadline or the caller has ended the request, so that nothing follows from the decision but the check.
     if (!request) return check === 'unreachable' ? 'broken' : 'complete';
-    return decideAnswerEnd({ request, attempt, check, marksEnds: this._hasMarkedEnds(attempt) });
+    return decideAnswerEnd({
+      request,
+      attempt,
+      check,
+      marksEnds: this._hasMarkedEnds(attempt),
+      hasSpoiltLately: (id) => hasSpoiltLately(board.endpoints.get(id), clock.now()),
+    });
   }
 
   /** Tells whether any endpoint of the service marks the ends of its streams. */
@@ -91,7 +98,7 @@
   }
 
   private _apply(attempt: IAttemptEntry, decision: AnswerEndDecision): void {
-    const { board } = this._options;
+    const { board, clock } = this._options;
     const { answer, endpoint: id } = attempt;
     if (decision === 'complete') {
       board.endpoints.update(id, { consecutiveFailures: 0 });
@@ -102,7 +109,7 @@
       this._fail(attempt, 'unconfirmed', 'Another endpoint has to confirm the end of the answer.');
     } else {
       const consecutiveFailures = (board.endpoints.get(id)?.consecutiveFailures ?? 0) + 1;
-      board.endpoints.update(id, { consecutiveFailures });
+      board.endpoints.update(id, { consecutiveFailures, spoiltAt: clock.now() });
       this._fail(attempt, 'crashed', 'The endpoint did not outlast its answer, whose end nothing marks.');
     }
   }
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -128,10 +128,13 @@
   }
 
   private _updateEndpoint(attempt: IAttemptEntry, progress: AttemptProgress, outcome: AttemptOutcome): void {
-    const { board } = this._options;
+    const { board, clock } = this._options;
     const endpoint = board.endpoints.get(attempt.endpoint);
     if (!endpoint) return;
     const patch: Partial<IEndpointEntry> = {};
+    // The close of a connection before any output is how a busy or leaving endpoint turns work away.
+    if (outcome === 'malformed' || (outcome === 'crashed' && progress.firstTokenMs !== undefined))
+      patch.spoiltAt = clock.now();
     if (outcome === 'ok') patch.consecutiveFailures = 0;
     else if (!HEALTH_NEUTRAL_OUTCOMES.has(outcome))
       patch.consecutiveFailures = endpoint.consecutiveFailures + 1;
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -102,6 +102,8 @@
   check: RunCheckResult | undefined;
   /** Whether an endpoint of the same service has marked the end of a stream. */
   marksEnds: boolean;
+  /** Tells whether an endpoint has lately sent an answer that was malformed or broke off. */
+  hasSpoiltLately: (endpoint: string) => boolean;
 }
 
 /**
--- a/src/daemons/UnconfirmedStreams.test.ts
+++ b/src/daemons/UnconfirmedStreams.test.ts
@@ -84,6 +84,29 @@
   t.is(outcome, 'broken 1,2,3');
 });
 
+// Guards against ORDER: the endpoint that broke the stream off, or one that marks no end, confirms an empty continuation.
+for (const [confirmation, endpointCount] of [
+  ['chunks', 2],
+  ['connection', 3],
+] as const)
+  test(`a stream does not end as complete by an empty answer of the wrong endpoint, ended by its ${confirmation}`, async (t) => {
+    const rig = await startStreamRig((run, call, response) => {
+      if (run === 0) sendBrokenAnswer(call, response, EVIDENT_CUT);
+      else sendStream(call, response, run === 1 ? 'chunks' : confirmation, 0);
+    });
+    if (endpointCount === 2) {
+      rig.store.remove('servers/m-3');
+      await rig.waitUntil(() => rig.events.some(({ fields }) => fields.health === 'gone'));
+    }
+    const outcomes: string[] = [];
+    for (let index = 0; index < 4; index += 1) outcomes.push(await requestStream(rig, randomUUID()));
+    await rig.close();
+    t.deepEqual(
+      outcomes,
+      outcomes.map(() => 'broken 1,2,3'),
+    );
+  });
+
 // Guards against ORDER: nobody is left to ask, so the word of one endpoint is framed as complete.
 test('a stream does not end as complete because the last endpoint allowed sends nothing', async (t) => {
   const rig = await startStreamRig((run, call, response) => {
