--- a/src/daemons/EndlessResponses.test.ts
+++ b/src/daemons/EndlessResponses.test.ts
@@ -107,3 +107,26 @@
   await rig.close();
   t.true(countSent() < 64_000_000, `${countSent()} bytes`);
 });
+
+test('a caller that sends a body without end is refused and disconnected', async (t) => {
+  const rig = await RouterRig.startReady();
+  const [host = '', port] = rig.frontAddress.split(':');
+  const socket = connect({ host, port: Number(port) });
+  let reply = '';
+  socket.on('data', (bytes) => (reply += bytes.toString('latin1')));
+  socket.on('error', () => undefined);
+  const head = 'POST /stream/1 HTTP/1.1\r\nhost: a.example\r\nattempt-id: raw\r\ndeadline-ms: 20000\r\n';
+  socket.write(`${head}model: *\r\ncontent-length: 99999999999\r\nauthorization: Token key-north\r\n\r\n`);
+  sendEndlessly(socket, Buffer.alloc(65_536, 'x'));
+  const isClosed = await rig
+    .waitUntil(() => socket.destroyed)
+    .then(
+      () => true,
+      () => false,
+    );
+  socket.destroy();
+  await rig.close();
+  t.true(isClosed);
+  t.is(reply.split('\r\n', 1)[0], 'HTTP/1.1 413 Payload Too Large');
+  t.true(socket.bytesWritten < 64_000_000, `${socket.bytesWritten} bytes`);
+});
