Limit the bytes of a response besides its body

A call whose endpoint sent a status text, empty lines or a chunk extension without end was read until its deadline, at the expense of the processor time of the other requests.

undici limits the names and values of headers only. Each connection now compares the bytes that were taken from it since the request with the body that was delivered, whenever bytes arrive. The limit needs no ResponseConnection and no timer, and leaves room for chunks of one byte.

--- a/src/adapters/EndlessReplies.test.ts
+++ b/src/adapters/EndlessReplies.test.ts
@@ -7,6 +7,7 @@
 import { runEngineAttempt } from './EngineClient.js';
 import { createSendOrder } from './EngineOrders.js';
 import { fetchHostList } from './HostListClient.js';
+import { createHttpAgent } from './HttpAgent.js';
 import { createHttpStore } from './HttpStore.js';
 import { createPeerClient } from './PeerRpc.js';
 import { runPlainAttempt } from './PlainClient.js';
@@ -72,12 +73,16 @@
     `${HEAD}\r\n`,
     'x',
   ],
+  'status text': [sendPlain, 'HTTP/1.1 200 ', 'x'],
+  'empty lines': [sendPlain, '', '\r\n'],
+  'chunk extension': [sendPlain, `${HEAD}transfer-encoding: chunked\r\n\r\n5;`, 'x'],
   'header value': [sendPlain, `${HEAD}a: `, 'x'],
   headers: [sendPlain, HEAD, 'a: b\r\n'],
   trailers: [sendPlain, `${HEAD}transfer-encoding: chunked\r\n\r\n0\r\n`, 'a: b\r\n'],
   'no HTTP': [sendPlain, '', 'x'],
   'stream without event end': [sendToModel, `${HEAD}\r\ndata: `, 'x'],
   'stream of comments': [sendToModel, `${HEAD}\r\n`, ': x\n\n'],
+  'status text of a stream': [sendToModel, 'HTTP/1.1 200 ', 'x'],
   'reply to a read of the store': [(address) => createStore(address).get('a'), `${HEAD}\r\n`, ' '],
   'reply to a write of the store': [
     (address) => createStore(address).put('a', 'b', { expectedVersion: 0 }),
@@ -126,3 +131,17 @@
     t.snapshot(outcome);
   });
 }
+
+// Guards against whole answers that are rejected for the framing of their chunks.
+test.serial('an answer in chunks of one byte is read whole', async (t) => {
+  const chunks = '0001\r\nx\r\n'.repeat(200_000);
+  const server = await startEndlessServer(
+    `${HEAD}transfer-encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`,
+    '\0',
+  );
+  const agent = createHttpAgent();
+  const reply = await agent.request({ origin: server.address, path: '/', method: 'GET' });
+  t.is(await reply.body.text(), 'x'.repeat(200_000));
+  await agent.destroy();
+  await server.close();
+});
--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { Agent, buildConnector, Client, Pool, type Dispatcher } from 'undici';
 import type { EndMark } from '../common/request/Types.js';
+import { countBody, ResponseOverhead } from './ResponseOverhead.js';
 
 /** How a connection stands: `closed` in order by the other side, or `reset`, so that bytes may be missing. */
 export type ConnectionState = 'open' | 'closed' | 'reset';
@@ -42,7 +43,7 @@
 const MAX_HEADER_BYTES = 16_384;
 
 /**
- * Creates an agent that limits the headers of a response, and that records how its connection ended. undici
+ * Creates an agent that limits the bytes of a response besides its body, and that records how its connection ended. undici
  * takes a reset for the end of a response without length and chunks, so such a response may be whole only if its
  * connection was closed in order.
  * @example
@@ -93,6 +94,7 @@
 /** One connection of an agent. Tells the response in progress there how the connection ends. */
 class RecordingClient extends Client {
   private _current: ResponseConnection | undefined;
+  private _overhead: ResponseOverhead | undefined;
 
   constructor(origin: URL, options: Client.Options, connect: buildConnector.connector) {
     super(origin, {
@@ -101,7 +103,10 @@
         connect(connectOptions, (...result) => {
           const [error, socket] = result;
           // The listeners are added before those of undici, which ends the response.
-          if (error === null) this._recordStates(socket);
+          if (error === null) {
+            this._recordStates(socket);
+            this._overhead = new ResponseOverhead(socket);
+          }
           onConnected(...result);
         });
       },
@@ -113,7 +118,10 @@
     handler: Dispatcher.DispatchHandler,
   ): boolean {
     this._current = options.opaque instanceof ResponseConnection ? options.opaque : undefined;
-    return super.dispatch(options, handler);
+    return super.dispatch(
+      options,
+      countBody(handler, () => this._overhead),
+    );
   }
 
   private _recordStates(socket: Socket): void {
--- a/src/adapters/ResponseErrors.ts
+++ b/src/adapters/ResponseErrors.ts
@@ -6,8 +6,20 @@
   }
 }
 
+const OVERHEAD_CODE = 'ERR_RESPONSE_OVERHEAD';
+
+/** A response with more bytes besides its body than allowed. Its connection is closed. */
+export class ResponseOverheadError extends Error {
+  public readonly code = OVERHEAD_CODE;
+
+  constructor() {
+    super('The response has too many bytes besides its body.');
+    this.name = 'ResponseOverheadError';
+  }
+}
+
 /** Codes of errors by which the bytes that arrived are no response, besides those of the parser. */
-const MALFORMED_CODES: ReadonlySet<unknown> = new Set(['UND_ERR_HEADERS_OVERFLOW']);
+const MALFORMED_CODES: ReadonlySet<unknown> = new Set([OVERHEAD_CODE, 'UND_ERR_HEADERS_OVERFLOW']);
 const PARSER_CODE_PREFIX = 'HPE_';
 
 /**
--- a/src/daemons/EndlessResponses.test.ts
+++ b/src/daemons/EndlessResponses.test.ts
@@ -1,5 +1,5 @@
-import type { ServerResponse } from 'node:http';
 import { connect } from 'node:net';
+import type { Writable } from 'node:stream';
 import test from 'ava';
 import { StoreClient } from '../../platform/StoreClient.js';
 import { startServer } from '../standins/HttpTools.js';
@@ -7,15 +7,15 @@
 import { sendEvents, startStream, type AnswerRunnerCall } from '../standins/platform/ScriptedRunner.js';
 
 /** Sends the same bytes without end until the connection is closed. Returns a function that tells how many. */
-function sendEndlessly(response: ServerResponse, bytes: Buffer): () => number {
+function sendEndlessly(target: Writable, bytes: Buffer): () => number {
   let sent = 0;
   const send = (): void => {
-    while (!response.destroyed) {
+    while (!target.destroyed) {
       sent += bytes.length;
-      if (!response.write(bytes)) break;
+      if (!target.write(bytes)) break;
     }
   };
-  response.on('drain', send);
+  target.on('drain', send);
   send();
   return () => sent;
 }
@@ -65,6 +65,32 @@
   t.snapshot(outcome);
 });
 
+/** Bytes that are neither head nor body, by what they stand in: the start of the response, and what comes again. */
+const OVERHEADS: Record<string, [startResponse: AnswerRunnerCall, bytes: string]> = {
+  'a status text': [(_call, response) => void response.socket?.write('HTTP/1.1 200 '), 'x'],
+  'empty lines before a response': [() => undefined, '\r\n'],
+  'a chunk extension': [
+    (call, response) => {
+      startStream(call, response);
+      response.flushHeaders();
+      response.socket?.write('5;');
+    },
+    'x',
+  ],
+};
+
+for (const [name, [startResponse, bytes]] of Object.entries(OVERHEADS)) {
+  test(`${name} without end is given up and answered by another runner`, async (t) => {
+    let countSent = (): number => 0;
+    const outcome = await sendToBadRunner(async (call, response) => {
+      await startResponse(call, response);
+      countSent = sendEndlessly(response.socket as Writable, Buffer.from(bytes.repeat(32_000)));
+    });
+    t.true(countSent() < 32_000_000, `${countSent()} bytes`);
+    t.snapshot(outcome);
+  });
+}
+
 test('informational responses without end are given up and answered by another runner', async (t) => {
   let timer: NodeJS.Timeout | undefined;
   const outcome = await sendToBadRunner((_call, response) => {
