Read no response with another transfer encoding than chunked

Callers saw chunk sizes as text between the events of a stream that looked complete, or within a plain answer, if a runner misspelt `chunked` or sent an empty Transfer-Encoding. Streams with `chunked, chunked` or `gzip, chunked` were broken off or read to the last chunk, whatever their end.

Cause: undici and llhttp take such a head: an encoding whose last word is `chunked` is read in chunks, any other to the end of the connection, and `readHead` looked at the first of several Transfer-Encoding lines only.

A head is now sound only without a transfer encoding or with exactly `chunked` (in any case, with blanks around it). Any other one is a malformed response of which nothing is read: a stream goes on elsewhere, an idempotent call is sent again, another one fails with an unknown outcome. A report with such a head says nothing about its endpoint. Other odd heads were tried against the parser: repeated, listed, negative, hexadecimal and huge lengths, folded lines, blanks in front of a colon and bare line feeds are errors of undici already. A response of HTTP/1.0 in chunks is still read, since undici does not tell the version.

Evidence: FalseEnds.test.ts, six unsound heads and a sound one, on a first and a resumed run and for both kinds of plain calls.

--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -29,13 +29,16 @@
 export interface IResponseForm {
   method: string;
   status: number;
-  /** Returns the value of a header by its name in lower case. */
+  /** Returns the value of a header by its name in lower case. Several values are joined by commas. */
   findHeader: (name: string) => string | undefined;
 }
 
 /** Statuses of responses that have no body, so that they end with their head. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** The only transfer encoding of which the end is certain. The parser takes others for it too. */
+const CHUNKED_ENCODING = /^[\t ]*chunked[\t ]*$/i;
+
 /** System error codes of connections that broke. Errors of undici itself report what this side did. */
 const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
 
@@ -78,10 +81,23 @@
   if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return 'length';
   // A transfer encoding goes before a length, and one that does not end with chunks lasts until the connection ends.
   const encoding = findHeader('transfer-encoding');
-  if (encoding !== undefined) return /\bchunked\s*$/i.test(encoding) ? 'chunks' : 'connection';
+  if (encoding !== undefined) return CHUNKED_ENCODING.test(encoding) ? 'chunks' : 'connection';
   return findHeader('content-length') === undefined ? 'connection' : 'length';
 }
 
+/**
+ * Tells whether the head of a response says clearly where its body ends. undici reads a body of any other transfer
+ * encoding than chunks to a last chunk or to the end of the connection, so that a misspelt one gives a spoilt body.
+ * Lengths that are not clear are errors of undici.
+ * @example
+ * hasSoundFraming({ method: 'GET', status: 200, findHeader: () => 'chunked, chunked' }); // false
+ */
+export function hasSoundFraming({ findHeader, method, status }: IResponseForm): boolean {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return true;
+  const encoding = findHeader('transfer-encoding');
+  return encoding === undefined || CHUNKED_ENCODING.test(encoding);
+}
+
 /**
  * Tells whether a response that undici has read to its end was cut by the end of its connection.
  * @example
--- a/src/standins/platform/BrokenAnswer.ts
+++ b/src/standins/platform/BrokenAnswer.ts
@@ -39,6 +39,8 @@
 
 const CUT_DELAY_MS = 25;
 
+const LAST_CHUNK = '0\r\n\r\n';
+
 /** Sends the rest of a stream, from the event after the last one that the call names, and breaks it off. */
 export function sendBrokenAnswer(
   call: IRunnerCall,
@@ -74,7 +76,21 @@
   }
 }
 
-function listEvents({ headers }: IRunnerCall, to: number): string[] {
+/**
+ * Sends an answer in chunks with a proper end, and other header lines in place of the one that announces the chunks. The
+ * connection is closed after it.
+ */
+export function sendOddHead(
+  call: IRunnerCall,
+  { socket }: ServerResponse,
+  pieces: readonly string[],
+  lines: readonly string[],
+): void {
+  socket?.end(formatHead(call, 'connection', pieces, lines) + formatPieces('chunks', pieces) + LAST_CHUNK);
+}
+
+/** Lists the events of a stream after the last one that the call names, up to `to`. */
+export function listEvents({ headers }: IRunnerCall, to = LAST_EVENT): string[] {
   const from = Number(headers['last-event-id'] ?? 0) + 1;
   const ids = Array.from({ length: Math.max(0, to - from + 1) }, (_, index) => from + index);
   return ids.map((id) => `id: ${id}\ndata: piece ${id}\n\n`);
@@ -90,9 +106,14 @@
   return place === 'after-comment' ? [...sent, ': comment\n\n'] : sent;
 }
 
-function formatHead(call: IRunnerCall, framing: AnswerFraming, events: readonly string[]): string {
+function formatHead(
+  call: IRunnerCall,
+  framing: AnswerFraming,
+  events: readonly string[],
+  otherLines: readonly string[] = [],
+): string {
   const headers = { ...buildRunnerHeaders(call), 'content-type': 'text/event-stream', confidence: '90' };
-  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+  const lines = [...Object.entries(headers).map(([name, value]) => `${name}: ${value}`), ...otherLines];
   if (framing === 'length') lines.push(`content-length: ${events.join('').length}`);
   if (framing === 'chunks') lines.push('transfer-encoding: chunked');
   return ['HTTP/1.1 200 OK', ...lines, '\r\n'].join('\r\n');
