Ask endpoints that spoil answers about the marked ends of theirs

A caller got `1,2,3` of a stream of six events as complete when its endpoint sent the last chunk after event 3.

A mark was believed on its own, also from an endpoint whose other answers were malformed or broke off at that moment.

The marked end of a first run at an endpoint with a recent `spoiltAt` is doubted: the endpoint is asked for its report. If that lists more events of the run than have arrived, the stream goes on elsewhere after its last event. The report is older than the end, and all events up to a true end have arrived, so any lead disproves it; the margin for events in transit is kept for runs that go on. No reply, no such run, and another process at the address leave the mark standing. Runs that were resumed are not asked about, since their report may count the events before. `answer.doubted` and the attempt name the reason (`doubt`).

--- /dev/null
+++ b/src/common/policy/AnswerEnds.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava';
+import { createTestRequest } from '../../testing/EntryFixtures.js';
+import type { IAnswer, IAttemptEntry } from '../blackboard/Types.js';
+import type { RunCheckResult } from '../request/Types.js';
+import { decideAnswerEnd } from './AnswerEnds.js';
+
+const CHECKS: readonly (RunCheckResult | undefined)[] = [
+  undefined,
+  'unreachable',
+  'unanswered',
+  'replaced',
+  'unknown',
+  'running',
+  'ahead',
+];
+
+/** Kinds of ends, each with the endpoints that spoil answers and the endpoint that has claimed the same end before. */
+const ENDS = {
+  unmarked: { doubt: 'unmarked', endMark: 'connection', tokens: 3 },
+  marked: { doubt: 'endpoint-spoils', endMark: 'chunks', tokens: 3, spoiling: ['m-1'] },
+  empty: { doubt: 'empty', endMark: 'chunks', tokens: 0 },
+  emptyUnmarked: { doubt: 'unmarked', endMark: 'connection', tokens: 0, claimedBy: 'm-2' },
+  emptyConfirmed: { doubt: 'empty', endMark: 'length', tokens: 0, claimedBy: 'm-2' },
+  emptyConfirmedBySpoiling: {
+    doubt: 'empty',
+    endMark: 'length',
+    tokens: 0,
+    claimedBy: 'm-2',
+    spoiling: ['m-1'],
+  },
+  emptyClaimedBySpoiling: {
+    doubt: 'empty',
+    endMark: 'length',
+    tokens: 0,
+    claimedBy: 'm-2',
+    spoiling: ['m-2'],
+  },
+  emptyClaimedBySame: { doubt: 'empty', endMark: 'length', tokens: 0, claimedBy: 'm-1' },
+} as const;
+
+// Guards against ends that are believed on a weaker word than before, and against whole answers that are broken off.
+test('each kind of end is decided by the check of its endpoint', (t) => {
+  const decisions = Object.entries(ENDS).map(([name, { doubt, endMark, tokens, ...end }]) => {
+    const usage = { promptTokens: 0, completionTokens: tokens };
+    const answer: IAnswer = { kind: 'model', version: '', usage, content: undefined, lastEventId: '3' };
+    const attempt = { endpoint: 'm-1', answer, doubt, endMark, tokens } as unknown as IAttemptEntry;
+    const claim = 'claimedBy' in end ? { claimedEnd: { endpoint: end.claimedBy, lastEventId: '3' } } : {};
+    const spoiling: readonly string[] = 'spoiling' in end ? end.spoiling : [];
+    const view = {
+      request: createTestRequest('r-1', claim),
+      attempt,
+      marksEnds: false,
+      hasSpoiltLately: (id: string) => spoiling.includes(id),
+    };
+    const byCheck = CHECKS.map((check) => [check ?? 'not asked', decideAnswerEnd({ ...view, check })]);
+    return [name, Object.fromEntries(byCheck) as unknown];
+  });
+  t.snapshot(Object.fromEntries(decisions));
+});
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -8,7 +8,8 @@
 ]);
 
 /**
- * Believes an end only with evidence. The end of a connection is none by itself: the system closes the connections of a
+ * Believes an end only with evidence. A mark is evidence, unless the endpoint has lately spoilt answers and its report
+ * lists more events of the run than have arrived; without such a report the mark stands. The end of a connection is none by itself: the system closes the connections of a
  * process that dies in order. So the endpoint must not be found dead, and if it cannot be asked, the endpoints of its
  * service mark the ends of streams, or a stream ended without any event, the stream is continued elsewhere: another
  * endpoint then sends what is missing, or agrees that nothing is. A stream that none can continue is broken off, and one
@@ -20,6 +21,8 @@
 export const decideAnswerEnd: DecideAnswerEnd = (view) => {
   const { attempt, check, marksEnds } = view;
   if (isAgreedEnd(view)) return 'complete';
+  if (attempt.doubt === 'endpoint-spoils')
+    return check === undefined ? 'check' : check === 'ahead' ? 'broken' : 'complete';
   if (attempt.endMark === 'connection' && check === undefined) return 'check';
   if (check !== undefined && BREAKING_CHECKS.has(check)) return 'broken';
   const isStream = attempt.answer?.kind === 'model';
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -110,7 +110,11 @@
     } else {
       const consecutiveFailures = (board.endpoints.get(id)?.consecutiveFailures ?? 0) + 1;
       board.endpoints.update(id, { consecutiveFailures, spoiltAt: clock.now() });
-      this._fail(attempt, 'crashed', 'The endpoint did not outlast its answer, whose end nothing marks.');
+      const message =
+        attempt.doubt === 'endpoint-spoils'
+          ? 'The endpoint reports more events than came before the end of its answer.'
+          : 'The endpoint did not outlast its answer, whose end nothing marks.';
+      this._fail(attempt, 'crashed', message);
     }
   }
 
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -12,11 +12,11 @@
 import { classifyLength } from '../policy/Queueing.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck, releaseAttempt } from './AttemptPlan.js';
-import { hasDoubtfulEnd } from './DoubtfulEnds.js';
+import { findDoubt, hasSpoiltLately } from './DoubtfulEnds.js';
 import { EndpointMeter } from './EndpointMeter.js';
 import { formatPool } from './EndpointIndex.js';
 import { hasEnded } from './Refusals.js';
-import type { AttemptPart, DeliverChunk, RunAttempt } from './Types.js';
+import type { AttemptPart, DeliverChunk, DoubtReason, RunAttempt } from './Types.js';
 
 /** Options of the attempt controller. */
 export interface IAttemptOptions {
@@ -108,12 +108,24 @@
   ): void {
     const current = this._options.board.attempts.get(attempt.id);
     const isCancelled = current?.phase === 'cancelled';
-    const isDoubtful = current && result.isOk && hasDoubtfulEnd({ ...current, answer: result.value });
-    const outcome = isDoubtful ? 'unconfirmed' : result.isOk ? 'ok' : result.error.kind;
+    const doubt = current && result.isOk ? this._findDoubt(current, result.value) : undefined;
+    const outcome = doubt ? 'unconfirmed' : result.isOk ? 'ok' : result.error.kind;
     this._updateEndpoint(attempt, progress, isCancelled ? 'cancelled' : outcome);
     if (isCancelled) this._finish(attempt, 'cancelled', undefined, undefined);
-    else if (result.isOk) this._finish(attempt, isDoubtful ? 'doubted' : 'finished', result.value, undefined);
-    else this._finish(attempt, 'failed', undefined, result.error);
+    else if (result.isErr) this._finish(attempt, 'failed', undefined, result.error);
+    else if (doubt) this._finish(attempt, 'doubted', result.value, undefined, doubt);
+    else this._finish(attempt, 'finished', result.value, undefined);
+  }
+
+  private _findDoubt(attempt: IAttemptEntry, answer: IAnswer): DoubtReason | undefined {
+    const { board, clock } = this._options;
+    return findDoubt(
+      { ...attempt, answer },
+      {
+        hasSpoiltLately: hasSpoiltLately(board.endpoints.get(attempt.endpoint), clock.now()),
+        isResumed: board.requests.get(attempt.request)?.resumeAfter !== undefined,
+      },
+    );
   }
 
   private _finish(
@@ -121,10 +133,12 @@
     phase: 'doubted' | 'finished' | 'failed' | 'cancelled',
     answer: IAnswer | undefined,
     error: IAttemptError | undefined,
+    doubt?: DoubtReason,
   ): void {
     const { board, clock } = this._options;
     releaseAttempt(board, attempt.id);
-    board.attempts.update(attempt.id, { phase, answer, error, endedAt: clock.now() });
+    const endedAt = clock.now();
+    board.attempts.update(attempt.id, { phase, answer, error, endedAt, ...(doubt ? { doubt } : {}) });
   }
 
   private _updateEndpoint(attempt: IAttemptEntry, progress: AttemptProgress, outcome: AttemptOutcome): void {
--- a/src/common/request/DoubtfulEnds.ts
+++ b/src/common/request/DoubtfulEnds.ts
@@ -1,5 +1,6 @@
 import type { IAttemptEntry, IEndpointEntry } from '../blackboard/Types.js';
 import type { Millis } from '../Types.js';
+import type { DoubtReason } from './Types.js';
 
 /**
  * Time for which an endpoint counts as spoiling answers after one that was. A fault that spoils a part of the answers of
@@ -8,13 +9,21 @@
 const SPOILT_MEMORY_MS: Millis = 5000;
 
 /**
- * Tells whether nothing shows that an answer is complete: only its connection ended, or a stream had no events.
+ * Finds why it is in doubt whether an answer is complete; `undefined` if its end is marked and can be believed. The
+ * report of an endpoint that spoils answers tells its number of events, but not whether a run that was resumed counts
+ * those before, so that a marked end of such a run is believed.
  * @example
- * const phase = hasDoubtfulEnd(attempt) ? 'doubted' : 'finished';
+ * findDoubt(attempt, { hasSpoiltLately: false, isResumed: false }); // 'unmarked' if only the connection ended
  */
-export function hasDoubtfulEnd({ answer, endMark, tokens }: IAttemptEntry): boolean {
-  if (endMark === undefined) return false;
-  return endMark === 'connection' || (answer?.kind === 'model' && tokens === 0);
+export function findDoubt(
+  { answer, endMark, tokens }: IAttemptEntry,
+  { hasSpoiltLately, isResumed }: { hasSpoiltLately: boolean; isResumed: boolean },
+): DoubtReason | undefined {
+  if (endMark === undefined) return undefined;
+  if (endMark === 'connection') return 'unmarked';
+  if (answer?.kind !== 'model') return undefined;
+  if (tokens === 0) return 'empty';
+  return hasSpoiltLately && !isResumed ? 'endpoint-spoils' : undefined;
 }
 
 /**
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -65,7 +65,7 @@
  * Result of asking an endpoint, on another connection, about an attempt that has stopped producing output or whose end
  * is in doubt. `unreachable`: the endpoint takes no connection. `unanswered`: no reply came in time. `unknown`: it does
  * not know the run. `running`: it runs the attempt or has it queued. `ahead`: it has produced more output than has
- * arrived here. `replaced`: another process has its address.
+ * arrived here, by more than may be in transit. `replaced`: another process has its address.
  */
 export type RunCheckResult = 'unreachable' | 'unanswered' | 'replaced' | 'unknown' | 'running' | 'ahead';
 
@@ -94,6 +94,12 @@
 /** Decides how to proceed with an attempt that produces no output. */
 export type DecideSilence = (view: ISilenceView) => SilenceDecision;
 
+/**
+ * Why the end of an answer is in doubt. `unmarked`: only its connection ended. `empty`: a stream had no event.
+ * `endpoint-spoils`: something marks the end, but the endpoint has lately sent answers that were malformed or broke off.
+ */
+export type DoubtReason = 'unmarked' | 'empty' | 'endpoint-spoils';
+
 /** Input of the decision on an answer whose end is in doubt. */
 export interface IAnswerEndView {
   request: IRequestEntry;
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -117,10 +117,11 @@
 
   private _recordDoubt(attempt: IAttemptEntry): void {
     const { board, record } = this._options;
-    const { answer, endMark, tokens } = attempt;
+    const { answer, doubt, endMark, tokens } = attempt;
     const { claimedEnd, resumeAfter } = board.requests.get(attempt.request) ?? {};
     record('answer.doubted', {
       ...describeAttempt(attempt),
+      doubt,
       endMark,
       tokens,
       resumeAfter,
--- a/src/daemons/UnconfirmedStreams.test.ts
+++ b/src/daemons/UnconfirmedStreams.test.ts
@@ -107,6 +107,37 @@
     );
   });
 
+/**
+ * Requests a stream that its first endpoint ends with a last chunk after three of six events. Returns the outcome and
+ * the reasons of doubts. The endpoint reports a number of events, or nothing about the run.
+ */
+async function runFalseEnd(hasSpoilt: boolean, reported: number | undefined): Promise<unknown> {
+  const rig = await startStreamRig((run, call, response, runner) => {
+    if (call.path.endsWith('spoilt')) {
+      sendBrokenAnswer(call, response, EVIDENT_CUT);
+      return;
+    }
+    const id = call.headers['attempt-id']?.toString() ?? '';
+    if (run === 0 && reported !== undefined) runner.reportedRuns = [[id, 100, reported, 5]];
+    sendStream(call, response, 'chunks', run === 0 ? 3 : undefined);
+  });
+  // Each endpoint breaks it off, the last one after event 5.
+  const spoilt = hasSpoilt ? await requestStream(rig, 'spoilt') : undefined;
+  const outcome = await requestStream(rig, randomUUID());
+  await rig.close();
+  const doubts = rig.events.filter(({ kind }) => kind === 'answer.doubted').map(({ fields }) => fields.doubt);
+  return { spoilt, outcome, doubts };
+}
+
+// Guards against ORDER: an endpoint that spoils answers marks an end between two events, and its mark is believed.
+test('a marked end is disproved by the report of an endpoint that has lately spoilt an answer', async (t) => {
+  const outcomes: unknown[] = [];
+  for (const hasSpoilt of [false, true])
+    for (const reported of [undefined, 3, 4, 6])
+      outcomes.push([{ hasSpoilt, reported }, await runFalseEnd(hasSpoilt, reported)]);
+  t.snapshot(outcomes);
+});
+
 // Guards against ORDER: nobody is left to ask, so the word of one endpoint is framed as complete.
 test('a stream does not end as complete because the last endpoint allowed sends nothing', async (t) => {
   const rig = await startStreamRig((run, call, response) => {
