--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -81,6 +81,8 @@
       isStreaming: boolean;
       promptTokens: number;
       maxTokens: number;
+      /** Largest number of tokens that the caller named; an answer with more is malformed. Absent if it named none. */
+      tokenLimit?: number;
       /**
        * Identifiers of the prompt's prefixes, shortest first. Requests with a common prefix are sent to the
        * same endpoint, which has it in its cache.
--- a/src/daemons/FaultyEvents.test.ts
+++ b/src/daemons/FaultyEvents.test.ts
@@ -101,3 +101,21 @@
     ['complete 1,2,3,7,8,12', [1, 1]],
   ]);
 });
+
+// Guards against events without end, and against a limit for callers that named none.
+test('a run has no more events than the caller allows tokens, if it names a number', async (t) => {
+  const outcomes: Record<string, string> = {};
+  for (const [name, headers] of Object.entries({
+    none: {},
+    unreadable: { 'token-usage': '10,many' },
+    ample: { 'token-usage': '10,9' },
+    exceeded: { 'token-usage': '10,6' },
+  })) {
+    const [outcome] = await runStream((run, call, response) => {
+      sendStream(call, response, 'chunks', run === 0 ? 9 : undefined);
+    }, headers);
+    outcomes[name] = outcome;
+  }
+  const allowed = 'complete 1,2,3,4,5,6,7,8,9';
+  t.deepEqual(outcomes, { none: allowed, unreadable: allowed, ample: allowed, exceeded: WHOLE_STREAM });
+});
--- a/src/standins/platform/StreamRig.ts
+++ b/src/standins/platform/StreamRig.ts
@@ -38,19 +38,26 @@
 }
 
 /** Requests a stream. Describes whether the response was complete, and the ids of its events. */
-export async function requestStream(rig: RouterRig, name: string): Promise<string> {
-  const { body, isComplete, status } = await rig.send(`/stream/${name}`, { model: '*' });
+export async function requestStream(
+  rig: RouterRig,
+  name: string,
+  headers: Record<string, string> = {},
+): Promise<string> {
+  const { body, isComplete, status } = await rig.send(`/stream/${name}`, { model: '*', ...headers });
   const pieces = body.split('\n\n').filter((text) => text !== '' && !text.startsWith(':'));
   const ids = pieces.map((text) => /^id: (\d+)\ndata: piece \1$/.exec(text)?.[1] ?? `"${text}"`);
   return status === 200 ? `${isComplete ? 'complete' : 'broken'} ${ids.join()}` : `status ${status}`;
 }
 
 /** Requests a stream from a new rig. Returns its outcome and its number of runs at each endpoint that it reached. */
-export async function runStream(answerRun: AnswerRun): Promise<[string, number[]]> {
+export async function runStream(
+  answerRun: AnswerRun,
+  headers: Record<string, string> = {},
+): Promise<[string, number[]]> {
   const rig = await startStreamRig(answerRun);
   // The name is unique, because the port of an endpoint may have belonged to one of another test.
   const name = randomUUID();
-  const outcome = await requestStream(rig, name);
+  const outcome = await requestStream(rig, name, headers);
   await rig.close();
   const runs = rig.runners.map(({ calls }) => calls.filter(({ path }) => path.endsWith(name)).length);
   return [outcome, runs.filter((count) => count > 0)];
