Fail an attempt whose rest follows its marked end

Callers saw a stream complete that ended between two events if its last chunk came too early or its length was too short, and half a plain answer in chunks as a whole one, although the rest of the answer lay behind the mark on the same connection.

Cause: the mark was believed alone, and nothing looked at the bytes behind it. undici hands out none of them: it puts them back on a connection that it closes, and destroys a kept one.

HttpAgent now keeps the first 256 bytes that undici's parser leaves over. The end of an answer waits for them at most one turn of the event loop. An attempt with a rest fails as malformed, with its last event, so that a stream goes on elsewhere and an idempotent call is sent again. A call that is not idempotent fails: it has run. A whole answer is delivered as before when another response, noise, a last chunk or its own bytes follow. The log has `endMark` and `afterEnd` on `attempt.error`, and on `attempt.finished` if bytes followed.

--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import { Agent, buildConnector, Client, Pool, type Dispatcher } from 'undici';
 import type { EndMark } from '../common/request/Types.js';
 import { countBody, ResponseOverhead } from './ResponseOverhead.js';
@@ -6,17 +7,42 @@
 /** How a connection stands: `closed` in order by the other side, or `reset`, so that bytes may be missing. */
 export type ConnectionState = 'open' | 'closed' | 'reset';
 
+/** Largest number of bytes behind a response that are kept. */
+const MAX_BYTES_BEHIND = 256;
+
+const NO_BYTES: Buffer = Buffer.alloc(0);
+
 /** How the connection of one response stands. Passed to the agent as the `opaque` of the request. */
 export class ResponseConnection {
   private _state: ConnectionState = 'open';
+  private _leftover = NO_BYTES;
 
   public get state(): ConnectionState {
     return this._state;
   }
 
+  /**
+   * Bytes that the parser has read from the connection and not taken, at most 256. Once the response has ended, these
+   * are the first ones behind its end.
+   */
+  public get leftover(): Buffer {
+    return this._leftover;
+  }
+
   /** Records that the request goes out on a new connection, since the one that was kept had ended. */
   public recordStart(): void {
     this._state = 'open';
+    this._leftover = NO_BYTES;
+  }
+
+  /** Records that the parser takes the next bytes. */
+  public recordRead(): void {
+    this._leftover = NO_BYTES;
+  }
+
+  /** Records the bytes that the parser did not take. */
+  public recordLeftover(bytes: Buffer): void {
+    this._leftover = Buffer.from(bytes.subarray(0, MAX_BYTES_BEHIND));
   }
 
   /** Records the end of the connection. The first end counts: a connection that is destroyed afterwards was not reset. */
@@ -98,6 +124,19 @@
   return encoding === undefined || CHUNKED_ENCODING.test(encoding);
 }
 
+/**
+ * Reads the first bytes behind a response that has ended; none if nothing follows at once. Bytes that arrive more than
+ * one turn of the event loop after the end are not seen.
+ * @example
+ * const text = await body.text();
+ * const bytes = await readBytesBehind(connection);
+ */
+export async function readBytesBehind(connection: ResponseConnection): Promise<Buffer> {
+  // Immediates run after the turn's reads, so that the second one runs after the reads of the next turn.
+  for (let count = 0; count < 2 && connection.leftover.length === 0; count += 1) await setImmediate();
+  return connection.leftover;
+}
+
 /**
  * Tells whether a response that undici has read to its end was cut by the end of its connection.
  * @example
@@ -121,6 +160,7 @@
           // The listeners are added before those of undici, which ends the response.
           if (error === null) {
             this._recordStates(socket);
+            this._recordLeftovers(socket);
             this._overhead = new ResponseOverhead(socket);
           }
           onConnected(...result);
@@ -152,4 +192,26 @@
       if (code !== undefined && RESET_CODES.has(code)) this._current?.recordEnd('reset');
     });
   }
+
+  /**
+   * Records what undici's parser leaves over of each chunk that it reads. undici tells nobody of the bytes behind a
+   * response: it puts them back or closes the connection. It cuts them off the chunk by `subarray` in both cases, and
+   * uses this method of the chunk for nothing else.
+   */
+  private _recordLeftovers(socket: Socket): void {
+    const recordLeftover = (bytes: Buffer): void => this._current?.recordLeftover(bytes);
+    function takeLeftover(this: Buffer, start?: number, end?: number): Buffer<ArrayBuffer> {
+      const leftover = (Buffer.prototype as Buffer<ArrayBuffer>).subarray.call(this, start, end);
+      recordLeftover(leftover);
+      return leftover;
+    }
+    const readChunk = socket.read.bind(socket) as (size?: number) => Buffer | null;
+    socket.read = (size?: number): Buffer | null => {
+      const chunk = readChunk(size);
+      if (chunk === null) return null;
+      this._current?.recordRead();
+      chunk.subarray = takeLeftover;
+      return chunk;
+    };
+  }
 }
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -1,7 +1,7 @@
 import type { IServiceDocument, IRolloutState } from '../config/Types.js';
 import type { JournalEntry } from '../coordination/Types.js';
 import type { GossipUpdate, HostState, UpdateUrgency } from '../coordination/Updates.js';
-import type { DoubtReason, EndMark, EventSteps, RunCheckResult } from '../request/Types.js';
+import type { AfterEnd, DoubtReason, EndMark, EventSteps, RunCheckResult } from '../request/Types.js';
 import type { Millis, Priority, RanStatus } from '../Types.js';
 export type { HostState } from '../coordination/Updates.js';
 export type {
@@ -325,6 +325,8 @@
   incarnation?: number | undefined;
   /** What marked the end of the response. Absent while it has not ended, and if it broke off. */
   endMark?: EndMark;
+  /** What followed the marked end. Absent like `endMark`, and if it is not known. */
+  afterEnd?: AfterEnd;
   /** Why it is in doubt whether the answer is complete. Absent if it is not. */
   doubt?: DoubtReason;
   answer: IAnswer | undefined;
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -1,4 +1,4 @@
-import type { Result } from 'true-myth';
+import { Result } from 'true-myth';
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type {
   AttemptErrorKind,
@@ -12,7 +12,7 @@
 import { classifyLength } from '../policy/Queueing.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck, releaseAttempt } from './AttemptPlan.js';
-import { findDoubt, hasSpoiltLately } from './DoubtfulEnds.js';
+import { findDoubt, hasSpoiltLately, refuteEnd } from './DoubtfulEnds.js';
 import { EndpointMeter } from './EndpointMeter.js';
 import { formatPool } from './EndpointIndex.js';
 import { hasEnded } from './Refusals.js';
@@ -93,14 +93,25 @@
     this._abortControllers.set(attempt.id, controller);
     board.attempts.update(attempt.id, { phase: 'sent' });
     const progress = new AttemptProgress(this._options, this._meter, attempt, request);
-    const result = await runAttempt({ attempt, request, endpoint, signal: controller.signal }, (part) => {
+    const received = await runAttempt({ attempt, request, endpoint, signal: controller.signal }, (part) => {
       progress.handlePart(part);
     });
+    const result = this._refuteResult(attempt, received);
     this._abortControllers.delete(attempt.id);
     progress.end(result.isOk);
     this._handleResult(attempt, progress, result);
   }
 
+  /** Turns the result of an attempt whose end was false into an error. */
+  private _refuteResult(
+    attempt: IAttemptEntry,
+    result: Result<IAnswer, IAttemptError>,
+  ): Result<IAnswer, IAttemptError> {
+    const current = this._options.board.attempts.get(attempt.id);
+    const error = current && refuteEnd(current, result.isOk ? result.value : undefined);
+    return error ? Result.err(error) : result;
+  }
+
   private _handleResult(
     attempt: IAttemptEntry,
     progress: AttemptProgress,
@@ -229,7 +240,9 @@
       return;
     }
     if (part.kind === 'end') {
-      this._options.board.attempts.update(this._attempt.id, { endMark: part.mark });
+      const { afterEnd, mark } = part;
+      const patch = afterEnd === undefined ? {} : { afterEnd };
+      this._options.board.attempts.update(this._attempt.id, { endMark: mark, ...patch });
       return;
     }
     if (part.kind === 'check') {
--- a/src/common/request/DoubtfulEnds.ts
+++ b/src/common/request/DoubtfulEnds.ts
@@ -1,4 +1,4 @@
-import type { IAttemptEntry, IEndpointEntry } from '../blackboard/Types.js';
+import type { IAnswer, IAttemptEntry, IAttemptError, IEndpointEntry } from '../blackboard/Types.js';
 import type { Millis } from '../Types.js';
 import type { DoubtReason } from './Types.js';
 
@@ -34,3 +34,25 @@
 export function hasSpoiltLately(endpoint: Readonly<IEndpointEntry> | undefined, now: Millis): boolean {
   return endpoint?.spoiltAt !== undefined && now - endpoint.spoiltAt < SPOILT_MEMORY_MS;
 }
+
+/**
+ * Describes the failure of an attempt whose marked end was false, since the rest of its answer followed; `undefined` for
+ * any other attempt. A stream can go on after the last event that it brought. A whole answer is not refuted by another
+ * response behind it, nor by bytes that belong to none.
+ * @example
+ * const error = refuteEnd(attempt, result.unwrapOr(undefined)); // kind 'malformed' if `attempt.afterEnd` is 'rest'
+ */
+export function refuteEnd(
+  { afterEnd }: IAttemptEntry,
+  answer: IAnswer | undefined,
+): IAttemptError | undefined {
+  if (afterEnd !== 'rest') return undefined;
+  const { eventSteps, lastEventId } = answer?.kind === 'model' ? answer : {};
+  return {
+    kind: 'malformed',
+    ran: 'yes',
+    message: 'The rest of the answer followed its end.',
+    ...(lastEventId === undefined ? {} : { lastEventId }),
+    ...(eventSteps === undefined ? {} : { eventSteps }),
+  };
+}
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -18,6 +18,12 @@
 /** What marks the end of a response: its length, its last chunk, or only the end of its connection. */
 export type EndMark = 'length' | 'chunks' | 'connection';
 
+/**
+ * What followed an answer behind its marked end on the same connection. `rest`: more of the same answer, so that the
+ * end was false. `response`: another response. `other`: bytes that say nothing about the answer.
+ */
+export type AfterEnd = 'none' | 'response' | 'rest' | 'other';
+
 /**
  * How the ids of the events of a stream rise: by one each, by any amount, or `unknown` before two of them have come.
  * Only where they rise by one does a larger step show that events are missing.
@@ -41,8 +47,11 @@
    * The response has begun. `confidence` is the model's confidence in its answer, 0 to 1, if it reports one.
    */
   | { kind: 'opening'; confidence: number | undefined }
-  /** The response has ended, and nothing in its bytes or on its connection was wrong. */
-  | { kind: 'end'; mark: EndMark }
+  /**
+   * The response has ended, and nothing before its end was wrong. `afterEnd` is absent if the adapter does not look
+   * behind the end.
+   */
+  | { kind: 'end'; mark: EndMark; afterEnd?: AfterEnd }
   /** The endpoint was asked, `silentMs` after the last output, whether it still runs the attempt. */
   | { kind: 'check'; check: RunCheckResult; silentMs: Millis };
 
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -76,8 +76,16 @@
         }
         if (after?.phase === 'doubted' && before?.phase !== 'doubted') this._recordDoubt(after);
         if (after && after.error !== before?.error && after.error) {
-          const { kind, message, ran } = after.error;
-          this._options.record('attempt.error', { ...describeAttempt(after), error: kind, ran, message });
+          const { afterEnd, endMark, error } = after;
+          const { kind, message, ran } = error;
+          const end = endMark === undefined ? {} : { endMark, afterEnd };
+          this._options.record('attempt.error', {
+            ...describeAttempt(after),
+            error: kind,
+            ran,
+            message,
+            ...end,
+          });
         }
       }),
     );
--- a/src/common/timeline/TimelineRecorder.ts
+++ b/src/common/timeline/TimelineRecorder.ts
@@ -1,4 +1,5 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
+import type { IAttemptEntry } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { ITimelineEvent, TimelineFields } from './Types.js';
 
@@ -76,6 +77,7 @@
           version: after.version,
           tokens: after.tokens,
           error: after.error?.kind,
+          ...(hasBytesBehind(after) ? { endMark: after.endMark, afterEnd: after.afterEnd } : {}),
         });
       }),
     );
@@ -112,3 +114,8 @@
     );
   }
 }
+
+/** Tells whether bytes followed the marked end of an attempt's answer. */
+function hasBytesBehind({ afterEnd }: IAttemptEntry): boolean {
+  return afterEnd !== undefined && afterEnd !== 'none';
+}
--- a/src/standins/platform/BrokenAnswer.ts
+++ b/src/standins/platform/BrokenAnswer.ts
@@ -39,7 +39,27 @@
 
 const CUT_DELAY_MS = 25;
 
+/** What the connection of an answer carries behind its marked end. */
+export type BytesBehind = 'nothing' | 'rest' | 'response' | 'repeat' | 'noise' | 'last-chunk';
+
+/** A kind of answer whose end is marked, and what happens behind it. */
+export interface IMarkedAnswer {
+  /** How much of the answer is in front of the mark. */
+  part: 'whole' | 'half' | 'none';
+  framing: Exclude<AnswerFraming, 'connection'>;
+  behind: BytesBehind;
+  /** When these bytes are sent: in one write with the answer, or once its caller has it. */
+  timing: 'same-write' | 'after-delivery';
+  /** Whether the answer says that its connection will be closed. */
+  connection: 'kept' | 'closed';
+}
+
+/** Share of the pieces of an answer in front of the mark of its end. */
+const SENT_SHARES = { whole: 1, half: 0.5, none: 0 } as const;
+
+const CLOSE_DELAY_MS = 50;
 const LAST_CHUNK = '0\r\n\r\n';
+const NOISE = '\x16\x03\x01\x02\xff;\r\nnoise\r\n\r\n';
 
 /** Sends the rest of a stream, from the event after the last one that the call names, and breaks it off. */
 export function sendBrokenAnswer(
@@ -76,6 +96,39 @@
   }
 }
 
+/**
+ * Sends pieces of an answer with a proper mark of the end, and bytes behind it, which may wait for `waitForDelivery`.
+ * Closes the connection later, since the server cannot use it again.
+ */
+export async function sendMarkedAnswer(
+  call: IRunnerCall,
+  { socket }: ServerResponse,
+  pieces: readonly string[],
+  { behind, connection, framing, part, timing }: IMarkedAnswer,
+  waitForDelivery: () => Promise<void>,
+): Promise<void> {
+  const sent = pieces.slice(0, Math.floor(pieces.length * SENT_SHARES[part]));
+  const end = framing === 'chunks' ? LAST_CHUNK : '';
+  const lines = connection === 'closed' ? ['connection: close'] : [];
+  const marked = formatHead(call, framing, sent, lines) + formatPieces(framing, sent) + end;
+  const rest: Readonly<Record<BytesBehind, string>> = {
+    nothing: '',
+    rest: formatPieces(framing, pieces.slice(sent.length)) + end,
+    response: marked,
+    repeat: formatPieces(framing, sent) + end,
+    noise: NOISE,
+    'last-chunk': LAST_CHUNK,
+  };
+  if (timing === 'same-write') {
+    socket?.write(marked + rest[behind], 'latin1');
+  } else {
+    socket?.write(marked);
+    await waitForDelivery();
+    socket?.write(rest[behind], 'latin1');
+  }
+  setTimeout(() => socket?.end(), CLOSE_DELAY_MS);
+}
+
 /**
  * Sends an answer in chunks with a proper end, and other header lines in place of the one that announces the chunks. The
  * connection is closed after it.
