Do not believe replies that do not answer the call

JSON objects that are cut are believed nowhere.

- The lists of hosts and the limit of the weight store were read from a reply with status 500.
- A question to another host was not ended by a valid reply that is no reply to it, as `{}` or one with another id: the time limit ends with the body.
The call waits for good.

All of them are errors now.

--- a/src/adapters/HostListClient.ts
+++ b/src/adapters/HostListClient.ts
@@ -43,6 +43,8 @@
       dispatcher: DEFAULT_AGENT,
     });
     const parsed = LIST_SCHEMA.safeParse(await readLimitedJson(reply.body, { maxBytes: MAX_LIST_BYTES }));
+    if (reply.statusCode !== 200)
+      return Result.err({ kind: 'unavailable', message: `The list was answered with ${reply.statusCode}.` });
     if (parsed.success) return Result.ok(parsed.data.machines);
     return Result.err({ kind: 'malformed', message: parsed.error.message });
   } catch (error) {
--- a/src/adapters/PeerRpc.ts
+++ b/src/adapters/PeerRpc.ts
@@ -84,6 +84,8 @@
           client.receive(
             JSON.parse(await sendMessage(options, agent, { address, message, timeoutMs })) as JSONRPCResponse,
           );
+          // The call would wait for good for a reply that is no reply to it. One that was answered is settled.
+          client.rejectAllPendingRequests('The host sent no reply to the call.');
         } catch (error) {
           transportError = error;
           throw error;
--- a/src/adapters/WeightStoreClient.ts
+++ b/src/adapters/WeightStoreClient.ts
@@ -17,7 +17,7 @@
         dispatcher: DEFAULT_AGENT,
       });
       const parsed = LIMIT_SCHEMA.safeParse(await readLimitedJson(reply.body, { maxBytes: MAX_REPLY_BYTES }));
-      return parsed.success ? parsed.data.loadsPerMinute : undefined;
+      return reply.statusCode === 200 && parsed.success ? parsed.data.loadsPerMinute : undefined;
     } catch {
       return undefined;
     }
