Do not end a stream because several endpoints have nothing to add

A caller got a stream of six events as complete with 1,2,3: it was cut visibly, and two endpoints that were asked to go on sent an empty answer with a proper end. A caller that resumed a stream itself got an empty, complete one.

Cause: one endpoint's empty answer claimed the end of the stream, and the next one's confirmed it. The two are no independent evidence. If resumptions fail for a reason that all endpoints share, any two of them agree.

An empty answer now claims nothing. It only confirms an end after events that another endpoint ended without a mark (`claim`).

Evidence: the test of an empty continuation that two endpoints confirm expected `complete 1,2,3`. That expectation was the fault. The test now asks for `broken 1,2,3` with the same three runs, for all three framings, and fails on the code before.

A stream with more events than allowed, cut at the limit, is broken off too, since the next endpoint has nothing to add; its test expected a complete one.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -170,7 +170,7 @@
   resumeAfter?: string;
   /** Whether an attempt failed after a part of its answer had been delivered to the caller. */
   hasPartialDelivery?: boolean;
-  /** Event after which an endpoint claims that its stream ended, until another endpoint has sent more or has agreed. */
+  /** Event after which an endpoint ended its stream without a mark, until another one has sent more or has agreed. */
   claimedEnd?: { endpoint: string; lastEventId: string | undefined };
   /** How the ids of the events have risen that the caller has received. Default `unknown`. */
   eventSteps?: EventSteps;
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -9,11 +9,12 @@
 
 /**
  * Believes an end only with evidence. A mark is evidence, unless the endpoint has lately spoilt answers and its report
- * lists more events of the run than have arrived; without such a report the mark stands. The end of a connection is none by itself: the system closes the connections of a
- * process that dies in order. So the endpoint must not be found dead, and if it cannot be asked, the endpoints of its
- * service mark the ends of streams, or a stream ended without any event, the stream is continued elsewhere: another
- * endpoint then sends what is missing, or agrees that nothing is. A stream that none can continue is broken off, and one
- * of which nothing has come at all is refused.
+ * lists more events of the run than have arrived; without such a report the mark stands. The end of a connection is none
+ * by itself: the system closes the connections of a process that dies in order. So the endpoint must not be found dead,
+ * and if it cannot be asked, or the endpoints of its service mark the ends of streams, it only claims the end: another
+ * endpoint, asked to go on, sends what is missing or agrees that nothing is. A stream without any event does not even
+ * claim an end, since a fault that all endpoints have in common gives the same. A stream that none can continue is broken
+ * off, and one of which nothing has come at all is refused.
  * @example
  * // 'check' if only the connection ended
  * decideAnswerEnd({ request, attempt, check: undefined, marksEnds: false, hasSpoiltLately: () => false });
@@ -25,15 +26,14 @@
     return check === undefined ? 'check' : check === 'ahead' ? 'broken' : 'complete';
   if (attempt.endMark === 'connection' && check === undefined) return 'check';
   if (check !== undefined && BREAKING_CHECKS.has(check)) return 'broken';
-  const isStream = attempt.answer?.kind === 'model';
-  const isDoubtful = attempt.tokens === 0 || marksEnds || check === 'unanswered';
-  return isStream && isDoubtful ? 'continue' : 'complete';
+  if (attempt.answer?.kind !== 'model') return 'complete';
+  if (attempt.tokens === 0) return 'continue';
+  return marksEnds || check === 'unanswered' ? 'claim' : 'complete';
 };
 
 /**
- * Tells whether another endpoint has claimed the same end before, and this one has found nothing after it. A generation
- * has at least one token, so endpoints cannot agree that there is no event at all. An endpoint that spoils answers is not
- * believed, nor one that does not mark the end of its empty answer.
+ * Tells whether another endpoint has claimed the same end before, and this one has found nothing after it. An endpoint
+ * that spoils answers is not believed, nor one that does not mark the end of its empty answer.
  */
 function isAgreedEnd({ attempt, hasSpoiltLately, request }: IAnswerEndView): boolean {
   const { answer, endMark, endpoint, tokens } = attempt;
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -103,10 +103,12 @@
     if (decision === 'complete') {
       board.endpoints.update(id, { consecutiveFailures: 0 });
       board.attempts.update(attempt.id, { phase: 'finished' });
-    } else if (decision === 'continue') {
+    } else if (decision === 'claim') {
       const lastEventId = answer?.kind === 'model' ? answer.lastEventId : undefined;
       board.requests.update(attempt.request, { claimedEnd: { endpoint: id, lastEventId } });
       this._fail(attempt, 'unconfirmed', 'Another endpoint has to confirm the end of the answer.');
+    } else if (decision === 'continue') {
+      this._fail(attempt, 'unconfirmed', 'An answer without any event is no end of a stream.');
     } else {
       const consecutiveFailures = (board.endpoints.get(id)?.consecutiveFailures ?? 0) + 1;
       board.endpoints.update(id, { consecutiveFailures, spoiltAt: clock.now() });
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -123,9 +123,9 @@
 
 /**
  * Decision on an answer whose end is in doubt: it is complete or broken, its endpoint has to be asked first, or another
- * endpoint has to go on after its last event.
+ * endpoint has to go on after its last event. With `claim`, that endpoint confirms the end if it finds nothing after it.
  */
-export type AnswerEndDecision = 'complete' | 'broken' | 'check' | 'continue';
+export type AnswerEndDecision = 'complete' | 'broken' | 'check' | 'claim' | 'continue';
 
 /** Decides whether an answer is complete whose end is in doubt. */
 export type DecideAnswerEnd = (view: IAnswerEndView) => AnswerEndDecision;
--- a/src/daemons/BrokenStreams.test.ts
+++ b/src/daemons/BrokenStreams.test.ts
@@ -130,10 +130,13 @@
 // Guards against ORDER: an endpoint that cannot resume a stream answers with an empty one, and the rest is missing.
 for (const [lastEvent, expected] of [
   [LAST_EVENT, WHOLE_STREAM],
-  [3, 'complete 1,2,3'],
+  [3, 'broken 1,2,3'],
 ] as const) {
-  const name = lastEvent === LAST_EVENT ? 'sends the rest' : 'confirms that nothing follows';
-  test(`a stream with an empty continuation ends after another endpoint ${name}`, async (t) => {
+  const name =
+    lastEvent === LAST_EVENT
+      ? 'is complete if another endpoint sends the rest'
+      : 'is broken off if all are empty';
+  test(`a stream with an empty continuation ${name}`, async (t) => {
     const outcomes: unknown[] = [];
     for (const framing of FRAMINGS) {
       const result = await runStream((run, call, response) => {
--- a/src/daemons/FaultyEvents.test.ts
+++ b/src/daemons/FaultyEvents.test.ts
@@ -117,5 +117,6 @@
     outcomes[name] = outcome;
   }
   const allowed = 'complete 1,2,3,4,5,6,7,8,9';
-  t.deepEqual(outcomes, { none: allowed, unreadable: allowed, ample: allowed, exceeded: WHOLE_STREAM });
+  const exceeded = 'broken 1,2,3,4,5,6';
+  t.deepEqual(outcomes, { none: allowed, unreadable: allowed, ample: allowed, exceeded });
 });
