Expect the next event when a caller resumes a stream itself

A caller that resumed a stream after event 3 got 5 and 6 as a complete rest, if an endpoint left out event 4.

Cause: how the ids of a stream rise is known from its events so far, and the host that a caller turns to has seen none.

--- a/src/daemons/FaultyEvents.test.ts
+++ b/src/daemons/FaultyEvents.test.ts
@@ -79,6 +79,18 @@
   t.is(new EventSplitter().push(Buffer.from(legal))?.bytes.toString(), legal);
 });
 
+// Guards against ORDER: nothing tells how the ids rose for the caller that resumes a stream, and a gap is delivered.
+test('a stream that its caller resumes goes on elsewhere if the first event is not the next one', async (t) => {
+  const [outcome] = await runStream(
+    (run, call, response) => {
+      if (run === 0) void sendAtOnce(call, response, formatEvents([5, 6]));
+      else sendStream(call, response, 'chunks');
+    },
+    { 'last-event-id': '3' },
+  );
+  t.is(outcome, 'complete 4,5,6');
+});
+
 /** Sends the events with those of the ids that lie after the position that the call names. */
 function createIdAnswer(ids: readonly number[]): AnswerRun {
   return (_run, call, response) => {
