Let the parser of responses take 4 KiB at once

Cause: undici creates an error for each header beyond its limit until the parser returns. A socket hands it 64 KiB at once, which hold about ten thousand headers, and goes on to hand it what is buffered after the connection was closed.

The connections of all agents now give the parser at most 4 KiB at once, and nothing once they are closed.

--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -7,6 +7,12 @@
 /** How a connection stands: `closed` in order by the other side, or `reset`, so that bytes may be missing. */
 export type ConnectionState = 'open' | 'closed' | 'reset';
 
+/**
+ * Largest number of bytes that the parser takes at once. undici creates an error for each header beyond the limit until
+ * the parser returns, and thousands of headers fit into what a socket reads at once.
+ */
+const MAX_PARSED_BYTES = 4096;
+
 /** Largest number of bytes behind a response that are kept. */
 const MAX_BYTES_BEHIND = 256;
 
@@ -160,7 +166,7 @@
           // The listeners are added before those of undici, which ends the response.
           if (error === null) {
             this._recordStates(socket);
-            this._recordLeftovers(socket);
+            this._limitReads(socket);
             this._overhead = new ResponseOverhead(socket);
           }
           onConnected(...result);
@@ -194,11 +200,11 @@
   }
 
   /**
-   * Records what undici's parser leaves over of each chunk that it reads. undici tells nobody of the bytes behind a
-   * response: it puts them back or closes the connection. It cuts them off the chunk by `subarray` in both cases, and
-   * uses this method of the chunk for nothing else.
+   * Limits the size of the chunks that undici's parser reads, and records what it leaves over of each. undici tells
+   * nobody of the bytes behind a response: it puts them back or closes the connection. It cuts them off the chunk by
+   * `subarray` in both cases, and uses this method of the chunk for nothing else.
    */
-  private _recordLeftovers(socket: Socket): void {
+  private _limitReads(socket: Socket): void {
     const recordLeftover = (bytes: Buffer): void => this._current?.recordLeftover(bytes);
     function takeLeftover(this: Buffer, start?: number, end?: number): Buffer<ArrayBuffer> {
       const leftover = (Buffer.prototype as Buffer<ArrayBuffer>).subarray.call(this, start, end);
@@ -207,7 +213,11 @@
     }
     const readChunk = socket.read.bind(socket) as (size?: number) => Buffer | null;
     socket.read = (size?: number): Buffer | null => {
-      const chunk = readChunk(size);
+      // The parser would go on with bytes that are buffered when it closes the connection because of their number.
+      if (socket.destroyed) return null;
+      const chunk = readChunk(
+        size ?? (socket.readableLength > MAX_PARSED_BYTES ? MAX_PARSED_BYTES : undefined),
+      );
       if (chunk === null) return null;
       this._current?.recordRead();
       chunk.subarray = takeLeftover;
