Read no plain answer with another transfer encoding than chunked at the other edge

A caller of a plain service got chunk sizes within the answer if the service misspelt `chunked`.

Cause: undici reads a body of any other encoding to the end of the connection, and the client of plain services looked at the end of the connection only.

--- a/src/adapters/PlainClient.ts
+++ b/src/adapters/PlainClient.ts
@@ -5,7 +5,13 @@
 import type { Millis } from '../common/Types.js';
 import { BufferBudget } from './BufferBudget.js';
 import { mapCallError } from './EngineClient.js';
-import { DEFAULT_AGENT, findEndMark, isCutByConnection, ResponseConnection } from './HttpAgent.js';
+import {
+  DEFAULT_AGENT,
+  findEndMark,
+  hasSoundFraming,
+  isCutByConnection,
+  ResponseConnection,
+} from './HttpAgent.js';
 import { readLimitedBytes } from './LimitedBody.js';
 import { BodyLimitError } from './ResponseErrors.js';
 
@@ -47,10 +53,16 @@
       headersTimeout: options.headersTimeoutMs ?? 30_000,
       dispatcher: options.dispatcher ?? DEFAULT_AGENT,
     });
+    const { headers, statusCode: status } = reply;
+    const form = { method, status, findHeader: (name: string) => headers[name]?.toString() };
+    if (!hasSoundFraming(form)) {
+      reply.body.on('error', () => undefined).destroy();
+      const message = 'The answer has another transfer encoding than chunked.';
+      return Result.err({ kind: 'malformed', ran: 'unknown', message });
+    }
     const { budget = DEFAULT_BUDGET, maxAnswerBytes: maxBytes = MAX_ANSWER_BYTES } = options;
     const body = await readLimitedBytes(reply.body, { maxBytes, budget });
-    const { headers, statusCode: status } = reply;
-    const mark = findEndMark({ method, status, findHeader: (name) => headers[name]?.toString() });
+    const mark = findEndMark(form);
     if (isCutByConnection(mark, connection)) {
       const message = 'The connection was reset at the end of the answer.';
       return Result.err({ kind: 'crashed', ran: 'yes', message });
