--- a/src/adapters/EndlessReplies.test.ts
+++ b/src/adapters/EndlessReplies.test.ts
@@ -1,8 +1,7 @@
 import test from 'ava';
-import type { IAttemptCall } from '../common/request/Types.js';
 import { startEndlessServer } from '../standins/EndlessServer.js';
 import { createTestEndpoint } from '../testing/EntryFixtures.js';
-import { buildTestRequest } from '../testing/VersionFixtures.js';
+import { createAttemptCall } from '../testing/AttemptCalls.js';
 import { BufferBudget } from './BufferBudget.js';
 import { runEngineAttempt } from './EngineClient.js';
 import { createSendOrder } from './EngineOrders.js';
@@ -22,29 +21,10 @@
 
 type SendCall = (address: string) => Promise<unknown>;
 
-const PLAIN_TARGET = {
-  kind: 'plain',
-  plainService: 'ledger',
-  method: 'GET',
-  path: '/',
-  contentType: undefined,
-  body: undefined,
-} as const;
-
-function createCall(address: string, isPlain: boolean): IAttemptCall {
-  const call: Pick<IAttemptCall, 'attempt' | 'endpoint' | 'request' | 'signal'> = {
-    attempt: { id: 'a-1', version: 'small-1' } as IAttemptCall['attempt'],
-    endpoint: createTestEndpoint('e-1', { kind: isPlain ? 'plain' : 'engine', address }),
-    request: isPlain ? buildTestRequest({ target: PLAIN_TARGET }) : buildTestRequest(),
-    signal: AbortSignal.timeout(TIMEOUT_MS),
-  };
-  return call;
-}
-
-const sendPlain: SendCall = (address) => runPlainAttempt({}, createCall(address, true));
+const sendPlain: SendCall = (address) => runPlainAttempt({}, createAttemptCall(address, 'plain', TIMEOUT_MS));
 
 const sendToModel: SendCall = (address) =>
-  runEngineAttempt({ clock: systemClock }, createCall(address, false), () => undefined);
+  runEngineAttempt({ clock: systemClock }, createAttemptCall(address, 'engine', TIMEOUT_MS), () => undefined);
 
 const sendToPeer: SendCall = async (address) => {
   const lamport = { read: () => 0, observe: () => undefined };
@@ -69,7 +49,11 @@
   'plain body of huge length': [sendPlain, `${HEAD}content-length: 99999999999\r\n\r\n`, 'x'],
   'plain body of a failure': [sendPlain, 'HTTP/1.1 500 Bad\r\n\r\n', 'x'],
   'plain body beside others': [
-    (address) => runPlainAttempt({ budget: new BufferBudget(1_048_576) }, createCall(address, true)),
+    (address) =>
+      runPlainAttempt(
+        { budget: new BufferBudget(1_048_576) },
+        createAttemptCall(address, 'plain', TIMEOUT_MS),
+      ),
     `${HEAD}\r\n`,
     'x',
   ],
