Name the attempt when a test reads the report of an endpoint

Since marked ends are asked about, the client looks at the attempt of the call to know whether events may be in transit. Real calls always have one. The test expects the same as before and passes.

--- a/src/testing/ReplyReaders.ts
+++ b/src/testing/ReplyReaders.ts
@@ -54,7 +54,7 @@
   const client = new EndpointClient({ clock: systemClock, decideSilence: () => 'wait' as never });
   const request = buildTestRequest({ target: { kind: 'plain', call: { attemptId: 'r-1' } } as never });
   const endpoint = createTestEndpoint('p-1', { address: formatIpPort(address) });
-  const check = await client.checkRun({ endpoint, request } as unknown as IAttemptCall, 0);
+  const check = await client.checkRun({ attempt: {}, endpoint, request } as unknown as IAttemptCall, 0);
   client.close();
   return check === 'running';
 }
