--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -14,7 +14,7 @@
 const MAX_PARSED_BYTES = 4096;
 
 /** Largest number of bytes behind a response that are kept. */
-const MAX_BYTES_BEHIND = 256;
+const MAX_BYTES_BEHIND = MAX_PARSED_BYTES;
 
 const NO_BYTES: Buffer = Buffer.alloc(0);
 
@@ -28,7 +28,7 @@
   }
 
   /**
-   * Bytes that the parser has read from the connection and not taken, at most 256. Once the response has ended, these
+   * Bytes that the parser has read from the connection and not taken, at most 4 KiB. Once the response has ended, these
    * are the first ones behind its end.
    */
   public get leftover(): Buffer {
--- a/src/daemons/FaultyEvents.test.ts
+++ b/src/daemons/FaultyEvents.test.ts
@@ -79,6 +79,12 @@
   t.is(new EventSplitter().push(Buffer.from(legal))?.bytes.toString(), legal);
 });
 
+function sendThenBreak(call: IRunnerCall, response: ServerResponse, text: string): void {
+  startStream(call, response);
+  response.write(text);
+  setTimeout(() => response.destroy(), 20);
+}
+
 // Guards against ORDER: nothing tells how the ids rose for the caller that resumes a stream, and a gap is delivered.
 test('a stream that its caller resumes goes on elsewhere if the first event is not the next one', async (t) => {
   const [outcome] = await runStream(
@@ -91,6 +97,24 @@
   t.is(outcome, 'complete 4,5,6');
 });
 
+// Guards against ORDER: resumptions that begin too late, at one endpoint or at all of them, leave out an event.
+test('a stream that was cut is not complete if a resumed run begins with a gap', async (t) => {
+  const outcomes: unknown[] = [];
+  for (const [sent, wrongRuns] of [
+    [1, 1],
+    [3, 2],
+  ] as const) {
+    const [outcome] = await runStream((run, call, response) => {
+      const ids = Array.from({ length: sent }, (_, index) => index + 1);
+      if (run === 0) sendThenBreak(call, response, formatEvents(ids).join(''));
+      else if (run <= wrongRuns) void sendAtOnce(call, response, formatEvents([sent + 2, 6]));
+      else sendStream(call, response, 'chunks');
+    });
+    outcomes.push(outcome);
+  }
+  t.deepEqual(outcomes, [WHOLE_STREAM, 'broken 1,2,3']);
+});
+
 /** Sends the events with those of the ids that lie after the position that the call names. */
 function createIdAnswer(ids: readonly number[]): AnswerRun {
   return (_run, call, response) => {
