--- a/src/daemons/BrokenStreams.test.ts
+++ b/src/daemons/BrokenStreams.test.ts
@@ -13,7 +13,7 @@
   type IBrokenAnswer,
 } from '../standins/platform/BrokenAnswer.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
-import { startStream } from '../standins/platform/ScriptedRunner.js';
+import { buildRunnerHeaders, startStream } from '../standins/platform/ScriptedRunner.js';
 import { requestStream, runStream, startStreamRig, waitForEndpoint } from '../standins/platform/StreamRig.js';
 
 /** A kind of broken stream, and in which run of the stream it occurs. */
@@ -150,6 +150,22 @@
   });
 }
 
+// Guards against ORDER: by a spoilt status, a part of a stream or nothing is delivered as a plain answer.
+test('a stream goes on elsewhere if its endpoint answers with another success than 200', async (t) => {
+  const outcomes: unknown[] = [];
+  for (const status of [204, 206, 304])
+    outcomes.push(
+      await runStream((run, call, response) => {
+        if (run === 0) response.writeHead(status, buildRunnerHeaders(call)).end();
+        else sendStream(call, response, 'chunks');
+      }),
+    );
+  t.deepEqual(
+    outcomes,
+    [204, 206, 304].map(() => [WHOLE_STREAM, [1, 1]]),
+  );
+});
+
 // Guards against ORDER: without an id the next endpoint cannot go on, and sends the stream from its beginning.
 test('a stream without ids that breaks off is not sent twice', async (t) => {
   const rig = await startStreamRig((_run, call, response) => {
