Do not lose a marked answer to the question about its end

A caller of an endpoint that had lately spoilt an answer lost a whole stream at its deadline: the end was marked, and the host was waiting for the endpoint's report, which cannot come in time. A refused report was asked for once more, though that changes nothing.

The end of a marked answer is believed if less than 500 ms are left, and its endpoint is asked once.

Evidence: the table of decisions has a row for it. The time of the question was not measured again.

--- a/src/common/policy/AnswerEnds.test.ts
+++ b/src/common/policy/AnswerEnds.test.ts
@@ -18,6 +18,13 @@
 const ENDS = {
   unmarked: { doubt: 'unmarked', endMark: 'connection', tokens: 3 },
   marked: { doubt: 'endpoint-spoils', endMark: 'chunks', tokens: 3, spoiling: ['m-1'] },
+  markedAtDeadline: {
+    doubt: 'endpoint-spoils',
+    endMark: 'chunks',
+    tokens: 3,
+    spoiling: ['m-1'],
+    leftMs: 100,
+  },
   empty: { doubt: 'empty', endMark: 'chunks', tokens: 0 },
   emptyUnmarked: { doubt: 'unmarked', endMark: 'connection', tokens: 0, claimedBy: 'm-2' },
   emptyConfirmed: { doubt: 'empty', endMark: 'length', tokens: 0, claimedBy: 'm-2' },
@@ -50,6 +57,7 @@
       request: createTestRequest('r-1', claim),
       attempt,
       marksEnds: false,
+      leftMs: 'leftMs' in end ? end.leftMs : 5000,
       hasSpoiltLately: (id: string) => spoiling.includes(id),
     };
     const byCheck = CHECKS.map((check) => [check ?? 'not asked', decideAnswerEnd({ ...view, check })]);
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -1,4 +1,5 @@
 import type { DecideAnswerEnd, IAnswerEndView, RunCheckResult } from '../request/Types.js';
+import type { Millis } from '../Types.js';
 
 /** Results of asking an endpoint that show that it cannot have completed the answer. */
 const BREAKING_CHECKS: ReadonlySet<RunCheckResult> = new Set<RunCheckResult>([
@@ -7,6 +8,9 @@
   'ahead',
 ]);
 
+/** Longest time that an endpoint is waited for when it is asked, with some for the decision. */
+const CHECK_TIME_MS: Millis = 500;
+
 /**
  * Believes an end only with evidence. A mark is evidence, unless the endpoint has lately spoilt answers and its report
  * lists more events of the run than have arrived; without such a report the mark stands. The end of a connection is none
@@ -17,13 +21,16 @@
  * off, and one of which nothing has come at all is refused.
  * @example
  * // 'check' if only the connection ended
- * decideAnswerEnd({ request, attempt, check: undefined, marksEnds: false, hasSpoiltLately: () => false });
+ * decideAnswerEnd({ request, attempt, check: undefined, marksEnds: false, leftMs: 900, hasSpoiltLately: () => false });
  */
 export const decideAnswerEnd: DecideAnswerEnd = (view) => {
-  const { attempt, check, marksEnds } = view;
+  const { attempt, check, leftMs, marksEnds } = view;
   if (isAgreedEnd(view)) return 'complete';
-  if (attempt.doubt === 'endpoint-spoils')
-    return check === undefined ? 'check' : check === 'ahead' ? 'broken' : 'complete';
+  if (attempt.doubt === 'endpoint-spoils') {
+    // At the deadline, a marked answer is worth more than the question.
+    if (check === undefined) return leftMs < CHECK_TIME_MS ? 'complete' : 'check';
+    return check === 'ahead' ? 'broken' : 'complete';
+  }
   if (attempt.endMark === 'connection' && check === undefined) return 'check';
   if (check !== undefined && BREAKING_CHECKS.has(check)) return 'broken';
   if (attempt.answer?.kind !== 'model') return 'complete';
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -51,6 +51,7 @@
       attempt,
       check,
       marksEnds: this._hasMarkedEnds(attempt),
+      leftMs: request.deadlineAt - clock.now(),
       hasSpoiltLately: (id) => hasSpoiltLately(board.endpoints.get(id), clock.now()),
     });
   }
@@ -66,7 +67,9 @@
 
   private async _checkEndpoint(attempt: IAttemptEntry): Promise<RunCheckResult> {
     const first = await this._sendCheck(attempt);
-    const check = first === 'unreachable' ? await this._checkAgain(attempt) : first;
+    // A refusal does not change the decision on an answer whose end is marked.
+    const isCheckedAgain = first === 'unreachable' && attempt.doubt !== 'endpoint-spoils';
+    const check = isCheckedAgain ? await this._checkAgain(attempt) : first;
     recordRunCheck(this._options, attempt, { result: check, silentMs: 0 });
     return check;
   }
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -117,6 +117,8 @@
   check: RunCheckResult | undefined;
   /** Whether an endpoint of the same service has marked the end of a stream. */
   marksEnds: boolean;
+  /** Time until the deadline of the request. */
+  leftMs: Millis;
   /** Tells whether an endpoint has lately sent an answer that was malformed or broke off. */
   hasSpoiltLately: (endpoint: string) => boolean;
 }
