Test that no endpoint confirms its own unmarked end, nor an unmarked answer another one

The new ones begin with an unmarked end that is claimed: each fails if its rule is removed from decideAnswerEnd, and passes with it. The tests before stay.

--- a/src/daemons/UnconfirmedStreams.test.ts
+++ b/src/daemons/UnconfirmedStreams.test.ts
@@ -84,6 +84,25 @@
   t.is(outcome, 'broken 1,2,3');
 });
 
+// Guards against ORDER: an end that nothing marks is confirmed by its own endpoint, or by an answer that nothing marks.
+for (const [confirmation, endpointCount] of [
+  ['chunks', 1],
+  ['connection', 3],
+] as const)
+  test(`an end without a mark is not confirmed at ${endpointCount} endpoints by an empty answer ended by its ${confirmation}`, async (t) => {
+    const rig = await startStreamRig((run, call, response) => {
+      if (run === 0) sendBrokenAnswer(call, response, UNMARKED_CUT);
+      else sendStream(call, response, confirmation, 0);
+    });
+    await sendWarmUps(rig);
+    for (const id of ['m-2', 'm-3'].slice(0, 3 - endpointCount)) rig.store.remove(`servers/${id}`);
+    const countGone = (): number => rig.events.filter(({ fields }) => fields.health === 'gone').length;
+    await rig.waitUntil(() => countGone() === 3 - endpointCount);
+    const outcome = await requestStream(rig, randomUUID());
+    await rig.close();
+    t.is(outcome, 'broken 1,2,3');
+  });
+
 // Guards against ORDER: the endpoint that broke the stream off, or one that marks no end, confirms an empty continuation.
 for (const [confirmation, endpointCount] of [
   ['chunks', 2],
