Take only a whole chunk behind an answer for its rest

A caller got 502 for a whole answer in chunks if noise behind it began with a hexadecimal line, as in `bad`.

Cause: a chunk that had not come to its end counted as the rest of the answer.

Only a chunk that is whole in the 4 KiB that are kept counts now, or an event with a later id.

--- a/src/adapters/AfterEnd.ts
+++ b/src/adapters/AfterEnd.ts
@@ -48,11 +48,11 @@
   return areNumbers ? number > lastNumber : id !== lastEventId;
 }
 
-/** Reads the data of the chunk at the start of a text, as far as the text reaches; empty if there is none. */
+/** Reads the data of the whole chunk at the start of a text; empty if there is none. Noise may look like a chunk size. */
 function readLeadingChunk(text: string): string {
   const [line = '', digits = ''] = CHUNK_SIZE_LINE.exec(text) ?? [];
   const end = line.length + parseInt(digits || '0', 16);
-  return '\r\n'.startsWith(text.slice(end, end + 2)) ? text.slice(line.length, end) : '';
+  return text.startsWith('\r\n', end) ? text.slice(line.length, end) : '';
 }
 
 function isBodyStart(data: string, body: Uint8Array | undefined): boolean {
