Split the state of a connection and the framing of a response from the HTTP agent

The file held three jobs: the agent, what is known of the connection of a response, and where a body ends by its head. The code is moved without a change; the tests of the adapters and of false ends pass.

--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -1,76 +1,14 @@
 import type { Socket } from 'node:net';
-import { setImmediate } from 'node:timers/promises';
 import { Agent, buildConnector, Client, Pool, type Dispatcher } from 'undici';
-import type { EndMark } from '../common/request/Types.js';
+import { ResponseConnection } from './ResponseConnection.js';
 import { countBody, ResponseOverhead } from './ResponseOverhead.js';
 
-/** How a connection stands: `closed` in order by the other side, or `reset`, so that bytes may be missing. */
-export type ConnectionState = 'open' | 'closed' | 'reset';
-
 /**
  * Largest number of bytes that the parser takes at once. undici creates an error for each header beyond the limit until
  * the parser returns, and thousands of headers fit into what a socket reads at once.
  */
 const MAX_PARSED_BYTES = 4096;
 
-/** Largest number of bytes behind a response that are kept. */
-const MAX_BYTES_BEHIND = MAX_PARSED_BYTES;
-
-const NO_BYTES: Buffer = Buffer.alloc(0);
-
-/** How the connection of one response stands. Passed to the agent as the `opaque` of the request. */
-export class ResponseConnection {
-  private _state: ConnectionState = 'open';
-  private _leftover = NO_BYTES;
-
-  public get state(): ConnectionState {
-    return this._state;
-  }
-
-  /**
-   * Bytes that the parser has read from the connection and not taken, at most 4 KiB. Once the response has ended, these
-   * are the first ones behind its end.
-   */
-  public get leftover(): Buffer {
-    return this._leftover;
-  }
-
-  /** Records that the request goes out on a new connection, since the one that was kept had ended. */
-  public recordStart(): void {
-    this._state = 'open';
-    this._leftover = NO_BYTES;
-  }
-
-  /** Records that the parser takes the next bytes. */
-  public recordRead(): void {
-    this._leftover = NO_BYTES;
-  }
-
-  /** Records the bytes that the parser did not take. */
-  public recordLeftover(bytes: Buffer): void {
-    this._leftover = Buffer.from(bytes.subarray(0, MAX_BYTES_BEHIND));
-  }
-
-  /** Records the end of the connection. The first end counts: a connection that is destroyed afterwards was not reset. */
-  public recordEnd(state: Exclude<ConnectionState, 'open'>): void {
-    if (this._state === 'open') this._state = state;
-  }
-}
-
-/** What tells how the end of a response is marked. */
-export interface IResponseForm {
-  method: string;
-  status: number;
-  /** Returns the value of a header by its name in lower case. Several values are joined by commas. */
-  findHeader: (name: string) => string | undefined;
-}
-
-/** Statuses of responses that have no body, so that they end with their head. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
-/** The only transfer encoding of which the end is certain. The parser takes others for it too. */
-const CHUNKED_ENCODING = /^[\t ]*chunked[\t ]*$/i;
-
 /** System error codes of connections that broke. Errors of undici itself report what this side did. */
 const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
 
@@ -104,54 +42,6 @@
 /** Agent of all calls that are given none. */
 export const DEFAULT_AGENT = createHttpAgent();
 
-/**
- * Finds what marks the end of a response, by the rules of HTTP/1.1 on the length of a message.
- * @example
- * findEndMark({ method: 'GET', status: 200, findHeader: () => undefined }); // 'connection'
- */
-export function findEndMark({ findHeader, method, status }: IResponseForm): EndMark {
-  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return 'length';
-  // A transfer encoding goes before a length, and one that does not end with chunks lasts until the connection ends.
-  const encoding = findHeader('transfer-encoding');
-  if (encoding !== undefined) return CHUNKED_ENCODING.test(encoding) ? 'chunks' : 'connection';
-  return findHeader('content-length') === undefined ? 'connection' : 'length';
-}
-
-/**
- * Tells whether the head of a response says clearly where its body ends. undici reads a body of any other transfer
- * encoding than chunks to a last chunk or to the end of the connection, so that a misspelt one gives a spoilt body.
- * Lengths that are not clear are errors of undici.
- * @example
- * hasSoundFraming({ method: 'GET', status: 200, findHeader: () => 'chunked, chunked' }); // false
- */
-export function hasSoundFraming({ findHeader, method, status }: IResponseForm): boolean {
-  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return true;
-  const encoding = findHeader('transfer-encoding');
-  return encoding === undefined || CHUNKED_ENCODING.test(encoding);
-}
-
-/**
- * Reads the first bytes behind a response that has ended; none if nothing follows at once. Bytes that arrive more than
- * one turn of the event loop after the end are not seen.
- * @example
- * const text = await body.text();
- * const bytes = await readBytesBehind(connection);
- */
-export async function readBytesBehind(connection: ResponseConnection): Promise<Buffer> {
-  // Immediates run after the turn's reads, so that the second one runs after the reads of the next turn.
-  for (let count = 0; count < 2 && connection.leftover.length === 0; count += 1) await setImmediate();
-  return connection.leftover;
-}
-
-/**
- * Tells whether a response that undici has read to its end was cut by the end of its connection.
- * @example
- * if (isCutByConnection(endMark, connection)) return Result.err({ kind: 'crashed', ran: 'yes', message });
- */
-export function isCutByConnection(endMark: EndMark, connection: ResponseConnection): boolean {
-  return endMark === 'connection' && connection.state !== 'closed';
-}
-
 /** One connection of an agent. Tells the response in progress there how the connection ends. */
 class RecordingClient extends Client {
   private _current: ResponseConnection | undefined;
--- a/src/adapters/PlainClient.ts
+++ b/src/adapters/PlainClient.ts
@@ -5,13 +5,9 @@
 import type { Millis } from '../common/Types.js';
 import { BufferBudget } from './BufferBudget.js';
 import { mapCallError } from './EngineClient.js';
-import {
-  DEFAULT_AGENT,
-  findEndMark,
-  hasSoundFraming,
-  isCutByConnection,
-  ResponseConnection,
-} from './HttpAgent.js';
+import { DEFAULT_AGENT } from './HttpAgent.js';
+import { isCutByConnection, ResponseConnection } from './ResponseConnection.js';
+import { findEndMark, hasSoundFraming } from './ResponseFraming.js';
 import { readLimitedBytes } from './LimitedBody.js';
 import { BodyLimitError } from './ResponseErrors.js';
 
