Fail a request at its time limit also while it waits for a connection

Cause: undici looks at the abort signal of a request only once it has a connection for it. A request that waits for one, or for a place in the pool, outlives its time limit: at a host that does not respond, by the 10 s that undici allows for a connection. A host that asks a lost one for news of the store therefore learns nothing for 10 s, and decides by what it knew before.

Change: all agents of the product are created in one place, so the fix is there and holds for the store, endpoints, engines and hosts alike. A request fails as soon as its signal is aborted; if it has no connection by then, its error says that no byte of it was sent, and it is dropped when its turn in the pool comes. A connection has to be established in 1 s, between hosts in 0.5 s. What is known to be unsent counts as not run, with one test for it in place of four lists of codes.

--- a/src/adapters/EngineClient.ts
+++ b/src/adapters/EngineClient.ts
@@ -7,6 +7,7 @@
 import type { IClock, Millis, RanStatus } from '../common/Types.js';
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { isMalformedResponse } from './ResponseErrors.js';
+import { isUnsent } from './UnsentRequest.js';
 
 /** Options of the engine client. */
 export interface IEngineClientOptions {
@@ -290,20 +291,15 @@
   }
 }
 
-/** Codes of errors that occur before any byte of the request is sent. */
-const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'UND_ERR_CONNECT_TIMEOUT',
-  'EHOSTUNREACH',
-]);
 const TIMEOUT_ERROR_CODES: ReadonlySet<string> = new Set(['UND_ERR_BODY_TIMEOUT', 'UND_ERR_HEADERS_TIMEOUT']);
 
 /** Maps an error thrown by undici to an attempt error. */
 export function mapCallError(error: unknown, signal: AbortSignal): Result<IAnswer, IAttemptError> {
   const message = error instanceof Error ? error.message : String(error);
   const code = error instanceof Error && 'code' in error ? String(error.code) : '';
-  if (signal.aborted) return failAttempt('cancelled', 'unknown', 'The attempt was cancelled.');
-  if (CONNECT_ERROR_CODES.has(code)) return failAttempt('connect-failed', 'no', message);
+  if (signal.aborted)
+    return failAttempt('cancelled', isUnsent(error) ? 'no' : 'unknown', 'The attempt was cancelled.');
+  if (isUnsent(error)) return failAttempt('connect-failed', 'no', message);
   if (TIMEOUT_ERROR_CODES.has(code)) return failAttempt('silent', 'unknown', message);
   if (isMalformedResponse(error)) return failAttempt('malformed', 'unknown', message);
   return failAttempt('crashed', 'unknown', message);
--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -1,6 +1,8 @@
 import type { Socket } from 'node:net';
-import { Agent, buildConnector, Client, Pool, type Dispatcher } from 'undici';
+import { buildConnector, Client, Pool, type Agent, type Dispatcher } from 'undici';
+import type { Millis } from '../common/Types.js';
 import { ResponseConnection } from './ResponseConnection.js';
+import { failIfAborted, PromptAgent, type RequestOptions } from './PromptAgent.js';
 import { countBody, ResponseOverhead } from './ResponseOverhead.js';
 
 /**
@@ -12,13 +14,20 @@
 /** System error codes of connections that broke. Errors of undici itself report what this side did. */
 const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
 
+/**
+ * Default of the time in which a connection has to be established. A host that does not respond holds a place in the
+ * pool of its connections for as long.
+ */
+const CONNECT_TIMEOUT_MS: Millis = 1000;
+
 /** Bytes that the names and values of the headers of a response may have, and those of its trailers. */
 const MAX_HEADER_BYTES = 16_384;
 
 /**
  * Creates an agent that limits the bytes of a response besides its body, and that records how its connection ended. undici
  * takes a reset for the end of a response without length and chunks, so such a response may be whole only if its
- * connection was closed in order.
+ * connection was closed in order. A request whose signal is aborted fails at once, also while it waits for a connection;
+ * connections have to be established within 1000 ms unless `connect` says otherwise.
  * @example
  * const connection = new ResponseConnection();
  * const { body } = await createHttpAgent().request({ origin, path, method: 'GET', opaque: connection });
@@ -27,8 +36,10 @@
  */
 export function createHttpAgent(options: Agent.Options = {}): Agent {
   const connect =
-    typeof options.connect === 'function' ? options.connect : buildConnector(options.connect ?? {});
-  return new Agent({
+    typeof options.connect === 'function'
+      ? options.connect
+      : buildConnector({ timeout: CONNECT_TIMEOUT_MS, ...options.connect });
+  return new PromptAgent({
     ...options,
     factory: (origin, poolOptions: Pool.Options) =>
       new Pool(origin, {
@@ -66,9 +77,11 @@
   }
 
   public override dispatch(
-    options: Dispatcher.DispatchOptions & { opaque?: unknown },
+    options: RequestOptions & { opaque?: unknown },
     handler: Dispatcher.DispatchHandler,
   ): boolean {
+    // Requests that were aborted in the pool's queue would each open a connection only to close it again.
+    if (failIfAborted(options, handler)) return true;
     this._current = options.opaque instanceof ResponseConnection ? options.opaque : undefined;
     return super.dispatch(
       options,
--- a/src/adapters/HttpStore.ts
+++ b/src/adapters/HttpStore.ts
@@ -5,6 +5,7 @@
 import type { Millis } from '../common/Types.js';
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { readLimitedText } from './LimitedBody.js';
+import { isUnsent } from './UnsentRequest.js';
 
 /** Options of the client of the key-value service. */
 export interface IHttpStoreOptions {
@@ -107,12 +108,11 @@
 
 /**
  * Maps an error thrown during a call to a store error. A failed read has no effect. A failed write may have
- * taken effect, unless the connection was refused.
+ * taken effect, unless it was not sent.
  */
 function mapCallError(method: string, error: unknown): StoreError {
   const message = error instanceof Error ? error.message : String(error);
-  const isConnectionRefused = error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
-  return { kind: method === 'GET' || isConnectionRefused ? 'unavailable' : 'unknown-outcome', message };
+  return { kind: method === 'GET' || isUnsent(error) ? 'unavailable' : 'unknown-outcome', message };
 }
 
 async function readJson(body: Dispatcher.ResponseData['body'], status: number): Promise<unknown> {
--- a/src/adapters/NewsNetwork.test.ts
+++ b/src/adapters/NewsNetwork.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { startSilentAddress } from '../standins/SilentAddress.js';
 import type { NewsReply } from '../common/news/Types.js';
 import { createNewsNetwork } from './NewsNetwork.js';
 import { createPeerClient } from './PeerRpc.js';
@@ -6,6 +7,8 @@
 const LAMPORT = { read: () => 0, observe: () => undefined };
 const IP = '127.0.0.1';
 const PORT = 17_355;
+/** Well below the 10 s that undici waits for a connection, with room for a busy machine. */
+const MAX_LATE_MS = 2000;
 
 const REPLY: NewsReply = {
   kind: 'changes',
@@ -64,3 +67,27 @@
   await client.close();
   network.close();
 });
+
+// Guards against CONFIG and DRAIN: a host that asks a lost one learns nothing meanwhile, and goes on with withdrawn keys
+// and leaving endpoints.
+test('a question to a host that does not respond ends soon after its wait', async (t) => {
+  const lost = await startSilentAddress();
+  t.teardown(lost.close);
+  const network = createNewsNetwork(
+    { host: 'host-1', ip: IP, port: 0 },
+    {
+      findHost: (host) => ({ host, announcedAt: 0, address: lost.address }),
+      lamport: LAMPORT,
+      handleQuestion: () => Promise.resolve({ kind: 'unavailable' }),
+    },
+  );
+  // The second question finds the first one's connection still pending.
+  for (const waitMs of [50, 50, 700]) {
+    const askedAt = performance.now();
+    const reply = await network.askForNews('host-2', { era: 1, revision: 6 }, waitMs);
+    const tookMs = performance.now() - askedAt;
+    t.is(reply.isErr && reply.error.kind, 'unreachable');
+    t.true(tookMs < waitMs + MAX_LATE_MS, `${tookMs} ms for a wait of ${waitMs} ms`);
+  }
+  network.close();
+});
--- a/src/adapters/PeerRpc.ts
+++ b/src/adapters/PeerRpc.ts
@@ -9,6 +9,7 @@
 import { createHttpAgent } from './HttpAgent.js';
 import { readLimitedText } from './LimitedBody.js';
 import { startListening } from './Listening.js';
+import { isUnsent } from './UnsentRequest.js';
 
 /**
  * Lamport clock of this process. Messages between hosts carry its time, so that the events of all hosts can
@@ -61,18 +62,19 @@
 
 const DEFAULT_TIMEOUT_MS: Millis = 1000;
 
+/** Shorter than a call may take, so that a connection to a lost host has ended when the next call to it is due. */
+const CONNECT_TIMEOUT_MS: Millis = 500;
+
 /** Largest request or reply that is read. */
 const MAX_MESSAGE_BYTES = 8_388_608;
-/** Codes of errors that occur before any byte of the request is sent. */
-const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'UND_ERR_CONNECT_TIMEOUT',
-  'EHOSTUNREACH',
-]);
 
 /** Creates the client side of JSON-RPC 2.0 over HTTP between hosts. */
 export function createPeerClient(options: IPeerClientOptions): IPeerClient {
-  const agent = createHttpAgent({ connections: 4, keepAliveTimeout: 30_000 });
+  const agent = createHttpAgent({
+    connections: 4,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: 30_000,
+  });
   return {
     send: async (host, method, params, timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS) => {
       const address = options.findAddress(host);
@@ -209,8 +211,7 @@
 
 function mapToPeerError(error: unknown): PeerError {
   const message = error instanceof Error ? error.message : String(error);
-  const code = error instanceof Error && 'code' in error ? String(error.code) : '';
-  if (CONNECT_ERROR_CODES.has(code)) return { kind: 'unreachable', message };
+  if (isUnsent(error)) return { kind: 'unreachable', message };
   if (error instanceof PeerStatusError && error.status < 500) return { kind: 'rejected', message };
   return { kind: 'unknown-outcome', message };
 }
--- a/src/adapters/ResponseOverhead.ts
+++ b/src/adapters/ResponseOverhead.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 import { ResponseOverheadError } from './ResponseErrors.js';
+import { ForwardingHandler, type AbortRequest, type IResponseHandler } from './ResponseHandler.js';
 
 /**
  * Bytes of a response besides its body: the status line, the headers and the trailers. undici limits the names and
@@ -11,18 +12,6 @@
 /** Bytes besides the body for each byte of it. A chunk of one byte takes five more, or a few more with leading zeros. */
 const OVERHEAD_PER_BODY_BYTE = 8;
 
-/** Handler of a response, as undici calls it after any conversion. Its types mark these names as deprecated. */
-interface IResponseHandler {
-  onConnect?: (...args: unknown[]) => void;
-  onResponseStarted?: () => void;
-  onHeaders?: (...args: unknown[]) => boolean;
-  onData?: (chunk: Buffer) => boolean;
-  onComplete?: (...args: unknown[]) => void;
-  onError?: (error: Error) => void;
-  onUpgrade?: (...args: unknown[]) => void;
-  onBodySent?: (...args: unknown[]) => void;
-}
-
 /**
  * Limits what arrives on a connection for a response besides its body. The other side may send a head or the framing of
  * chunks without end, which costs processor time until the deadline of the call.
@@ -68,47 +57,25 @@
   return new CountingHandler(handler as unknown as IResponseHandler, findOverhead);
 }
 
-/** Counts the bytes of a body and passes on every call. */
-class CountingHandler implements IResponseHandler {
+/** Counts the bytes of a body. */
+class CountingHandler extends ForwardingHandler {
   private _overhead: ResponseOverhead | undefined;
 
   constructor(
-    private readonly _handler: IResponseHandler,
+    handler: IResponseHandler,
     private readonly _findOverhead: () => ResponseOverhead | undefined,
-  ) {}
+  ) {
+    super(handler);
+  }
 
-  public onConnect(...args: unknown[]): void {
+  public override onConnect(abort: AbortRequest, ...args: unknown[]): void {
     this._overhead = this._findOverhead();
     this._overhead?.recordStart();
-    this._handler.onConnect?.(...args);
-  }
-
-  public onResponseStarted(): void {
-    this._handler.onResponseStarted?.();
-  }
-
-  public onHeaders(...args: unknown[]): boolean {
-    return this._handler.onHeaders?.(...args) ?? true;
+    super.onConnect(abort, ...args);
   }
 
-  public onData(chunk: Buffer): boolean {
+  public override onData(chunk: Buffer): boolean {
     this._overhead?.addBodyBytes(chunk.length);
-    return this._handler.onData?.(chunk) ?? true;
-  }
-
-  public onComplete(...args: unknown[]): void {
-    this._handler.onComplete?.(...args);
-  }
-
-  public onError(error: Error): void {
-    this._handler.onError?.(error);
-  }
-
-  public onUpgrade(...args: unknown[]): void {
-    this._handler.onUpgrade?.(...args);
-  }
-
-  public onBodySent(...args: unknown[]): void {
-    this._handler.onBodySent?.(...args);
+    return super.onData(chunk);
   }
 }
--- /dev/null
+++ b/src/adapters/UnsentRequest.ts
@@ -0,0 +1,70 @@
+import type { Dispatcher } from 'undici';
+import { ForwardingHandler, type AbortRequest, type IResponseHandler } from './ResponseHandler.js';
+
+const UNSENT_CODE = 'ERR_REQUEST_UNSENT';
+
+/** A request that was aborted while it waited for a connection. No byte of it is sent, then or later. */
+export class UnsentRequestError extends Error {
+  public readonly code = UNSENT_CODE;
+
+  constructor(options?: ErrorOptions) {
+    super('The request was aborted while it waited for a connection.', options);
+    this.name = 'UnsentRequestError';
+  }
+}
+
+/** Codes of errors that occur before any byte of a request is sent, besides those of the system call. */
+const UNSENT_CODES: ReadonlySet<unknown> = new Set([UNSENT_CODE, 'UND_ERR_CONNECT_TIMEOUT']);
+
+/**
+ * Tells whether a request failed before any byte of it was sent. Codes of the system such as ETIMEDOUT also occur on
+ * connections that break later, so the system call decides about these.
+ * @example
+ * isUnsent(Object.assign(new Error(), { code: 'ECONNREFUSED', syscall: 'connect' })); // true
+ */
+export function isUnsent(error: unknown): boolean {
+  if (!(error instanceof Error)) return false;
+  const { code, syscall } = error as NodeJS.ErrnoException;
+  return UNSENT_CODES.has(code) || syscall === 'connect';
+}
+
+/**
+ * Wraps the handler of a request so that it fails with an `UnsentRequestError` as soon as its signal is aborted while it
+ * waits for a connection. undici itself looks at the signal only once it has a connection, and one to a host that does
+ * not respond may take long, or wait for others in the pool.
+ */
+export function failWhileUnsent(
+  handler: Dispatcher.DispatchHandler,
+  signal: AbortSignal,
+): Dispatcher.DispatchHandler {
+  return new UnsentHandler(handler as unknown as IResponseHandler, signal);
+}
+
+/** Follows a request until it is sent. What undici tells of a request that has failed before is dropped. */
+class UnsentHandler extends ForwardingHandler {
+  private _hasFailed = false;
+
+  constructor(
+    handler: IResponseHandler,
+    private readonly _signal: AbortSignal,
+  ) {
+    super(handler);
+    _signal.addEventListener('abort', this._fail, { once: true });
+  }
+
+  public override onConnect(abort: AbortRequest, ...args: unknown[]): void {
+    this._signal.removeEventListener('abort', this._fail);
+    if (this._hasFailed) abort();
+    else super.onConnect(abort, ...args);
+  }
+
+  public override onError(error: Error): void {
+    this._signal.removeEventListener('abort', this._fail);
+    if (!this._hasFailed) super.onError(error);
+  }
+
+  private readonly _fail = (): void => {
+    this._hasFailed = true;
+    super.onError(new UnsentRequestError({ cause: this._signal.reason }));
+  };
+}
