End a question for news by the clock of the host that asks

Cause: the sync of facts awaits the reply of the host that it asks, and leaves every time limit to the network. Whatever the network fails to end keeps the host from all news of the store.

Change: the sync gives up a question 400 ms after its wait, whatever the network does, and reads the store next.

Evidence: the fleet on a manual clock has hosts that are lost, to which questions never end.

--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -1,3 +1,4 @@
+import { Result } from 'true-myth';
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { StoreError } from '../coordination/Types.js';
 import type { Event } from '../Event.js';
@@ -71,6 +72,12 @@
 const READER_PAUSE_SHARE = 0.2;
 const NEWS_WAIT_SHARE = 0.35;
 
+/**
+ * Time beyond the wait of a question after which its host counts as unreachable, whatever the network does. The network
+ * ends questions sooner; one that it never ends would keep this host from all news.
+ */
+const NEWS_REPLY_MARGIN_MS: Millis = 400;
+
 /**
  * Age, as a share of `maxApplyDelayMs`, up to which another host's news count as complete. It allows for the wait of
  * that host's own call.
@@ -181,7 +188,7 @@
     position: IStorePosition,
   ): Promise<IStorePosition> {
     const { clock } = this._options;
-    const asked = await peers.askForNews(host, position, NEWS_WAIT_SHARE * this._maxApplyDelayMs);
+    const asked = await this._requestInTime(peers, host, position);
     const reply: NewsReply = asked.unwrapOr({ kind: 'unavailable' });
     if (reply.kind === 'unavailable') {
       peers.sources.recordFailure(host, asked.isErr ? 'unreachable' : 'unavailable');
@@ -220,6 +227,23 @@
     return nextPosition;
   }
 
+  private _requestInTime(
+    { askForNews }: INewsPeers,
+    host: string,
+    position: IStorePosition,
+  ): ReturnType<AskForNews> {
+    const waitMs = NEWS_WAIT_SHARE * this._maxApplyDelayMs;
+    return new Promise((resolve) => {
+      const timer = this._options.clock.schedule(waitMs + NEWS_REPLY_MARGIN_MS, () => {
+        resolve(Result.err({ kind: 'unknown-outcome', message: 'The host did not reply in time.' }));
+      });
+      void askForNews(host, position, waitMs).then((reply) => {
+        timer.dispose();
+        resolve(reply);
+      });
+    });
+  }
+
   /** Checks whether another host's news can be followed from a position; `undefined` if they can. */
   private _checkNews(
     reply: Exclude<NewsReply, { kind: 'unavailable' }>,
--- a/src/common/news/NewsByPeers.test.ts
+++ b/src/common/news/NewsByPeers.test.ts
@@ -11,7 +11,7 @@
 /** Time after an outage of the store from which the limits bind a host; a limit of the fleet. */
 const CONTACT_MS = 3000;
 
-const READER_FAULTS: readonly HostFault[] = ['none', 'gone', 'frozen', 'cut', 'deaf', 'turned-away'];
+const READER_FAULTS: readonly HostFault[] = ['none', 'gone', 'lost', 'frozen', 'cut', 'deaf', 'turned-away'];
 
 /** Measures the longest time until a change is known, over times of the change relative to a fault of the readers. */
 async function measureSpread(fault: HostFault, failing: 'one' | 'all'): Promise<number> {
--- a/src/testing/NewsFleet.ts
+++ b/src/testing/NewsFleet.ts
@@ -14,10 +14,11 @@
 import { ManualClock } from './ManualClock.js';
 
 /**
- * What is wrong with a host: `gone` refuses connections, `frozen` answers nobody and does nothing, `cut` is not reached
- * by other hosts, `deaf` does not get the replies of others, and the store does not answer one that is `turned-away`.
+ * What is wrong with a host: `gone` refuses connections, `lost` does not respond to them, and the network never ends
+ * questions to it; `frozen` answers nobody and does nothing, `cut` is not reached by other hosts, `deaf` does not get the
+ * replies of others, and the store does not answer one that is `turned-away`.
  */
-export type HostFault = 'none' | 'gone' | 'frozen' | 'cut' | 'deaf' | 'turned-away';
+export type HostFault = 'none' | 'gone' | 'lost' | 'frozen' | 'cut' | 'deaf' | 'turned-away';
 
 /** A host of the fleet. */
 export interface INewsHost {
@@ -28,6 +29,8 @@
 }
 
 const LINK_MS: Millis = 1;
+/** Question that the network never ends. */
+const NEVER = new Promise<Result<NewsReply, PeerError>>(() => undefined);
 const LIMITS = {
   maxRetryShare: 0.9,
   sessionRetentionMs: 5000,
@@ -126,10 +129,12 @@
       const asked = this.hosts.find(({ id }) => id === to);
       const publisher = this._publishers.get(to);
       if (!asked || !publisher || asked.fault === 'gone') return fail('unreachable');
+      if (asked.fault === 'lost') return NEVER;
       await this._wait(LINK_MS);
       const timeout = this._wait(waitMs + 300).then(() => fail('unknown-outcome'));
       const answer = publisher.handleQuestion(position, waitMs).then(async (reply) => {
         await this._wait(LINK_MS);
+        if (asked.fault === 'lost') return NEVER;
         const isSilent = (fault: HostFault): boolean => fault === 'frozen' || fault === 'gone';
         if (isSilent(asked.fault) || asked.fault === 'cut' || asked.fault === 'deaf' || from.fault === 'deaf')
           return timeout;
