Refuse a status that no response can have before undici asserts it

Callers would see: a stall of some 40 to 110 ms also of a process that runs from the modules instead of the bundle, once for each assertion.

Cause: undici passes a status below 100, or 101 without an upgrade, on to the handler of the response, and fails an assertion afterwards.

Change: the agent fails such a response at its head. The endpoint's answer counts as malformed instead of as a broken connection.

--- a/src/adapters/HttpAgent.test.ts
+++ b/src/adapters/HttpAgent.test.ts
@@ -3,8 +3,10 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import test from 'ava';
 import { startServer } from '../standins/HttpTools.js';
+import { startRawServer } from '../standins/RawServer.js';
 import { startSilentAddress } from '../standins/SilentAddress.js';
 import { createHttpAgent } from './HttpAgent.js';
+import { isMalformedResponse } from './ResponseErrors.js';
 
 /** Far below the time for which the places in the pool are held, and far above what a busy machine needs. */
 const MAX_MS = 3000;
@@ -74,3 +76,22 @@
   await connectionCounter.close();
   await server.close();
 });
+
+// Guards against failed assertions of undici, which cost the process a parse of its source, and against an endpoint whose
+// response counts as a broken connection.
+test('a response with a status that none can have is malformed', async (t) => {
+  const outcomes: Record<string, unknown> = {};
+  for (const status of ['000', '099', '101', '600']) {
+    const bytes = `HTTP/1.1 ${status} X\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n`;
+    const server = await startRawServer(bytes, 'fin');
+    const agent = createHttpAgent();
+    const request = agent.request({ origin: server.address, path: '/', method: 'GET' });
+    outcomes[status] = await request.then(
+      async ({ body, statusCode }) => `${statusCode} ${await body.text()}`,
+      (error: unknown) => (isMalformedResponse(error) ? 'malformed' : String(error)),
+    );
+    await agent.destroy();
+    await server.close();
+  }
+  t.snapshot(outcomes);
+});
--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -4,6 +4,7 @@
 import { ResponseConnection } from './ResponseConnection.js';
 import { failIfAborted, PromptAgent, type RequestOptions } from './PromptAgent.js';
 import { countBody, ResponseOverhead } from './ResponseOverhead.js';
+import { refuseBadStatus } from './ResponseStatus.js';
 
 /**
  * Largest number of bytes that the parser takes at once. undici creates an error for each header beyond the limit until
@@ -85,7 +86,7 @@
     this._current = options.opaque instanceof ResponseConnection ? options.opaque : undefined;
     return super.dispatch(
       options,
-      countBody(handler, () => this._overhead),
+      countBody(refuseBadStatus(handler), () => this._overhead),
     );
   }
 
--- a/src/adapters/ResponseErrors.ts
+++ b/src/adapters/ResponseErrors.ts
@@ -18,8 +18,24 @@
   }
 }
 
+const STATUS_CODE = 'ERR_RESPONSE_STATUS';
+
+/** A response with a status that no response to its request can have. Its connection is closed. */
+export class ResponseStatusError extends Error {
+  public readonly code = STATUS_CODE;
+
+  constructor(status: number) {
+    super(`The response has the status ${status}.`);
+    this.name = 'ResponseStatusError';
+  }
+}
+
 /** Codes of errors by which the bytes that arrived are no response, besides those of the parser. */
-const MALFORMED_CODES: ReadonlySet<unknown> = new Set([OVERHEAD_CODE, 'UND_ERR_HEADERS_OVERFLOW']);
+const MALFORMED_CODES: ReadonlySet<unknown> = new Set([
+  OVERHEAD_CODE,
+  STATUS_CODE,
+  'UND_ERR_HEADERS_OVERFLOW',
+]);
 const PARSER_CODE_PREFIX = 'HPE_';
 
 /**
--- a/src/adapters/ResponseHandler.ts
+++ b/src/adapters/ResponseHandler.ts
@@ -5,7 +5,7 @@
 export interface IResponseHandler {
   onConnect?: (abort: AbortRequest, ...args: unknown[]) => void;
   onResponseStarted?: () => void;
-  onHeaders?: (...args: unknown[]) => boolean;
+  onHeaders?: (status: number, ...args: unknown[]) => boolean;
   onData?: (chunk: Buffer) => boolean;
   onComplete?: (...args: unknown[]) => void;
   onError?: (error: Error) => void;
@@ -25,8 +25,8 @@
     this._handler.onResponseStarted?.();
   }
 
-  public onHeaders(...args: unknown[]): boolean {
-    return this._handler.onHeaders?.(...args) ?? true;
+  public onHeaders(status: number, ...args: unknown[]): boolean {
+    return this._handler.onHeaders?.(status, ...args) ?? true;
   }
 
   public onData(chunk: Buffer): boolean {
