--- a/src/daemons/RouterStalls.test.ts
+++ b/src/daemons/RouterStalls.test.ts
@@ -2,7 +2,11 @@
 import test from 'ava';
 import { sendCall } from '../standins/platform/CallSender.js';
 import { startRouterProcess, type RouterProgram } from '../standins/platform/RouterProcessRig.js';
-import { type AnswerRunnerCall, type IRunnerCall } from '../standins/platform/ScriptedRunner.js';
+import {
+  sendFullAnswer,
+  type AnswerRunnerCall,
+  type IRunnerCall,
+} from '../standins/platform/ScriptedRunner.js';
 
 /** Time that a request may stay unanswered beyond its time limit. */
 const MAX_STALL_MS = 500;
@@ -18,7 +22,9 @@
 /** Bytes that an endpoint or a caller may send. */
 interface IStallCase {
   path: string;
-  answer: AnswerRunnerCall;
+  headers?: Readonly<Record<string, string>>;
+  /** Default: a whole answer. */
+  answer?: AnswerRunnerCall;
 }
 
 function formatHead({ headers }: IRunnerCall, status: string, fields: readonly string[]): string {
@@ -33,6 +39,8 @@
   };
 }
 
+const SPACES = ' '.repeat(15_000);
+
 const CASES: Readonly<Record<string, IStallCase>> = {
   'a response with status 000': {
     path: '/post/1',
@@ -42,6 +50,14 @@
     path: '/post/2',
     answer: createRawAnswer('101 OK', ['content-length: 2'], 'ok'),
   },
+  'a response with spaces in its Connection header': {
+    path: '/post/3',
+    answer: createRawAnswer('200 OK', [`connection: a${SPACES}b`, 'content-length: 2'], 'ok'),
+  },
+  'a call with spaces in its Connection header': {
+    path: '/post/5',
+    headers: { connection: `close, a${SPACES.repeat(4)}b` },
+  },
 };
 
 /**
@@ -71,8 +87,18 @@
     t.teardown(router.close);
     const stalls: string[] = [];
     for (const [name, stallCase] of Object.entries(CASES)) {
-      sendAnswer = stallCase.answer;
-      const call = { address: router.address, path: stallCase.path, method: 'POST', headers: CALL_HEADERS };
+      const { headers, path } = stallCase;
+      sendAnswer =
+        stallCase.answer ??
+        ((call, response) => {
+          sendFullAnswer(call, response, 200, 'ok');
+        });
+      const call = {
+        address: router.address,
+        path,
+        method: 'POST',
+        headers: { ...CALL_HEADERS, ...headers },
+      };
       const stallMs = await measureStall(router.readyAddress, sendCall(call).result);
       if (stallMs >= MAX_STALL_MS) stalls.push(`${name}: ${Math.round(stallMs)} ms`);
     }
