--- a/src/daemons/RouterStalls.test.ts
+++ b/src/daemons/RouterStalls.test.ts
@@ -54,6 +54,15 @@
     path: '/post/3',
     answer: createRawAnswer('200 OK', [`connection: a${SPACES}b`, 'content-length: 2'], 'ok'),
   },
+  'an event without end in chunks of one byte': {
+    path: '/stream/4',
+    headers: { model: '*' },
+    answer: createRawAnswer(
+      '200 OK',
+      ['content-type: text/event-stream', 'transfer-encoding: chunked'],
+      '1\r\nx\r\n'.repeat(250_000),
+    ),
+  },
   'a call with spaces in its Connection header': {
     path: '/post/5',
     headers: { connection: `close, a${SPACES.repeat(4)}b` },
