--- a/src/daemons/RouterStalls.test.ts
+++ b/src/daemons/RouterStalls.test.ts
@@ -67,6 +67,10 @@
     path: '/post/5',
     headers: { connection: `close, a${SPACES.repeat(4)}b` },
   },
+  'a call whose prompt has many parts': {
+    path: '/stream/6',
+    headers: { model: '*', 'prompt-prefix': 'a:1,'.repeat(15_000) },
+  },
 };
 
 /**
