Refuse a list at its first invalid item instead of describing them all

Callers would see: all hosts end, and end again after each restart, because another writer has left an entry with a long list in the store; or a host ends because an endpoint sends a load report of that kind.

Cause: the validator describes every invalid item of a list and formats all descriptions as text. A value of 1 MB, which the store allows, and a load report of 1 MB have room for 500,000 items, whose descriptions need more than the 158 MB of heap that the process has.

Each file that decodes bytes from outside uses the same function for its lists.

Evidence: with the deployed limit of the heap, an entry of an endpoint whose models are 500,000 zeros, a crash record with a list of zeros in a list, and such a report ended the process by lack of memory; now it replies to its readiness check within the 500 ms allowed all the while.

--- a/src/adapters/ConfigMessages.ts
+++ b/src/adapters/ConfigMessages.ts
@@ -8,6 +8,7 @@
 import type { PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 import { decodeIndex, formatDocumentKey } from './ConfigStore.js';
 import { tryDecode } from './GossipMessages.js';
+import { limitList } from './LimitedList.js';
 
 /** Largest length of a value that the store accepts. */
 const MAX_STORE_VALUE_CHARACTERS = 1_048_576;
@@ -16,7 +17,7 @@
 const REVISION_SCHEMA = z.number().int().min(0);
 const PUSH_PARAMS_SCHEMA = z.object({ revision: REVISION_SCHEMA, index: TEXT_SCHEMA });
 const PUSH_REPLY_SCHEMA = z.object({ revision: REVISION_SCHEMA });
-const FETCH_PARAMS_SCHEMA = z.object({ held: z.array(z.string()).max(10_000) });
+const FETCH_PARAMS_SCHEMA = z.object({ held: limitList(z.string(), { maxLength: 10_000 }) });
 const FETCH_REPLY_SCHEMA = z
   .object({ revision: REVISION_SCHEMA, index: TEXT_SCHEMA, records: z.record(z.string(), TEXT_SCHEMA) })
   .nullable();
--- a/src/adapters/EngineClient.ts
+++ b/src/adapters/EngineClient.ts
@@ -8,6 +8,7 @@
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { isMalformedResponse } from './ResponseErrors.js';
 import { isUnsent } from './UnsentRequest.js';
+import { limitList } from './LimitedList.js';
 
 /** Options of the engine client. */
 export interface IEngineClientOptions {
@@ -25,7 +26,7 @@
   running: z.number(),
   waiting: z.number(),
   cacheUse: z.number(),
-  versions: z.array(z.string()),
+  versions: limitList(z.string()),
   isLeaving: z.boolean(),
 });
 
--- a/src/adapters/EngineOrders.ts
+++ b/src/adapters/EngineOrders.ts
@@ -5,6 +5,7 @@
 import type { Millis } from '../common/Types.js';
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { readLimitedText } from './LimitedBody.js';
+import { limitList } from './LimitedList.js';
 
 /** Options of the function that sends orders to engines. */
 export interface IEngineOrderOptions {
@@ -16,7 +17,7 @@
 /** Largest reply of an engine that is read. */
 const MAX_REPLY_BYTES = 1_048_576;
 
-const REPORT_SCHEMA = z.object({ versions: z.array(z.string()) });
+const REPORT_SCHEMA = z.object({ versions: limitList(z.string()) });
 
 /**
  * Creates the function that orders an engine to have exactly the given versions loaded. It resolves with the
--- a/src/adapters/GossipMessages.ts
+++ b/src/adapters/GossipMessages.ts
@@ -3,6 +3,7 @@
 import type { CheckHost, ExchangeGossip, IGossipMessage } from '../common/coordination/Gossip.js';
 import type { GossipUpdate, IHostUpdate } from '../common/coordination/Updates.js';
 import type { PeerError, PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
+import { limitList } from './LimitedList.js';
 
 /** Updates are encoded as tuples instead of objects, which keeps an exchange near 700 bytes. */
 const HOST_UPDATE_SCHEMA = z
@@ -40,7 +41,7 @@
 /** `f`: the sender's own state, `u`: updates, `r`: configuration revision in force at the sender. */
 const MESSAGE_SCHEMA = z.object({
   f: HOST_UPDATE_SCHEMA,
-  u: z.array(z.union([HOST_UPDATE_SCHEMA, ENDPOINT_UPDATE_SCHEMA])).max(64),
+  u: limitList(z.union([HOST_UPDATE_SCHEMA, ENDPOINT_UPDATE_SCHEMA]), { maxLength: 64 }),
   r: z.number().int().min(0),
 });
 
--- a/src/adapters/HostListClient.ts
+++ b/src/adapters/HostListClient.ts
@@ -3,19 +3,20 @@
 import * as z from 'zod';
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { readLimitedJson } from './LimitedBody.js';
+import { limitList } from './LimitedList.js';
 
 /** Largest list that is read. An entry takes about 200 bytes. */
 const MAX_LIST_BYTES = 8_388_608;
 
 const LIST_SCHEMA = z.object({
-  machines: z.array(
+  machines: limitList(
     z.object({
       id: z.string(),
       role: z.enum(['entry-host', 'engine', 'plain']),
       address: z.string(),
       zone: z.string(),
       service: z.string(),
-      versions: z.array(z.string()),
+      versions: limitList(z.string()),
       state: z.enum(['live', 'leaving']),
       /** Identifies the start of the machine's process; a later start has a higher number. */
       incarnation: z.number().int().min(0).optional(),
--- a/src/adapters/JournalMessages.ts
+++ b/src/adapters/JournalMessages.ts
@@ -15,6 +15,7 @@
   JournalEntry,
   JournalError,
 } from '../common/coordination/Types.js';
+import { limitList } from './LimitedList.js';
 
 const ANSWER_SCHEMA = z.object({ status: z.number().int(), contentType: z.string(), body: z.string() });
 const RETENTION_SCHEMA = z.enum(['short', 'long']).default('long');
@@ -58,7 +59,7 @@
 ]);
 
 const PARTITION_SCHEMA = z.number().int().min(0);
-const APPEND_PARAMS_SCHEMA = z.object({ partition: PARTITION_SCHEMA, entries: z.array(ENTRY_SCHEMA) });
+const APPEND_PARAMS_SCHEMA = z.object({ partition: PARTITION_SCHEMA, entries: limitList(ENTRY_SCHEMA) });
 const LOOKUP_PARAMS_SCHEMA = z.object({ partition: PARTITION_SCHEMA, key: KEY_SCHEMA });
 const JOURNAL_RECORD_SCHEMA = z.object({
   key: z.string(),
@@ -80,7 +81,7 @@
   error: z.object({ kind: z.enum(['not-owner', 'unavailable', 'unknown-outcome']), message: z.string() }),
 });
 const APPEND_REPLY_SCHEMA = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('ok'), outcomes: z.array(APPEND_OUTCOME_SCHEMA) }),
+  z.object({ kind: z.literal('ok'), outcomes: limitList(APPEND_OUTCOME_SCHEMA) }),
   ERROR_REPLY_SCHEMA,
 ]);
 const LOOKUP_REPLY_SCHEMA = z.discriminatedUnion('kind', [
@@ -140,11 +141,11 @@
 const HOLD_PARAMS_SCHEMA = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('hold'),
-    bills: z.array(z.object({ id: z.string(), key: KEY_SCHEMA, entries: z.array(ENTRY_SCHEMA) })),
+    bills: limitList(z.object({ id: z.string(), key: KEY_SCHEMA, entries: limitList(ENTRY_SCHEMA) })),
   }),
-  z.object({ kind: z.literal('release'), ids: z.array(z.string()) }),
+  z.object({ kind: z.literal('release'), ids: limitList(z.string()) }),
 ]);
-const HOLD_REPLY_SCHEMA = z.object({ held: z.array(z.string()) });
+const HOLD_REPLY_SCHEMA = z.object({ held: limitList(z.string()) });
 
 /** Creates the handler of `bill.hold`, which keeps copies of a peer's bills or deletes released copies. */
 export function createBillCopyHandler(heldBills: HeldBillController): PeerHandler {
--- a/src/adapters/NewsMessages.ts
+++ b/src/adapters/NewsMessages.ts
@@ -4,6 +4,7 @@
 import type { IStorePosition } from '../common/fleet/Types.js';
 import type { AskForNews, NewsReply } from '../common/news/Types.js';
 import type { Millis } from '../common/Types.js';
+import { limitList } from './LimitedList.js';
 
 /** Time beyond the wait of a question after which the host that was asked counts as unreachable. */
 const REPLY_MARGIN_MS: Millis = 300;
@@ -32,18 +33,19 @@
     kind: z.literal('changes'),
     era: COUNT_SCHEMA,
     revision: COUNT_SCHEMA,
-    changes: z
-      .array(z.object({ key: KEY_SCHEMA, revision: COUNT_SCHEMA, encoded: VALUE_SCHEMA.optional() }))
-      .max(MAX_ENTRIES),
+    changes: limitList(
+      z.object({ key: KEY_SCHEMA, revision: COUNT_SCHEMA, encoded: VALUE_SCHEMA.optional() }),
+      { maxLength: MAX_ENTRIES },
+    ),
     age: AGE_SCHEMA,
   }),
   z.object({
     kind: z.literal('list'),
     era: COUNT_SCHEMA,
     revision: COUNT_SCHEMA,
-    facts: z
-      .array(z.object({ key: KEY_SCHEMA, revision: COUNT_SCHEMA, encoded: VALUE_SCHEMA }))
-      .max(MAX_ENTRIES),
+    facts: limitList(z.object({ key: KEY_SCHEMA, revision: COUNT_SCHEMA, encoded: VALUE_SCHEMA }), {
+      maxLength: MAX_ENTRIES,
+    }),
     age: AGE_SCHEMA,
   }),
   z.object({ kind: z.literal('unavailable') }),
--- a/src/adapters/RatingClient.ts
+++ b/src/adapters/RatingClient.ts
@@ -6,6 +6,7 @@
 import type { IClock, Millis } from '../common/Types.js';
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { readLimitedText } from './LimitedBody.js';
+import { limitList } from './LimitedList.js';
 
 /** Options of the client of the rating service. */
 export interface IRatingClientOptions {
@@ -37,7 +38,7 @@
 
 const PAGE_SCHEMA = z.object({
   next: z.number().int(),
-  ratings: z.array(z.object({ request: z.string(), score: z.enum(['good', 'bad']) })),
+  ratings: limitList(z.object({ request: z.string(), score: z.enum(['good', 'bad']) })),
 });
 const CHECK_REPLY_SCHEMA = z.object({ score: z.number().min(0).max(1) });
 
--- a/src/adapters/RolloutStore.ts
+++ b/src/adapters/RolloutStore.ts
@@ -1,11 +1,12 @@
 import * as z from 'zod';
 import type { IStore } from '../common/coordination/Types.js';
 import type { IRolloutProgress, IRolloutReport } from '../common/rollout/Types.js';
+import { limitList } from './LimitedList.js';
 
 const COUNTS_SCHEMA = z.object({ bad: z.number(), total: z.number() });
 const EVIDENCE_SCHEMA = z.object({
   batches: z.number().int(),
-  logWealth: z.array(z.number()),
+  logWealth: limitList(z.number()),
   stable: COUNTS_SCHEMA,
 });
 const PROGRESS_SCHEMA = z.object({
@@ -25,7 +26,7 @@
 const COUNT_SCHEMA = z.number().min(0);
 const REPORT_SCHEMA = z.object({
   run: z.string(),
-  counts: z.array(
+  counts: limitList(
     z.object({
       rollout: z.string(),
       version: z.string(),
--- a/src/adapters/SuspectMessages.ts
+++ b/src/adapters/SuspectMessages.ts
@@ -1,15 +1,16 @@
 import * as z from 'zod';
 import type { PeerHandlers, SendToPeer } from '../common/coordination/Peers.js';
 import type { SendSuspectMessage, SuspectMessage } from '../common/request/CrashController.js';
+import { limitList } from './LimitedList.js';
 
 const ID_SCHEMA = z.string().min(1).max(300);
 
 const MESSAGE_SCHEMA = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('crash'),
-    sights: z
-      .array(z.object({ fingerprint: ID_SCHEMA, endpoint: ID_SCHEMA, isOnTrial: z.boolean() }))
-      .max(10_000),
+    sights: limitList(z.object({ fingerprint: ID_SCHEMA, endpoint: ID_SCHEMA, isOnTrial: z.boolean() }), {
+      maxLength: 10_000,
+    }),
   }),
   z.object({ kind: z.literal('clear'), fingerprint: ID_SCHEMA }),
   z.object({ kind: z.literal('check'), endpoint: ID_SCHEMA }),
--- a/src/daemons/RequestParser.ts
+++ b/src/daemons/RequestParser.ts
@@ -7,6 +7,7 @@
 import { classifyRequestKind } from '../common/policy/RequestKinds.js';
 import type { Millis, Priority } from '../common/Types.js';
 import { hashFingerprint } from './RequestKeys.js';
+import { limitList } from '../adapters/LimitedList.js';
 import { INITIAL_REQUEST_FIELDS } from '../common/request/InitialFields.js';
 
 /** An authenticated request as received from the caller. */
@@ -23,9 +24,10 @@
 
 const CHAT_SCHEMA = z.looseObject({
   model: z.string().min(1).max(200),
-  messages: z
-    .array(z.looseObject({ role: z.string().max(50), content: z.unknown().optional() }))
-    .min(1, 'must have at least one message'),
+  messages: limitList(z.looseObject({ role: z.string().max(50), content: z.unknown().optional() })).refine(
+    (messages) => messages.length > 0,
+    'must have at least one message',
+  ),
   stream: z.boolean().nullish(),
   max_tokens: z.number().int().positive().nullish(),
   max_completion_tokens: z.number().int().positive().nullish(),
--- a/src/daemons/RouterStalls.test.ts
+++ b/src/daemons/RouterStalls.test.ts
@@ -1,7 +1,11 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import test from 'ava';
 import { sendCall } from '../standins/platform/CallSender.js';
-import { startRouterProcess, type RouterProgram } from '../standins/platform/RouterProcessRig.js';
+import {
+  startRouterProcess,
+  type IRouterProcessRig,
+  type RouterProgram,
+} from '../standins/platform/RouterProcessRig.js';
 import {
   sendFullAnswer,
   type AnswerRunnerCall,
@@ -22,6 +26,8 @@
 /** Bytes that an endpoint or a caller may send. */
 interface IStallCase {
   path: string;
+  /** Called before the call. */
+  prepare?: (router: IRouterProcessRig) => void;
   headers?: Readonly<Record<string, string>>;
   /** Default: a whole answer. */
   answer?: AnswerRunnerCall;
@@ -41,6 +47,9 @@
 
 const SPACES = ' '.repeat(15_000);
 
+/** As a list of a megabyte. */
+const WRONG_ITEMS = Array<number>(500_000).fill(0);
+
 const CASES: Readonly<Record<string, IStallCase>> = {
   'a response with status 000': {
     path: '/post/1',
@@ -71,6 +80,27 @@
     path: '/stream/6',
     headers: { model: '*', 'prompt-prefix': 'a:1,'.repeat(15_000) },
   },
+  'an entry of the store with a long list of wrong items': {
+    path: '/post/7',
+    prepare: ({ store }) => {
+      store.put('servers/odd', { service: 'ledger', models: WRONG_ITEMS });
+    },
+  },
+  'an entry of the store with long lists in a list': {
+    path: '/post/8',
+    prepare: ({ store }) => {
+      const crash = { id: 'c', service: 'ledger', crashedAt: 1, prompts: [WRONG_ITEMS] };
+      store.put('mulberryweir/crash-evidence/odd', { host: 'odd', crashes: [crash], clearances: [] });
+    },
+  },
+  'a load report with a long list of wrong items': {
+    path: '/stream/9',
+    headers: { model: '*' },
+    prepare: ({ runners }) => {
+      for (const runner of runners) runner.reportedRuns = WRONG_ITEMS as never[];
+    },
+    answer: () => undefined,
+  },
 };
 
 /**
@@ -100,7 +130,8 @@
     t.teardown(router.close);
     const stalls: string[] = [];
     for (const [name, stallCase] of Object.entries(CASES)) {
-      const { headers, path } = stallCase;
+      const { headers, path, prepare } = stallCase;
+      prepare?.(router);
       sendAnswer =
         stallCase.answer ??
         ((call, response) => {
@@ -114,6 +145,7 @@
       };
       const stallMs = await measureStall(router.readyAddress, sendCall(call).result);
       if (stallMs >= MAX_STALL_MS) stalls.push(`${name}: ${Math.round(stallMs)} ms`);
+      if (stallMs === Infinity) break;
     }
     t.deepEqual(stalls, []);
     t.is(router.child.exitCode, null);
--- a/src/standins/platform/RouterProcessRig.ts
+++ b/src/standins/platform/RouterProcessRig.ts
@@ -19,6 +19,9 @@
   modules: fileURLToPath(new URL('../../daemons/RouterMain.js', import.meta.url)),
 };
 
+/** As in deploy/system.toml: with more memory, a process would survive what ends it in a deployment. */
+const NODE_FLAGS = ['--max-old-space-size=158'];
+
 const READY_CHECK_INTERVAL_MS: Millis = 10;
 const MAX_READY_CHECKS = 400;
 
@@ -29,6 +32,9 @@
   address: string;
   /** `ip:port` of the readiness check. */
   readyAddress: string;
+  store: IRevisionStoreStandIn;
+  /** Endpoints for models and for plain calls. */
+  runners: readonly IRunnerStandIn[];
   close: () => Promise<void>;
 }
 
@@ -52,7 +58,9 @@
   const address = store.address.replace('http://', '');
   const host = { id: 'host-1', ip: '127.0.0.1', ports, store: address, retryShare: 0.9, stopMs };
   writeFileSync(file, formatTestSettings(host));
-  const child = spawn(process.execPath, [SCRIPTS[program], file], { stdio: ['ignore', 'ignore', 'inherit'] });
+  const child = spawn(process.execPath, [...NODE_FLAGS, SCRIPTS[program], file], {
+    stdio: ['ignore', 'ignore', 'inherit'],
+  });
   await waitUntilReady(ready);
   const close = async (): Promise<void> => {
     child.kill('SIGKILL');
@@ -60,7 +68,8 @@
     await store.close();
     rmSync(folder, { recursive: true });
   };
-  return { child, address: `127.0.0.1:${front}`, readyAddress: `127.0.0.1:${ready}`, close };
+  const addresses = { address: `127.0.0.1:${front}`, readyAddress: `127.0.0.1:${ready}` };
+  return { child, ...addresses, store, runners, close };
 }
 
 /** Sends a signal to a process and waits until it has ended. */
