Reject batches of calls between hosts

Callers would see: a host that is held up, or ends, because another process sends it one message with as many calls as 8 MB have room for.

Cause: the library for calls between hosts starts all calls of a batch at once, and no host sends batches.

Change: a batch is answered with status 400, and none of its calls runs.

Evidence: the test; before, both calls of a batch were handled.

--- a/src/adapters/PeerRpc.test.ts
+++ b/src/adapters/PeerRpc.test.ts
@@ -36,3 +36,22 @@
   });
   await Promise.all([trusted.close(), untrusted.close(), server.close()]);
 });
+
+// Guards against one message that makes a host start as many calls as a batch has room for.
+test('a batch of calls is rejected, and none of them is handled', async (t) => {
+  let calls = 0;
+  const server = await startPeerServer({
+    host: 'host-1',
+    lamport: createLamportClock(0),
+    ip: '127.0.0.1',
+    port: 0,
+    handlers: { 'host.check': () => Promise.resolve((calls += 1)) },
+  });
+  const call = { jsonrpc: '2.0', id: 1, method: 'host.check', params: {} };
+  const send = async (message: unknown): Promise<number> =>
+    (await fetch(`http://127.0.0.1:${server.port}/rpc`, { method: 'POST', body: JSON.stringify(message) }))
+      .status;
+  t.deepEqual([await send(call), await send([call, call])], [200, 400]);
+  t.is(calls, 1);
+  await server.close();
+});
--- a/src/adapters/PeerRpc.ts
+++ b/src/adapters/PeerRpc.ts
@@ -162,7 +162,10 @@
       return;
     }
     options.lamport.observe(Number(request.headers['x-peer-lamport'] ?? 0));
-    const reply = await rpc.receive(JSON.parse(body) as JSONRPCRequest, from);
+    const message = JSON.parse(body) as JSONRPCRequest | readonly unknown[];
+    // No host sends batches, and the largest message has room for millions of calls.
+    if (Array.isArray(message)) throw new RangeError('The message is a batch.');
+    const reply = await rpc.receive(message as JSONRPCRequest, from);
     response.writeHead(200, {
       'content-type': 'application/json',
       'x-peer-lamport': String(options.lamport.read()),
