Leave lists as long as the bytes of their message allow

Their lists may now be as long as the bytes that are read have room for; each is still refused at its first invalid item.

--- a/src/adapters/PromptAgent.ts
+++ b/src/adapters/AbortableAgent.ts
@@ -6,7 +6,7 @@
 export type RequestOptions = Dispatcher.DispatchOptions & { signal?: unknown };
 
 /** Agent whose requests fail as soon as their signal is aborted, also while they wait for a connection. */
-export class PromptAgent extends Agent {
+export class AbortableAgent extends Agent {
   public override dispatch(
     options: RequestOptions & Agent.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -2,7 +2,7 @@
 import { buildConnector, Client, Pool, type Agent, type Dispatcher } from 'undici';
 import type { Millis } from '../common/Types.js';
 import { ResponseConnection } from './ResponseConnection.js';
-import { failIfAborted, PromptAgent, type RequestOptions } from './PromptAgent.js';
+import { failIfAborted, AbortableAgent, type RequestOptions } from './AbortableAgent.js';
 import { countBody, ResponseOverhead } from './ResponseOverhead.js';
 import { refuseBadStatus } from './ResponseStatus.js';
 
@@ -40,7 +40,7 @@
     typeof options.connect === 'function'
       ? options.connect
       : buildConnector({ timeout: CONNECT_TIMEOUT_MS, ...options.connect });
-  return new PromptAgent({
+  return new AbortableAgent({
     ...options,
     factory: (origin, poolOptions: Pool.Options) =>
       new Pool(origin, {
--- a/src/adapters/JournalMessages.ts
+++ b/src/adapters/JournalMessages.ts
@@ -28,6 +28,9 @@
   completionTokens: z.number(),
   cost: z.number(),
 });
+/** Items of one message, as many as its bytes have room for: a batch is limited by its characters. */
+const MAX_ITEMS = 200_000;
+
 const KEY_SCHEMA = z.string().regex(/^[0-9a-f]{8,64}$/);
 
 /** Journal entries as they are sent between hosts. */
@@ -59,7 +62,10 @@
 ]);
 
 const PARTITION_SCHEMA = z.number().int().min(0);
-const APPEND_PARAMS_SCHEMA = z.object({ partition: PARTITION_SCHEMA, entries: limitList(ENTRY_SCHEMA) });
+const APPEND_PARAMS_SCHEMA = z.object({
+  partition: PARTITION_SCHEMA,
+  entries: limitList(ENTRY_SCHEMA, { maxLength: MAX_ITEMS }),
+});
 const LOOKUP_PARAMS_SCHEMA = z.object({ partition: PARTITION_SCHEMA, key: KEY_SCHEMA });
 const JOURNAL_RECORD_SCHEMA = z.object({
   key: z.string(),
@@ -81,7 +87,7 @@
   error: z.object({ kind: z.enum(['not-owner', 'unavailable', 'unknown-outcome']), message: z.string() }),
 });
 const APPEND_REPLY_SCHEMA = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('ok'), outcomes: limitList(APPEND_OUTCOME_SCHEMA) }),
+  z.object({ kind: z.literal('ok'), outcomes: limitList(APPEND_OUTCOME_SCHEMA, { maxLength: MAX_ITEMS }) }),
   ERROR_REPLY_SCHEMA,
 ]);
 const LOOKUP_REPLY_SCHEMA = z.discriminatedUnion('kind', [
@@ -141,11 +147,18 @@
 const HOLD_PARAMS_SCHEMA = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('hold'),
-    bills: limitList(z.object({ id: z.string(), key: KEY_SCHEMA, entries: limitList(ENTRY_SCHEMA) })),
+    bills: limitList(
+      z.object({
+        id: z.string(),
+        key: KEY_SCHEMA,
+        entries: limitList(ENTRY_SCHEMA, { maxLength: MAX_ITEMS }),
+      }),
+      { maxLength: MAX_ITEMS },
+    ),
   }),
-  z.object({ kind: z.literal('release'), ids: limitList(z.string()) }),
+  z.object({ kind: z.literal('release'), ids: limitList(z.string(), { maxLength: MAX_ITEMS }) }),
 ]);
-const HOLD_REPLY_SCHEMA = z.object({ held: limitList(z.string()) });
+const HOLD_REPLY_SCHEMA = z.object({ held: limitList(z.string(), { maxLength: MAX_ITEMS }) });
 
 /** Creates the handler of `bill.hold`, which keeps copies of a peer's bills or deletes released copies. */
 export function createBillCopyHandler(heldBills: HeldBillController): PeerHandler {
--- a/src/adapters/ResponseStatus.ts
+++ b/src/adapters/ResponseStatus.ts
@@ -9,6 +9,8 @@
  * Wraps the handler of a request so that it fails at a status that no response to it can have. undici passes such a
  * status on and fails an assertion afterwards, which may cost far more than an error of its own. No request asks for
  * another protocol, so 101 is among them.
+ * @example
+ * client.dispatch(options, refuseBadStatus(handler)); // `handler` fails with a `ResponseStatusError` at status 000
  */
 export function refuseBadStatus(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
   return new StatusHandler(handler as unknown as IResponseHandler);
--- a/src/adapters/UnsentRequest.ts
+++ b/src/adapters/UnsentRequest.ts
@@ -32,6 +32,8 @@
  * Wraps the handler of a request so that it fails with an `UnsentRequestError` as soon as its signal is aborted while it
  * waits for a connection. undici itself looks at the signal only once it has a connection, and one to a host that does
  * not respond may take long, or wait for others in the pool.
+ * @example
+ * agent.dispatch(options, failWhileUnsent(handler, AbortSignal.timeout(1000)));
  */
 export function failWhileUnsent(
   handler: Dispatcher.DispatchHandler,
--- a/src/daemons/RequestParser.ts
+++ b/src/daemons/RequestParser.ts
@@ -7,8 +7,8 @@
 import { classifyRequestKind } from '../common/policy/RequestKinds.js';
 import type { Millis, Priority } from '../common/Types.js';
 import { hashFingerprint } from './RequestKeys.js';
-import { limitList } from '../adapters/LimitedList.js';
 import { INITIAL_REQUEST_FIELDS } from '../common/request/InitialFields.js';
+import { limitList } from '../adapters/LimitedList.js';
 
 /** An authenticated request as received from the caller. */
 export interface IReceivedRequest {
