Log and count the bytes of the store's news by kind of fact

Hosts that read the store for others lost it after bursts of their own replies, and no log or metric told what the bytes were.

Change: a line `news.read` for each reply with values, with their size and the kind that takes most of it; the counters `news.read_bytes` and `news.sent_bytes`; `config.in-force` tells the greatest age of the news behind it. No decision changes.

--- a/src/adapters/PrometheusExporter.ts
+++ b/src/adapters/PrometheusExporter.ts
@@ -16,6 +16,8 @@
   'endpoints.unhealthy': [],
   'config.revision': [],
   'store.calls': ['operation', 'outcome'],
+  'news.read_bytes': ['kind'],
+  'news.sent_bytes': ['reply'],
 };
 
 /** Collects the metrics of this process and serves them as text in the Prometheus format. */
@@ -27,9 +29,9 @@
   private _server: Server | undefined;
 
   public readonly sink: IMetricsSink = {
-    count: (name, tags) => {
+    count: (name, tags, amount) => {
       const counter = this._counters.get(name) ?? this._createCounter(name);
-      counter.inc(pickLabels(name, tags));
+      counter.inc(pickLabels(name, tags), amount);
     },
     time: (name, durationMs, tags) => {
       const histogram = this._histograms.get(name) ?? this._createHistogram(name);
--- a/src/adapters/StatsdClient.ts
+++ b/src/adapters/StatsdClient.ts
@@ -32,8 +32,8 @@
   });
   return {
     sink: {
-      count: (name, tags) => {
-        client.increment(name, tags);
+      count: (name, tags, amount = 1) => {
+        client.increment(name, amount, tags);
       },
       time: (name, durationMs, tags) => {
         client.histogram(name, durationMs, tags);
--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -8,7 +8,14 @@
 import type { NewsSources } from '../news/NewsSources.js';
 import type { AskForNews, DecodePassedFact, INewsAge, NewsFailure, NewsReply } from '../news/Types.js';
 import { FactMirror } from './FactMirror.js';
-import type { FactChange, IFactStore, IRefusedChange, IStorePosition } from './Types.js';
+import type {
+  FactChange,
+  FactSizes,
+  IFactEntry,
+  IFactStore,
+  IRefusedChange,
+  IStorePosition,
+} from './Types.js';
 
 /** Options of the fact sync controller. */
 export interface IFactSyncOptions {
@@ -29,7 +36,7 @@
   log: NewsLog;
 }
 
-/** What a reply tells beside its changes. */
+/** What a reply tells beside its changes. Times are those of this host's clock. */
 interface IReplyTimes {
   /** When all changes of the store were known. */
   completeAt: Millis;
@@ -39,6 +46,8 @@
   availableSince?: Millis | undefined;
   /** Host that answered; `undefined` for the store. */
   newsHost?: string | undefined;
+  /** Sizes of the values in the reply; `undefined` if it had none. */
+  readBytes: FactSizes | undefined;
 }
 
 /**
@@ -151,7 +160,8 @@
     const { era, revision } = listed.value;
     const position = era === undefined ? { revision } : { revision, era };
     const now = clock.now();
-    this._handleStoreReply(position, { completeAt: now, changesSince: now });
+    const readBytes = measureFactSizes(listed.value.facts);
+    this._handleStoreReply(position, { completeAt: now, changesSince: now, readBytes });
     this._mirror.replaceFacts(listed.value);
     peers?.log.recordList(listed.value, { completeAt: now, madeSince: now });
     return position;
@@ -172,7 +182,11 @@
     // A watch that had to wait ends with the change; another brings changes made since the reply before.
     const now = clock.now();
     const hasWaited = now - startedAt >= MIN_WATCH_WAIT_MS;
-    const times = { completeAt: now, changesSince: hasWaited ? now : this._lastReplyAt };
+    const times = {
+      completeAt: now,
+      changesSince: hasWaited ? now : this._lastReplyAt,
+      readBytes: measureFactSizes(changes),
+    };
     this._handleStoreReply(nextPosition, times);
     this._mirror.applyChanges(changes, position.era);
     peers?.log.recordChanges(changes, nextPosition, { completeAt: now, madeSince: times.changesSince });
@@ -202,25 +216,15 @@
     if (failure && !isAhead(reply, position)) return position;
     const { era, revision } = reply;
     const nextPosition = { era, revision };
-    const times = this._readTimes(reply.age, host);
+    const changes = decodeReply(reply, peers.decodeFact);
+    const times = this._readTimes(reply.age, host, measureFactSizes(changes));
     if (!failure) this._handleStoreReply(nextPosition, times);
     const logTimes = { completeAt, madeSince: times.changesSince };
     if (reply.kind === 'list') {
-      const facts = reply.facts.map(({ encoded, key, revision: factRevision }) => ({
-        key,
-        revision: factRevision,
-        era,
-        encoded,
-        fact: peers.decodeFact(key, encoded),
-      }));
+      const facts = changes.filter((change) => change.kind === 'put');
       this._mirror.replaceFacts({ era, revision, facts });
       peers.log.recordList({ era, revision, facts }, logTimes);
     } else {
-      const changes = reply.changes.map(({ encoded, key, revision: changed }): FactChange =>
-        encoded === undefined
-          ? { kind: 'delete', key, revision: changed }
-          : { kind: 'put', key, revision: changed, era, encoded, fact: peers.decodeFact(key, encoded) },
-      );
       this._mirror.applyChanges(changes, era);
       peers.log.recordChanges(changes, nextPosition, logTimes);
     }
@@ -257,13 +261,18 @@
     return this._options.clock.now() - completeAt > maxAgeMs ? 'outdated' : undefined;
   }
 
-  private _readTimes({ availableMs, completeMs, madeMs }: INewsAge, newsHost: string): IReplyTimes {
+  private _readTimes(
+    { availableMs, completeMs, madeMs }: INewsAge,
+    newsHost: string,
+    readBytes: FactSizes | undefined,
+  ): IReplyTimes {
     const now = this._options.clock.now();
     return {
       completeAt: now - completeMs,
       changesSince: now - madeMs,
       availableSince: availableMs === undefined ? undefined : now - availableMs,
       newsHost,
+      readBytes,
     };
   }
 
@@ -297,7 +306,7 @@
     this._lastReplyAt = times.completeAt;
     const known = board.storeConnection.get('store');
     const isRestored = known !== undefined && era > (known.era ?? 0);
-    const { changesSince, completeAt, newsHost } = times;
+    const { changesSince, completeAt, newsHost, readBytes } = times;
     const told = times.availableSince ?? -Infinity;
     if (known?.state === 'connected') {
       const availableSince = Math.max(told, known.availableSince ?? -Infinity);
@@ -307,6 +316,7 @@
         changesSince,
         completeAt,
         newsHost,
+        readBytes,
         ...(availableSince > -Infinity ? { availableSince } : {}),
         ...(isRestored ? { availableSince: now, restoredAt: now } : {}),
       });
@@ -323,6 +333,7 @@
         changesSince,
         completeAt,
         newsHost,
+        readBytes,
         // The store may have been back since the last call that failed was sent. The owners of what a restored store
         // lacks may only now be reaching it.
         ...(known ? { availableSince: isRestored ? now : Math.max(told, this._failedCallSentAt) } : {}),
@@ -365,6 +376,30 @@
   }
 }
 
+/** Decodes the values of another host's news. A list is decoded into a write of each of its facts. */
+function decodeReply(
+  reply: Exclude<NewsReply, { kind: 'unavailable' }>,
+  decodeFact: DecodePassedFact,
+): FactChange[] {
+  const { era } = reply;
+  const changes = reply.kind === 'list' ? reply.facts : reply.changes;
+  return changes.map(({ encoded, key, revision }): FactChange =>
+    encoded === undefined
+      ? { kind: 'delete', key, revision }
+      : { kind: 'put', key, revision, era, encoded, fact: decodeFact(key, encoded) },
+  );
+}
+
+/** Adds up the sizes of values by kind of fact; `undefined` if there are none. */
+function measureFactSizes(facts: readonly (FactChange | IFactEntry)[]): FactSizes | undefined {
+  const sizes: Partial<Record<IFactEntry['fact']['kind'], number>> = {};
+  for (const change of facts) {
+    if (!('fact' in change)) continue;
+    sizes[change.fact.kind] = (sizes[change.fact.kind] ?? 0) + (change.encoded?.length ?? 0);
+  }
+  return Object.keys(sizes).length === 0 ? undefined : sizes;
+}
+
 /** Tells whether another host's news go beyond a position. */
 function isAhead(reply: Exclude<NewsReply, { kind: 'unavailable' }>, position: IStorePosition): boolean {
   const era = position.era ?? 0;
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -253,6 +253,9 @@
   | { kind: 'rate-limit'; limit: IEndpointRateLimit }
   | { kind: 'unreadable'; reason: string };
 
+/** Sizes of values of the store in bytes, added up by kind of fact. */
+export type FactSizes = Readonly<Partial<Record<FleetFact['kind'], number>>>;
+
 /** A fact with its key and revision in the store. */
 export interface IFactEntry {
   key: string;
@@ -394,6 +397,8 @@
   completeAt?: Millis;
   /** Host that the last news came from. Absent if they came from the store. */
   newsHost?: string | undefined;
+  /** Sizes in bytes of the values in the last reply, by kind of fact. Absent if it had none. */
+  readBytes?: FactSizes | undefined;
 }
 
 /** A change of a rollout's stage that this host decided on, with the evidence that it knew then. */
--- a/src/common/metrics/MetricsController.ts
+++ b/src/common/metrics/MetricsController.ts
@@ -1,5 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { EndpointHealth, IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
+import type { FactSizes } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import type { IMetricsSink } from './Types.js';
@@ -49,6 +50,17 @@
         if (after) sink.gauge('config.revision', after.revision);
       }),
     );
+    this._register(
+      board.storeConnection.onChange(({ before, after }) => {
+        if (after?.readBytes && after.readBytes !== before?.readBytes) this._recordReadBytes(after.readBytes);
+      }),
+    );
+  }
+
+  /** Counts the bytes of the store's last reply. Changes of the entry without a reply keep `readBytes` as it is. */
+  private _recordReadBytes(readBytes: FactSizes): void {
+    for (const [kind, bytes] of Object.entries(readBytes))
+      this._options.sink.count('news.read_bytes', { kind }, bytes);
   }
 
   private _recordRequest(request: IRequestEntry): void {
--- a/src/common/metrics/Types.ts
+++ b/src/common/metrics/Types.ts
@@ -7,14 +7,17 @@
   | 'attempts.ended'
   | 'endpoints.unhealthy'
   | 'config.revision'
-  | 'store.calls';
+  | 'store.calls'
+  | 'news.read_bytes'
+  | 'news.sent_bytes';
 
 /** Tags of a sample, by name. */
 export type MetricTags = Readonly<Record<string, string>>;
 
 /** Receives samples and passes them to a metrics system. */
 export interface IMetricsSink {
-  count: (name: MetricName, tags: MetricTags) => void;
+  /** Adds to a counter. `amount` is 1 by default. */
+  count: (name: MetricName, tags: MetricTags, amount?: number) => void;
   /** Records a duration in milliseconds. */
   time: (name: MetricName, durationMs: number, tags: MetricTags) => void;
   gauge: (name: MetricName, value: number) => void;
--- a/src/common/news/NewsPublisher.ts
+++ b/src/common/news/NewsPublisher.ts
@@ -10,6 +10,8 @@
   board: Blackboard;
   clock: IClock;
   log: NewsLog;
+  /** Called with each answer and its size. Default: none. */
+  onReply?: (kind: NewsReply['kind'], bytes: number) => void;
 }
 
 /** Longest time for which a host that asks is kept waiting, whatever it asks for. */
@@ -55,6 +57,12 @@
    * const reply = await publisher.handleQuestion({ era: 1, revision: 52 }, 800);
    */
   public async handleQuestion(position: IStorePosition, waitMs: Millis): Promise<NewsReply> {
+    const reply = await this._findReply(position, waitMs);
+    this._options.onReply?.(reply.kind, measureReply(reply));
+    return reply;
+  }
+
+  private async _findReply(position: IStorePosition, waitMs: Millis): Promise<NewsReply> {
     const { board, log } = this._options;
     const isConnected = (): boolean => board.storeConnection.get('store')?.state === 'connected';
     if (!(isConnected() && log.hasNews(position)) && !this._isDisposed)
@@ -84,3 +92,10 @@
     for (const waiting of [...this._waiting]) waiting.reply();
   }
 }
+
+/** Measures the values in an answer, in bytes. */
+function measureReply(reply: NewsReply): number {
+  if (reply.kind === 'unavailable') return 0;
+  const changes = reply.kind === 'list' ? reply.facts : reply.changes;
+  return changes.reduce((sum, { encoded }) => sum + (encoded?.length ?? 0), 0);
+}
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IAttemptEntry } from '../blackboard/Types.js';
-import type { IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
+import type { FactSizes, IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { IClock } from '../Types.js';
 import type { TimelineFields } from './Types.js';
@@ -154,6 +154,8 @@
           record('store.restored', { era: after.era, revision: after.revision, before: before.revision });
         if (before && before.newsHost !== after.newsHost)
           record('news.source', { host: after.newsHost ?? 'store', newsAgeMs: this._measureNewsAge() });
+        if (after.readBytes && after.readBytes !== before?.readBytes)
+          record('news.read', { ...describeSizes(after.readBytes), revision: after.revision });
         if (before?.state === after.state) return;
         const { losses, reason, revision, silentMs, state } = after;
         const roundedMs = silentMs === undefined ? undefined : Math.round(silentMs);
@@ -162,7 +164,13 @@
     );
     this._register(
       board.routing.onChange(({ after }) => {
-        if (after) record('config.in-force', { version: after.version, hosts: after.routesByHost.size });
+        if (!after) return;
+        const { routesByHost, version } = after;
+        record('config.in-force', {
+          version,
+          hosts: routesByHost.size,
+          newsAgeMs: this._measureNewsAge(),
+        });
       }),
     );
     this._register(
@@ -199,6 +207,15 @@
   }
 }
 
+/** Describes the size of a reply, and the kind of fact that takes most of it. */
+function describeSizes(sizes: FactSizes): TimelineFields {
+  const [[largestKind, largestBytes] = ['none', 0]] = Object.entries(sizes).sort(
+    ([, first], [, second]) => second - first,
+  );
+  const bytes = Object.values(sizes).reduce((sum, size) => sum + size, 0);
+  return { bytes, largestKind, largestBytes };
+}
+
 /** State in the announcement of an endpoint; `undefined` if the fact is not one. */
 function describeAnnouncement(entry: IFactEntry | undefined): string | undefined {
   if (entry?.fact.kind !== 'endpoint') return undefined;
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -25,7 +25,7 @@
 import { MetricsController } from '../common/metrics/MetricsController.js';
 import type { IMetricsSink } from '../common/metrics/Types.js';
 import { NewsLog } from '../common/news/NewsLog.js';
-import { NewsPublisher } from '../common/news/NewsPublisher.js';
+import { NewsPublisher, type INewsPublisherOptions } from '../common/news/NewsPublisher.js';
 import { NewsSources } from '../common/news/NewsSources.js';
 import type { DecodePassedFact, INewsNetwork, INewsNetworkContext } from '../common/news/Types.js';
 import { decideAnswerEnd } from '../common/policy/AnswerEnds.js';
@@ -274,7 +274,10 @@
     if (!peers) return undefined;
     const common = { board: this._board, clock: systemClock };
     const log = this._register(new NewsLog(systemClock));
-    const publisher = this._register(new NewsPublisher({ ...common, log }));
+    const onReply: INewsPublisherOptions['onReply'] = (reply, bytes) => {
+      this._options.sink.count('news.sent_bytes', { reply }, bytes);
+    };
+    const publisher = this._register(new NewsPublisher({ ...common, log, onReply }));
     const network = peers.createNetwork({
       findHost: (id) => this._board.presentHosts.get(id),
       handleQuestion: (position, waitMs) => publisher.handleQuestion(position, waitMs),
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -81,9 +81,9 @@
   };
 
   public readonly sink: IMetricsSink = {
-    count: (name, tags) => {
+    count: (name, tags, amount) => {
       this._runOrBuffer(({ sink }) => {
-        sink.count(name, tags);
+        sink.count(name, tags, amount);
       });
     },
     time: (name, durationMs, tags) => {
