Reproduce late configuration after a mass crash in tests that fail

The fleet on a manual clock gets links of limited rate, which the store's and the other hosts' messages share. Two more tests show where the bytes come from: each host writes the crash reports of all others once more, and once for each crash.

--- a/src/common/fleet/CrashSuspectController.test.ts
+++ b/src/common/fleet/CrashSuspectController.test.ts
@@ -13,6 +13,8 @@
   boards: Blackboard[];
   store: { isDown: boolean };
   clock: ManualClock;
+  /** Reports that each host has written, in the order of its writes. */
+  written: Map<string, (readonly ICrashReport[])[]>;
   /** Makes an attempt of a request fail because the connection to the endpoint broke. */
   failRequest: (host: number, fingerprint: string, endpoint: string) => Promise<void>;
 }
@@ -25,10 +27,12 @@
   const clock = new ManualClock();
   const boards = [new Blackboard(), new Blackboard()];
   const store = { isDown: false };
+  const written: IFleet['written'] = new Map();
   let revision = 0;
   const writeCrashReports: IFactStore['writeCrashReports'] = (host, reports: readonly ICrashReport[]) => {
     if (store.isDown) return Promise.resolve(Result.err({ kind: 'unavailable', message: 'down' }));
     revision += 1;
+    written.set(host, [...(written.get(host) ?? []), reports]);
     const fact = { kind: 'crash-reports' as const, reports };
     for (const board of boards) board.facts.set(host, { key: host, revision, fact });
     return Promise.resolve(Result.ok(revision));
@@ -65,7 +69,7 @@
     board.attempts.update(id, { phase: 'failed', error });
     await clock.advance(10);
   };
-  return { boards, store, clock, failRequest };
+  return { boards, store, clock, written, failRequest };
 }
 
 function listStates({ boards }: IFleet, fingerprint: string): (string | undefined)[] {
@@ -118,3 +122,29 @@
   await fleet.clock.advance(1000);
   t.deepEqual(listStates(fleet, 'poison'), ['blocked', 'blocked']);
 });
+
+// Guards against CONFIG: after a mass crash the hosts pass each other's reports on, so that the store's news grow with
+// the square of the number of hosts and keep the configuration from them.
+test('a host publishes only the crashes that it detected itself', async (t) => {
+  const fleet = createFleet('unreachable');
+  await fleet.failRequest(0, 'first', 'e-1');
+  await fleet.failRequest(1, 'second', 'e-2');
+  await fleet.failRequest(0, 'third', 'e-3');
+  await fleet.clock.advance(1000);
+  const published = [...fleet.written].map(([host, writes]) => [
+    host,
+    writes.at(-1)?.map(({ fingerprint }) => fingerprint),
+  ]);
+  t.deepEqual(Object.fromEntries(published), { 'host-0': ['first', 'third'], 'host-1': ['second'] });
+});
+
+// Guards against CONFIG: a host that sees many crashes at once writes its growing list for each of them.
+test('crashes in a short time are published in few writes', async (t) => {
+  const fleet = createFleet('unreachable');
+  for (let index = 0; index < 20; index += 1)
+    await fleet.failRequest(0, `request-${index}`, `e-${1 + (index % 3)}`);
+  await fleet.clock.advance(1000);
+  const writes = fleet.written.get('host-0') ?? [];
+  t.is(writes.at(-1)?.length, 20);
+  t.true(writes.length <= 3, `${writes.length} writes`);
+});
--- a/src/common/news/NewsByPeers.test.ts
+++ b/src/common/news/NewsByPeers.test.ts
@@ -17,7 +17,7 @@
 async function measureSpread(fault: HostFault, failing: 'one' | 'all'): Promise<number> {
   let longestMs = 0;
   for (let changeAt = 0; changeAt < 1500; changeAt += 110) {
-    const fleet = new NewsFleet(HOSTS);
+    const fleet = new NewsFleet({ count: HOSTS });
     await fleet.clock.advance(5000);
     for (const reader of fleet.listReaders().slice(0, failing === 'one' ? 1 : undefined))
       reader.fault = fault;
@@ -47,8 +47,42 @@
   t.snapshot(spread);
 });
 
-async function countCallsPerS(hosts: number, mood: StoreMood, minHosts?: number): Promise<number> {
-  const fleet = new NewsFleet(hosts, minHosts);
+/** Rate of the narrowest links of the deployments, 7 Mbit/s. */
+const NARROW_LINK_BYTES_PER_S = 875_000;
+
+// Guards against CONFIG: the replies to other hosts fill the link of a host that reads the store for them, so that its
+// own calls to the store time out, and all of them believe old news.
+test('a change is known in time after news that fill the links of the hosts that read the store', async (t) => {
+  const spread: Record<string, number> = {};
+  for (let changeAt = 0; changeAt <= 2500; changeAt += 500) {
+    const fleet = new NewsFleet({ count: 63, linkBytesPerS: NARROW_LINK_BYTES_PER_S });
+    await fleet.clock.advance(5000);
+    for (let index = 0; index < 40; index += 1) {
+      const reports = Array.from({ length: 100 }, (_, crash) => ({
+        fingerprint: 'f'.repeat(50),
+        crash: `${crash}`,
+      }));
+      fleet.store.put(`reports/${index}`, { kind: 'crash-reports', reports });
+      await fleet.clock.advance(25);
+    }
+    await fleet.clock.advance(changeAt);
+    fleet.writeConfiguration();
+    let lateMs = 0;
+    while (fleet.listOutdated().length > 0 && lateMs < 10_000) {
+      await fleet.clock.advance(20);
+      lateMs += 20;
+    }
+    spread[`change ${changeAt} ms later`] = lateMs;
+  }
+  t.deepEqual(
+    Object.entries(spread).filter(([, lateMs]) => lateMs > APPLY_MS),
+    [],
+  );
+  t.snapshot(spread);
+});
+
+async function countCallsPerS(hosts: number, mood: StoreMood, minHosts = 3): Promise<number> {
+  const fleet = new NewsFleet({ count: hosts, minHosts });
   await fleet.clock.advance(5000);
   fleet.store.mood = mood;
   await fleet.clock.advance(3000);
@@ -115,7 +149,7 @@
 // or leave it behind.
 test('whatever happens to the store and the hosts, sound hosts know the truth in time and never go back', async (t) => {
   const property = fc.asyncProperty(fc.array(STEP, { minLength: 5, maxLength: 30 }), async (steps) => {
-    const fleet = new NewsFleet(HOSTS);
+    const fleet = new NewsFleet({ count: HOSTS });
     await fleet.clock.advance(2000);
     for (const step of steps) await runStep(fleet, step);
     fleet.store.mood = 'sound';
--- a/src/testing/NewsFleet.ts
+++ b/src/testing/NewsFleet.ts
@@ -3,7 +3,8 @@
 import { Blackboard } from '../common/blackboard/Blackboard.js';
 import type { PeerError } from '../common/coordination/Peers.js';
 import { FactSyncController } from '../common/fleet/FactSyncController.js';
-import type { FleetFact } from '../common/fleet/Types.js';
+import type { StoreError } from '../common/coordination/Types.js';
+import type { FactChanges, FleetFact, IFactStore } from '../common/fleet/Types.js';
 import { RoutingTableController } from '../common/fleet/RoutingTableController.js';
 import { NewsLog } from '../common/news/NewsLog.js';
 import { NewsPublisher } from '../common/news/NewsPublisher.js';
@@ -12,6 +13,7 @@
 import type { Millis } from '../common/Types.js';
 import { decodeEntry, FactStoreStandIn, type StoreMood } from './FactStoreStandIn.js';
 import { ManualClock } from './ManualClock.js';
+import { NarrowLink } from './NarrowLink.js';
 
 /**
  * What is wrong with a host: `gone` refuses connections, `lost` does not respond to them, and the network never ends
@@ -26,9 +28,28 @@
   board: Blackboard;
   sources: NewsSources;
   fault: HostFault;
+  /** Directions of the host's link, which the store's and the other hosts' messages share. */
+  uplink: NarrowLink;
+  downlink: NarrowLink;
+}
+
+/** Options of a fleet. */
+export interface INewsFleetOptions {
+  /** Number of hosts. */
+  count: number;
+  /** Size of the fleet from which on some hosts read the store for the others. Default 3. */
+  minHosts?: number;
+  /** Rate of each direction of a host's link, in bytes a second. Default: unlimited. */
+  linkBytesPerS?: number;
 }
 
 const LINK_MS: Millis = 1;
+/** Size of a question or call, and of the parts of a message around each value. */
+const MESSAGE_BYTES = 300;
+const VALUE_OVERHEAD_BYTES = 80;
+/** Time limits of a watch, as those of the client of the users' platform. */
+const MIN_WATCH_TIMEOUT_MS: Millis = 1000;
+const WATCH_TIMEOUT_MARGIN_MS: Millis = 500;
 /** Question that the network never ends. */
 const NEVER = new Promise<Result<NewsReply, PeerError>>(() => undefined);
 const LIMITS = {
@@ -51,11 +72,10 @@
   private readonly _publishers = new Map<string, NewsPublisher>();
   private _version = 0;
 
-  /** `minHosts` is the size of the fleet from which on some hosts read the store for the others. */
-  constructor(
-    count: number,
-    private readonly _minHosts = 3,
-  ) {
+  private readonly _options: Required<INewsFleetOptions>;
+
+  constructor({ count, linkBytesPerS = Infinity, minHosts = 3 }: INewsFleetOptions) {
+    this._options = { count, linkBytesPerS, minHosts };
     for (let index = 0; index < count; index += 1) {
       const host = `host-${index}`;
       const presence = { host, announcedAt: 0, address: host, zone: `zone-${index % 3}` };
@@ -98,8 +118,11 @@
     const common = { board, clock };
     const log = new NewsLog(clock);
     const publisher = new NewsPublisher({ ...common, log });
-    const sources = new NewsSources({ ...common, host: id, hashTexts, minHosts: this._minHosts });
-    const host: INewsHost = { id, board, sources, fault: 'none' };
+    const { linkBytesPerS, minHosts } = this._options;
+    const sources = new NewsSources({ ...common, host: id, hashTexts, minHosts });
+    const uplink = new NarrowLink(clock, linkBytesPerS);
+    const downlink = new NarrowLink(clock, linkBytesPerS);
+    const host: INewsHost = { id, board, sources, fault: 'none', uplink, downlink };
     this.hosts.push(host);
     board.facts.onChange(({ after }) => {
       if (after?.fact.kind === 'host-presence') {
@@ -118,22 +141,49 @@
     const controller = new FactSyncController({
       ...common,
       random: createSeededRandom(this.hosts.length),
-      store: this.store.createClient(readMood),
+      store: this._createStoreClient(host, readMood),
       peers: { sources, log, decodeFact: decodeFleetFact, askForNews: this._createAskForNews(host) },
     });
     void controller.run();
   }
 
+  /** Creates the calls of a host to the store, which pass through its link. */
+  private _createStoreClient(
+    { downlink, uplink }: INewsHost,
+    readMood: () => StoreMood,
+  ): Pick<IFactStore, 'listFacts' | 'watchFacts'> {
+    const client = this.store.createClient(readMood);
+    return {
+      listFacts: client.listFacts,
+      watchFacts: async (position, waitMs) => {
+        // Once a reply has begun, its parts may take their time.
+        const timeoutMs = Math.max(MIN_WATCH_TIMEOUT_MS, waitMs + WATCH_TIMEOUT_MARGIN_MS);
+        const timeout = this._wait(timeoutMs).then(() =>
+          Result.err<FactChanges, StoreError>({ kind: 'unknown-outcome', message: 'no reply' }),
+        );
+        const call = uplink.send(MESSAGE_BYTES).then(() => client.watchFacts(position, waitMs));
+        const watched = await Promise.race([call, timeout]);
+        if (watched.isOk && watched.value.kind === 'changes')
+          await downlink.send(measureValues(watched.value.changes));
+        return watched;
+      },
+    };
+  }
+
   private _createAskForNews(from: INewsHost): AskForNews {
     return async (to, position, waitMs) => {
       const asked = this.hosts.find(({ id }) => id === to);
       const publisher = this._publishers.get(to);
       if (!asked || !publisher || asked.fault === 'gone') return fail('unreachable');
       if (asked.fault === 'lost') return NEVER;
+      await from.uplink.send(MESSAGE_BYTES);
       await this._wait(LINK_MS);
       const timeout = this._wait(waitMs + 300).then(() => fail('unknown-outcome'));
       const answer = publisher.handleQuestion(position, waitMs).then(async (reply) => {
+        const bytes = measureReply(reply);
+        await asked.uplink.send(bytes);
         await this._wait(LINK_MS);
+        await from.downlink.send(bytes);
         if (asked.fault === 'lost') return NEVER;
         const isSilent = (fault: HostFault): boolean => fault === 'frozen' || fault === 'gone';
         if (isSilent(asked.fault) || asked.fault === 'cut' || asked.fault === 'deaf' || from.fault === 'deaf')
@@ -149,6 +199,18 @@
   }
 }
 
+function measureReply(reply: NewsReply): number {
+  if (reply.kind === 'unavailable') return MESSAGE_BYTES;
+  return MESSAGE_BYTES + measureValues(reply.kind === 'list' ? reply.facts : reply.changes);
+}
+
+function measureValues(values: readonly object[]): number {
+  return values.reduce((sum: number, value) => {
+    const encoded = 'encoded' in value && typeof value.encoded === 'string' ? value.encoded : '';
+    return sum + VALUE_OVERHEAD_BYTES + encoded.length;
+  }, 0);
+}
+
 function fail(kind: PeerError['kind']): Result<NewsReply, PeerError> {
   return Result.err({ kind, message: kind });
 }
