Bound the share of its link that a host's answers to other hosts take

Cause: a host that reads the store for others answers all that ask as soon as it has news. After a mass crash these are some 300 KB in two seconds, for 20 hosts each, so that the answers fill its link for seconds. Its own watch of the store waits behind them and reaches its time limit of 1000 ms; it counts the store as lost, and all that ask it learn nothing.

--- a/src/adapters/NewsMessages.ts
+++ b/src/adapters/NewsMessages.ts
@@ -49,6 +49,7 @@
     age: AGE_SCHEMA,
   }),
   z.object({ kind: z.literal('unavailable') }),
+  z.object({ kind: z.literal('busy') }),
 ]);
 
 /**
--- a/src/common/fleet/FactSyncController.ts
+++ b/src/common/fleet/FactSyncController.ts
@@ -6,7 +6,14 @@
 import type { IClock, Millis, RandomSource } from '../Types.js';
 import type { NewsLog } from '../news/NewsLog.js';
 import type { NewsSources } from '../news/NewsSources.js';
-import type { AskForNews, DecodePassedFact, INewsAge, NewsFailure, NewsReply } from '../news/Types.js';
+import type {
+  AskForNews,
+  DecodePassedFact,
+  INewsAge,
+  NewsContent,
+  NewsFailure,
+  NewsReply,
+} from '../news/Types.js';
 import { FactMirror } from './FactMirror.js';
 import type {
   FactChange,
@@ -204,8 +211,8 @@
     const { clock } = this._options;
     const asked = await this._requestInTime(peers, host, position);
     const reply: NewsReply = asked.unwrapOr({ kind: 'unavailable' });
-    if (reply.kind === 'unavailable') {
-      peers.sources.recordFailure(host, asked.isErr ? 'unreachable' : 'unavailable');
+    if (reply.kind === 'unavailable' || reply.kind === 'busy') {
+      peers.sources.recordFailure(host, asked.isErr ? 'unreachable' : reply.kind);
       return position;
     }
     const completeAt = clock.now() - reply.age.completeMs;
@@ -250,7 +257,7 @@
 
   /** Checks whether another host's news can be followed from a position; `undefined` if they can. */
   private _checkNews(
-    reply: Exclude<NewsReply, { kind: 'unavailable' }>,
+    reply: NewsContent,
     position: IStorePosition,
     completeAt: Millis,
   ): NewsFailure | undefined {
@@ -377,10 +384,7 @@
 }
 
 /** Decodes the values of another host's news. A list is decoded into a write of each of its facts. */
-function decodeReply(
-  reply: Exclude<NewsReply, { kind: 'unavailable' }>,
-  decodeFact: DecodePassedFact,
-): FactChange[] {
+function decodeReply(reply: NewsContent, decodeFact: DecodePassedFact): FactChange[] {
   const { era } = reply;
   const changes = reply.kind === 'list' ? reply.facts : reply.changes;
   return changes.map(({ encoded, key, revision }): FactChange =>
@@ -401,7 +405,7 @@
 }
 
 /** Tells whether another host's news go beyond a position. */
-function isAhead(reply: Exclude<NewsReply, { kind: 'unavailable' }>, position: IStorePosition): boolean {
+function isAhead(reply: NewsContent, position: IStorePosition): boolean {
   const era = position.era ?? 0;
   if (reply.kind === 'list' && reply.era > era) return true;
   return reply.era === era && reply.revision > position.revision;
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -475,4 +475,6 @@
   storeContactMs: Millis;
   /** Time within which a change in the store must take effect. */
   maxApplyDelayMs: Millis;
+  /** Rate of this host's network link in bytes a second. Default: that of the narrowest links, 7 Mbit/s. */
+  linkBytesPerS?: number;
 }
--- a/src/common/news/NewsSources.ts
+++ b/src/common/news/NewsSources.ts
@@ -33,6 +33,7 @@
   unreachable: 5000,
   outdated: 1000,
   unavailable: 2000,
+  busy: 1000,
 };
 const MAX_AVOIDANCE_MS: Millis = 40_000;
 
--- a/src/common/news/Types.ts
+++ b/src/common/news/Types.ts
@@ -29,12 +29,17 @@
 
 /**
  * Answer to a host that asks for news: the changes since its position, or all facts if that position is too long ago or
- * of another era. `unavailable`: the host that was asked has lost the store itself.
+ * of another era. `unavailable`: the host that was asked has lost the store itself. `busy`: it has passed on as much as
+ * its link bears.
  */
 export type NewsReply =
   | { kind: 'changes'; era: number; revision: number; changes: readonly IEncodedChange[]; age: INewsAge }
   | { kind: 'list'; era: number; revision: number; facts: readonly IEncodedFact[]; age: INewsAge }
-  | { kind: 'unavailable' };
+  | { kind: 'unavailable' }
+  | { kind: 'busy' };
+
+/** Answer with news. */
+export type NewsContent = Extract<NewsReply, { kind: 'changes' | 'list' }>;
 
 /**
  * Asks another host for the news since a position. Resolves at the first change, or without changes once `waitMs` have
@@ -52,8 +57,11 @@
 /** Where a host reads news of the store next. */
 export type NewsSource = { kind: 'store' } | { kind: 'host'; host: string };
 
-/** Why a host is not asked for news for a time: it did not answer, its news were too old, or it has lost the store. */
-export type NewsFailure = 'unreachable' | 'outdated' | 'unavailable';
+/**
+ * Why a host is not asked for news for a time: it did not answer, its news were too old, it has lost the store, or it has
+ * passed on as much as it can.
+ */
+export type NewsFailure = 'unreachable' | 'outdated' | 'unavailable' | 'busy';
 
 /** Connections to the other hosts, by which hosts ask one another for news. */
 export interface INewsNetwork {
--- a/src/common/request/TokenBucket.ts
+++ b/src/common/request/TokenBucket.ts
@@ -15,7 +15,7 @@
     this._refilledAt = now;
   }
 
-  /** Sets the rate in requests per second and drops tokens above the new burst. */
+  /** Sets the rate in tokens per second and drops tokens above the new burst. */
   public setRate(rate: number, now: Millis): void {
     if (rate === this._rate) return;
     this._addTokens(now);
@@ -23,11 +23,11 @@
     this._tokens = Math.min(this._tokens, computeBurst(rate));
   }
 
-  /** Takes one token; returns false if there is none. */
-  public take(now: Millis): boolean {
+  /** Takes tokens, one by default; takes none and returns false if there are fewer. */
+  public take(now: Millis, amount = 1): boolean {
     this._addTokens(now);
-    if (this._tokens < 1) return false;
-    this._tokens -= 1;
+    if (this._tokens < amount) return false;
+    this._tokens -= amount;
     return true;
   }
 
@@ -39,7 +39,7 @@
   }
 }
 
-/** Computes the burst, in tokens, of a bucket with a rate in requests per second. */
+/** Computes the burst, in tokens, of a bucket with a rate in tokens per second. */
 export function computeBurst(rate: number): number {
   return Math.max(1, (rate * BURST_MS) / 1000);
 }
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -22,6 +22,8 @@
  */
 const KILL_MARGIN_MS = 300;
 
+const BYTES_PER_S_PER_MBPS = 125_000;
+
 /** Exit code if the settings cannot be read or are invalid. */
 const INVALID_SETTINGS_EXIT_CODE = 2;
 
@@ -203,6 +205,7 @@
     shutdownTimeoutMs: limits.stop_ms,
     storeContactMs: limits.contact_ms,
     maxApplyDelayMs: limits.apply_ms,
+    ...(limits.link_mbps === undefined ? {} : { linkBytesPerS: limits.link_mbps * BYTES_PER_S_PER_MBPS }),
   };
 }
 
--- a/src/testing/NarrowLink.ts
+++ b/src/testing/NarrowLink.ts
@@ -5,7 +5,6 @@
 export class NarrowLink {
   private _freeAt: Millis = 0;
 
-  /** `bytesPerS` is the rate of the link; `Infinity` sends at once. */
   constructor(
     private readonly _clock: ManualClock,
     private readonly _bytesPerS: number,
--- a/src/testing/NewsFleet.ts
+++ b/src/testing/NewsFleet.ts
@@ -39,7 +39,7 @@
   count: number;
   /** Size of the fleet from which on some hosts read the store for the others. Default 3. */
   minHosts?: number;
-  /** Rate of each direction of a host's link, in bytes a second. Default: unlimited. */
+  /** Rate of each direction of a host's link, in bytes a second. Default 1e9. */
   linkBytesPerS?: number;
 }
 
@@ -74,7 +74,7 @@
 
   private readonly _options: Required<INewsFleetOptions>;
 
-  constructor({ count, linkBytesPerS = Infinity, minHosts = 3 }: INewsFleetOptions) {
+  constructor({ count, linkBytesPerS = 1e9, minHosts = 3 }: INewsFleetOptions) {
     this._options = { count, linkBytesPerS, minHosts };
     for (let index = 0; index < count; index += 1) {
       const host = `host-${index}`;
@@ -114,11 +114,11 @@
   private _createHost(id: string, zone: string): void {
     const board = new Blackboard();
     const { clock } = this;
-    board.limits.set('in-force', LIMITS);
+    const { linkBytesPerS, minHosts } = this._options;
+    board.limits.set('in-force', { ...LIMITS, linkBytesPerS });
     const common = { board, clock };
     const log = new NewsLog(clock);
     const publisher = new NewsPublisher({ ...common, log });
-    const { linkBytesPerS, minHosts } = this._options;
     const sources = new NewsSources({ ...common, host: id, hashTexts, minHosts });
     const uplink = new NarrowLink(clock, linkBytesPerS);
     const downlink = new NarrowLink(clock, linkBytesPerS);
@@ -200,7 +200,7 @@
 }
 
 function measureReply(reply: NewsReply): number {
-  if (reply.kind === 'unavailable') return MESSAGE_BYTES;
+  if (reply.kind !== 'list' && reply.kind !== 'changes') return MESSAGE_BYTES;
   return MESSAGE_BYTES + measureValues(reply.kind === 'list' ? reply.facts : reply.changes);
 }
 
