Pass on only the last value of each key to other hosts

Cause: a host that reads the store passes on every write since the position of the host that asks, also values that have been replaced since. After a mass crash each host writes its evidence some nine times within six seconds.

Change: the log of news keeps the last change of each key. A host that asks has the same values after it; what it never saw is a value that was replaced before it asked, as after a list.

Evidence: the test of the log has each value of a key that is written three times on the code before, and the last one now. The tests of the news pass.

--- a/src/common/news/NewsLog.ts
+++ b/src/common/news/NewsLog.ts
@@ -23,7 +23,8 @@
  */
 export class NewsLog extends Disposable {
   private readonly _facts = new Map<string, IEncodedFact>();
-  private _changes: ILoggedChange[] = [];
+  /** Last change of each key, in the order of their revisions. Values that were replaced since are not passed on. */
+  private readonly _changes = new Map<string, ILoggedChange>();
   private _era = 0;
   private _revision: number | undefined;
   /** Changes after this revision are all in the log. */
@@ -43,7 +44,7 @@
     this._facts.clear();
     for (const { encoded, key, revision: factRevision } of facts)
       if (encoded !== undefined) this._facts.set(key, { key, revision: factRevision, encoded });
-    this._changes = [];
+    this._changes.clear();
     this._era = era;
     this._revision = revision;
     this._firstRevision = revision;
@@ -79,7 +80,7 @@
       const age = this._measureAge(this._times.madeSince, availableSince);
       return { kind: 'list', era, revision, facts: [...this._facts.values()], age };
     }
-    const missing = this._changes.filter((change) => change.revision > position.revision);
+    const missing = [...this._changes.values()].filter((change) => change.revision > position.revision);
     const changes = missing.map(({ encoded, key, revision: changed }) => ({
       key,
       revision: changed,
@@ -97,10 +98,13 @@
     const encoded = change.kind === 'put' ? change.encoded : undefined;
     if (encoded === undefined) this._facts.delete(key);
     else this._facts.set(key, { key, revision, encoded });
-    this._changes.push({ key, revision, encoded, madeSince });
-    if (this._changes.length <= MAX_CHANGES) return;
-    const dropped = this._changes.splice(0, this._changes.length - MAX_CHANGES);
-    this._firstRevision = dropped.at(-1)?.revision ?? this._firstRevision;
+    this._changes.delete(key);
+    this._changes.set(key, { key, revision, encoded, madeSince });
+    if (this._changes.size <= MAX_CHANGES) return;
+    const [first] = this._changes.values();
+    if (!first) return;
+    this._changes.delete(first.key);
+    this._firstRevision = first.revision;
   }
 
   private _measureAge(madeSince: Millis, availableSince: Millis | undefined): INewsAge {
