Publish only the crashes that a host detected itself, in few writes

Cause: each host wrote all crash reports that it knew, those of the other hosts included, and wrote them again for each crash it detected. After a mass crash the bytes of the store's news grow with the square of the number of hosts, and up to 64 entries of other hosts' reports take the place of its own.

Change: a host publishes what it detected itself, at most each 250 ms; the first crash goes out at once. After a restart it keeps the reports that it had written before, so their fact names its host. A report that is known is not recorded again.

--- a/src/common/fleet/CrashSuspectController.ts
+++ b/src/common/fleet/CrashSuspectController.ts
@@ -27,6 +27,12 @@
 /** Time for which a crash counts against the requests that were in flight at it. */
 const CRASH_RETENTION_MS: Millis = 120_000;
 
+/**
+ * Shortest time between two writes of this host. A mass crash breaks many attempts within it, and every host reads each
+ * write.
+ */
+const MIN_PUBLISH_INTERVAL_MS: Millis = 250;
+
 /** Delay before a write that failed is repeated. Other hosts need the reports soon after the store is back. */
 const PUBLISH_RETRY_MS: Millis = 500;
 
@@ -34,14 +40,17 @@
 const MAX_PUBLISHED_REPORTS = 64;
 
 /**
- * Detects requests that crash the endpoints that run them. Each host publishes in the store which requests
+ * Detects requests that crash the endpoints that run them. Each host publishes in the store which of its own requests
  * were in flight at a crash. All hosts block a request that was in flight at several crashes.
  */
 export class CrashSuspectController extends Disposable {
   /** For each fingerprint, the ids of the crashes that this host knows, and when it learned of them. */
   private readonly _crashesByFingerprint = new Map<string, Map<string, Millis>>();
 
-  private _retryTimer: IDisposable | undefined;
+  /** Crashes that this host detected, by fingerprint and crash, with the time at which it did. */
+  private readonly _ownReports = new Map<string, ICrashReport & { seenAt: Millis }>();
+  private _publishTimer: IDisposable | undefined;
+  private _publishedAt: Millis = -Infinity;
 
   constructor(private readonly _options: ICrashSuspectOptions) {
     super();
@@ -54,14 +63,19 @@
     this._register(
       board.facts.onChange(({ after }) => {
         if (after?.fact.kind !== 'crash-reports') return;
-        for (const report of after.fact.reports) this._recordCrash(report);
+        const { host, reports } = after.fact;
+        const isOwnBeforeRestart = host === _options.host && this._ownReports.size === 0;
+        for (const report of reports) {
+          if (isOwnBeforeRestart) this._addOwnReport(report);
+          this._recordCrash(report);
+        }
       }),
     );
   }
 
   public override dispose(): void {
     super.dispose();
-    this._retryTimer?.dispose();
+    this._publishTimer?.dispose();
   }
 
   /** Wraps a decision on admission: a blocked request is refused even if `decide` admits it. */
@@ -79,16 +93,25 @@
     const newFingerprints = [...new Set(broken.map(({ fingerprint }) => fingerprint))].filter(
       (fingerprint) => !this._crashesByFingerprint.get(fingerprint)?.has(id),
     );
-    for (const fingerprint of newFingerprints) this._recordCrash({ fingerprint, crash: id });
-    if (newFingerprints.length > 0) void this._publishCrashes();
+    for (const fingerprint of newFingerprints) {
+      this._addOwnReport({ fingerprint, crash: id });
+      this._recordCrash({ fingerprint, crash: id });
+    }
+    if (newFingerprints.length > 0) this._schedulePublish(MIN_PUBLISH_INTERVAL_MS);
+  }
+
+  private _addOwnReport({ crash, fingerprint }: ICrashReport): void {
+    const seenAt = this._options.clock.now();
+    this._ownReports.set(`${fingerprint}/${crash}`, { fingerprint, crash, seenAt });
   }
 
   private _recordCrash({ crash, fingerprint }: ICrashReport): void {
     const { board, clock } = this._options;
     const now = clock.now();
     const crashes = this._crashesByFingerprint.get(fingerprint) ?? new Map<string, Millis>();
+    if (crashes.has(crash)) return;
     for (const [crashId, seenAt] of crashes) if (now - seenAt > CRASH_RETENTION_MS) crashes.delete(crashId);
-    if (!crashes.has(crash)) crashes.set(crash, now);
+    crashes.set(crash, now);
     this._crashesByFingerprint.set(fingerprint, crashes);
     this._deleteExpiredSuspects(now);
     board.crashSuspects.set(fingerprint, {
@@ -100,23 +123,30 @@
     });
   }
 
-  /** Publishes all recent crashes that this host knows, again and again until the store accepts them. */
+  /** Publishes the recent crashes that this host detected, again and again until the store accepts them. */
   private async _publishCrashes(): Promise<void> {
     const { clock, host, store } = this._options;
     const now = clock.now();
-    const reports: ICrashReport[] = [];
-    for (const [fingerprint, crashes] of this._crashesByFingerprint) {
-      for (const [crash, seenAt] of crashes)
-        if (now - seenAt < CRASH_RETENTION_MS) reports.push({ fingerprint, crash });
-    }
-    const written = await store.writeCrashReports(host, reports.slice(-MAX_PUBLISHED_REPORTS));
-    if (written.isErr) this._schedulePublish();
+    this._publishedAt = now;
+    for (const [key, { seenAt }] of this._ownReports)
+      if (now - seenAt >= CRASH_RETENTION_MS) this._ownReports.delete(key);
+    const reports = [...this._ownReports.values()]
+      .slice(-MAX_PUBLISHED_REPORTS)
+      .map(({ crash, fingerprint }): ICrashReport => ({ fingerprint, crash }));
+    const written = await store.writeCrashReports(host, reports);
+    if (written.isErr) this._schedulePublish(PUBLISH_RETRY_MS);
   }
 
-  private _schedulePublish(): void {
-    if (this._retryTimer || this._isDisposed) return;
-    this._retryTimer = this._options.clock.schedule(PUBLISH_RETRY_MS, () => {
-      this._retryTimer = undefined;
+  /** Publishes once a time has passed since the last write; at once if it has. */
+  private _schedulePublish(intervalMs: Millis): void {
+    if (this._publishTimer || this._isDisposed) return;
+    const delayMs = this._publishedAt + intervalMs - this._options.clock.now();
+    if (delayMs <= 0) {
+      void this._publishCrashes();
+      return;
+    }
+    this._publishTimer = this._options.clock.schedule(delayMs, () => {
+      this._publishTimer = undefined;
       void this._publishCrashes();
     });
   }
--- a/src/common/fleet/FactOwnerController.ts
+++ b/src/common/fleet/FactOwnerController.ts
@@ -63,7 +63,7 @@
     const { board, random, store } = _options;
     this.writers = {
       writeCrashReports: (host, reports) =>
-        this._publish({ kind: 'crash-reports', reports }, () => store.writeCrashReports(host, reports)),
+        this._publish({ kind: 'crash-reports', host, reports }, () => store.writeCrashReports(host, reports)),
       writeCrashEvidence: (report) =>
         this._publish({ kind: 'crash-evidence', report }, () => store.writeCrashEvidence(report)),
       writeHostPresence: (presence) =>
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -246,7 +246,7 @@
   | { kind: 'rollout-evidence'; evidence: IRolloutEvidence }
   | { kind: 'release-baseline'; baseline: IReleaseBaseline }
   | { kind: 'session-holds'; holds: ISessionHolds }
-  | { kind: 'crash-reports'; reports: readonly ICrashReport[] }
+  | { kind: 'crash-reports'; host: string; reports: readonly ICrashReport[] }
   | { kind: 'crash-evidence'; report: ICrashEvidenceReport }
   | { kind: 'prompt-trial'; trial: IPromptTrial }
   | { kind: 'host-presence'; presence: IHostPresence }
