Reproduce calls that fail at a host without links to the endpoints

The client of the endpoints takes the function that opens connections as an option, by which the tests cut a host's links; the default is as before.

--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -1,12 +1,15 @@
 import type { Agent } from 'node:http';
-import { createFactStore } from '../../../platform/FactStore.js';
+import { createFactStore, decodePassedFact } from '../../../platform/FactStore.js';
 import { FrontServer } from '../../../platform/FrontServer.js';
 import { EndpointClient } from '../../../platform/EndpointClient.js';
 import { StoreClient } from '../../../platform/StoreClient.js';
+import { createNewsNetwork } from '../../adapters/NewsNetwork.js';
 import { systemClock } from '../../adapters/SystemClock.js';
 import type { IHostLimits } from '../../common/fleet/Types.js';
 import type { ITimelineEvent } from '../../common/timeline/Types.js';
-import { RouterHost } from '../../daemons/RouterHost.js';
+import { RouterHost, type IRouterHostOptions } from '../../daemons/RouterHost.js';
+import { HostLink } from '../../testing/HostLink.js';
+import { findFreePort } from '../HttpTools.js';
 import { sendCall, type ICallResult } from './CallSender.js';
 import { startRevisionStoreServer, type IRevisionStoreStandIn } from './RevisionStoreServer.js';
 import { createTestRoute } from './Routes.js';
@@ -52,13 +55,21 @@
   /** Whether another rig owns the store. */
   private _isPeer = false;
   private _shutdownTimeoutMs = 2000;
+  /** Whether hosts can reach one another. */
+  private _hasPeers = false;
+  /** Link of the host to the runners. */
+  public readonly link = new HostLink();
 
   /**
    * Starts a host with the runners `m-1` and `m-2` for models and `p-1` and `p-2` for plain calls. Stores no
    * configuration if it is `null`.
    */
-  public static async start(configuration: object | null = TEST_CONFIGURATION): Promise<RouterRig> {
+  public static async start(
+    configuration: object | null = TEST_CONFIGURATION,
+    { hasPeers = false } = {},
+  ): Promise<RouterRig> {
     const rig = new RouterRig();
+    rig._hasPeers = hasPeers;
     rig.store = await startRevisionStoreServer();
     if (configuration !== null) rig.store.put('op/config', configuration);
     for (const id of ['m-1', 'm-2']) await rig.addRunner(id, MODEL_SERVICE);
@@ -67,9 +78,12 @@
     return rig;
   }
 
-  /** Starts a host with the test configuration and waits until it is ready. It has 2 s for its stop by default. */
-  public static async startReady({ shutdownTimeoutMs = 2000 } = {}): Promise<RouterRig> {
-    const rig = await RouterRig.start();
+  /**
+   * Starts a host with the test configuration and waits until it is ready. By default it has 2 s for its stop and reaches
+   * no other host.
+   */
+  public static async startReady({ hasPeers = false, shutdownTimeoutMs = 2000 } = {}): Promise<RouterRig> {
+    const rig = await RouterRig.start(TEST_CONFIGURATION, { hasPeers });
     rig._shutdownTimeoutMs = shutdownTimeoutMs;
     rig.host.applyLimits(rig._buildLimits());
     await rig.waitUntil(async () => (await rig.fetchReadyStatus()) === 200);
@@ -81,6 +95,7 @@
     const peer = new RouterRig();
     peer.store = this.store;
     peer._isPeer = true;
+    peer._hasPeers = this._hasPeers;
     await peer._startHost(id);
     await peer.waitUntil(async () => (await peer.fetchReadyStatus()) === 200);
     return peer;
@@ -171,7 +186,11 @@
       zone: 'a',
       store: createFactStore(this._storeClient),
       createEndpointClient: (decideSilence) => {
-        this._runnerClient = new EndpointClient({ clock: systemClock, decideSilence });
+        this._runnerClient = new EndpointClient({
+          clock: systemClock,
+          decideSilence,
+          connect: this.link.connect,
+        });
         return this._runnerClient;
       },
       createFrontEnd: (context) => {
@@ -184,6 +203,7 @@
         throw error;
       },
       limits: this._buildLimits(),
+      ...(this._hasPeers ? { peers: await createPeers(id) } : {}),
     });
     await this.host.start();
     this._frontAddress = `127.0.0.1:${frontServer?.ports.front ?? 0}`;
@@ -202,3 +222,13 @@
     };
   }
 }
+
+async function createPeers(host: string): Promise<NonNullable<IRouterHostOptions['peers']>> {
+  const ip = '127.0.0.1';
+  const port = await findFreePort();
+  return {
+    address: `${ip}:${port}`,
+    createNetwork: (context) => createNewsNetwork({ host, ip, port }, context),
+    decodeFact: decodePassedFact,
+  };
+}
