Reach endpoints by way of other hosts while the own links are lost

Cause: a host takes a lost path for a lost endpoint. Each connection that hangs or is refused counts against the endpoint, and once all are suspect or tried, calls are refused, although other hosts reach the endpoints and this host reaches them.

Change: a connection to an endpoint that is not there after 250 ms, or has failed, is also opened by way of another host, by HTTP CONNECT on the port on which hosts ask one another for news. What connects first is used. An endpoint that fails directly and connects by a relay has a relayed path from then on: the direct one is tried along once a second, kept connections to it are left behind, and what was concluded about the endpoint is reset. While a path is relayed the host reports no crashes. A relay dials announced endpoints only, directly, for hosts it knows by name and IP number, up to 400 at a time, and opens none while it drains. Decisions are in common/paths and common/policy/Relays, sockets in adapters/EndpointConnector and adapters/Tunnels. Log lines: endpoint.path, tunnel.refused, and the path of attempts.

--- a/src/adapters/NewsNetwork.test.ts
+++ b/src/adapters/NewsNetwork.test.ts
@@ -5,6 +5,12 @@
 import { createPeerClient } from './PeerRpc.js';
 
 const LAMPORT = { read: () => 0, observe: () => undefined };
+const TUNNELS = {
+  isEndpoint: () => false,
+  isHost: () => false,
+  isServing: () => false,
+  onRefused: () => undefined,
+};
 const IP = '127.0.0.1';
 const PORT = 17_355;
 /** Well below the 10 s that undici waits for a connection, with room for a busy machine. */
@@ -41,6 +47,7 @@
     {
       findHost,
       lamport: LAMPORT,
+      tunnels: TUNNELS,
       handleQuestion: (position, waitMs) => {
         questions.push({ ...position, waitMs });
         return Promise.resolve(replies.shift() as NewsReply);
@@ -78,6 +85,7 @@
     {
       findHost: (host) => ({ host, announcedAt: 0, address: lost.address }),
       lamport: LAMPORT,
+      tunnels: TUNNELS,
       handleQuestion: () => Promise.resolve({ kind: 'unavailable' }),
     },
   );
--- a/src/adapters/NewsNetwork.ts
+++ b/src/adapters/NewsNetwork.ts
@@ -12,14 +12,15 @@
 }
 
 /**
- * Creates the network in which hosts ask one another for news of the store, by JSON-RPC over kept connections.
+ * Creates the network in which hosts ask one another for news of the store, by JSON-RPC over kept connections, and open
+ * connections to endpoints for one another.
  * @example
  * const network = createNewsNetwork({ host: 'host-1', ip: '10.0.0.1', port: 7355 }, context);
  * await network.startListening();
  */
 export function createNewsNetwork(
   { host, ip, port }: INewsNetworkOptions,
-  { findHost, handleQuestion, lamport }: INewsNetworkContext,
+  { findHost, handleQuestion, lamport, tunnels }: INewsNetworkContext,
 ): INewsNetwork {
   const findAddress = (id: string): IHostPresence['address'] => findHost(id)?.address;
   const client = createPeerClient({ host, lamport, findAddress });
@@ -33,6 +34,7 @@
         ip,
         port,
         handlers: createNewsHandlers(handleQuestion),
+        tunnels,
       });
     },
     close: () => {
--- a/src/adapters/PeerRpc.ts
+++ b/src/adapters/PeerRpc.ts
@@ -9,6 +9,7 @@
 import { createHttpAgent } from './HttpAgent.js';
 import { readLimitedText } from './LimitedBody.js';
 import { startListening } from './Listening.js';
+import { startTunnels, type ITunnelServerOptions } from './Tunnels.js';
 import { isUnsent } from './UnsentRequest.js';
 
 /**
@@ -52,6 +53,8 @@
   ip: string;
   port: number;
   handlers: PeerHandlers;
+  /** Connections to endpoints that other hosts may open by way of this one. Default: none. */
+  tunnels?: ITunnelServerOptions;
 }
 
 /** A running peer server. */
@@ -115,8 +118,15 @@
   const server = createServer((request, response) => {
     void handleMessage(options, rpc, request, response);
   });
+  const tunnels = options.tunnels && startTunnels(server, options.tunnels);
   await startListening(server, options.ip, options.port);
-  return { port: (server.address() as AddressInfo).port, close: () => closeServer(server) };
+  return {
+    port: (server.address() as AddressInfo).port,
+    close: () => {
+      tunnels?.close();
+      return closeServer(server);
+    },
+  };
 }
 
 async function sendMessage(
--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -1,4 +1,5 @@
 import type { ICachedPrefix, IEndpointBacklog, IPrefillRate } from '../estimates/Types.js';
+import type { IEndpointPathEntry, IRelayEntry } from '../paths/Types.js';
 import { Panel } from './Panel.js';
 import type {
   IAccountEntry,
@@ -57,6 +58,10 @@
   public readonly attempts = this._createPanel<string, IAttemptEntry>();
   /** By endpoint id. */
   public readonly endpoints = this._createPanel<string, IEndpointEntry>();
+  /** How this host reaches endpoints, by address. An endpoint without an entry is reached directly. */
+  public readonly endpointPaths = this._createPanel<string, IEndpointPathEntry>();
+  /** Hosts that failed as relays of late, by host id. */
+  public readonly relays = this._createPanel<string, IRelayEntry>();
   /** By name of the service. */
   public readonly services = this._createPanel<string, IServiceEntry>();
   /** Members of the cluster, as gossip reports them, by host id. */
--- a/src/common/news/Types.ts
+++ b/src/common/news/Types.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'true-myth';
 import type { PeerError } from '../coordination/Peers.js';
 import type { FleetFact, IHostPresence, IStorePosition } from '../fleet/Types.js';
+import type { ITunnelContext } from '../paths/Types.js';
 import type { Millis } from '../Types.js';
 
 /** A value of the store in the form in which hosts pass it on. */
@@ -78,4 +79,6 @@
   handleQuestion: (position: IStorePosition, waitMs: Millis) => Promise<NewsReply>;
   /** Lamport clock of this host, which messages carry. */
   lamport: { read: () => number; observe: (lamport: number) => void };
+  /** Decides on the connections to endpoints that other hosts ask for. */
+  tunnels: ITunnelContext;
 }
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -2,6 +2,7 @@
 import type { IAttemptEntry } from '../blackboard/Types.js';
 import type { FactSizes, IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
+import type { PathKind } from '../paths/Types.js';
 import type { IClock } from '../Types.js';
 import type { TimelineFields } from './Types.js';
 
@@ -25,6 +26,18 @@
     this._recordPromptBlocks();
     this._recordRateLimits();
     this._recordPauses();
+    this._recordPaths();
+  }
+
+  private _recordPaths(): void {
+    const { board, record } = this._options;
+    this._register(
+      board.endpointPaths.onChange(({ before, after }) => {
+        if (!after || (after.kind === before?.kind && after.relay === before.relay)) return;
+        const { address, kind, relay } = after;
+        record('endpoint.path', { address, path: kind, relay });
+      }),
+    );
   }
 
   private _recordRateLimits(): void {
@@ -81,6 +94,7 @@
           const end = endMark === undefined ? {} : { endMark, afterEnd };
           this._options.record('attempt.error', {
             ...describeAttempt(after),
+            path: this._findPath(after),
             error: kind,
             ran,
             message,
@@ -111,6 +125,7 @@
     record('route.chosen', {
       ...describeAttempt(attempt),
       role: attempt.role,
+      path: this._findPath(attempt),
       route: request?.route,
       session: request?.session,
       leftMs: request && Math.round(request.deadlineAt - now),
@@ -123,6 +138,12 @@
     });
   }
 
+  /** Finds how the next connection to the endpoint of an attempt is opened. */
+  private _findPath({ endpoint }: IAttemptEntry): PathKind {
+    const { endpointPaths, endpoints } = this._options.board;
+    return endpointPaths.get(endpoints.get(endpoint)?.address ?? '')?.kind ?? 'direct';
+  }
+
   private _recordDoubt(attempt: IAttemptEntry): void {
     const { board, record } = this._options;
     const { answer, doubt, endMark, tokens } = attempt;
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -28,6 +28,8 @@
 import { NewsPublisher, type INewsPublisherOptions } from '../common/news/NewsPublisher.js';
 import { NewsSources } from '../common/news/NewsSources.js';
 import type { DecodePassedFact, INewsNetwork, INewsNetworkContext } from '../common/news/Types.js';
+import { EndpointPathController } from '../common/paths/EndpointPathController.js';
+import type { IPathPlanner, ITunnelContext } from '../common/paths/Types.js';
 import { decideAnswerEnd } from '../common/policy/AnswerEnds.js';
 import { createChooseByAffinity } from '../common/policy/Affinity.js';
 import { findCrashingParts } from '../common/policy/CrashingParts.js';
@@ -38,6 +40,7 @@
 import { FAIR_ORDER, refuseIfWaitReachesDeadline } from '../common/policy/Queueing.js';
 import { createComputeAttemptInterval } from '../common/policy/RateLimitShares.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
+import { createChooseRelays } from '../common/policy/Relays.js';
 import { decideReleaseRollout } from '../common/policy/ReleaseRollouts.js';
 import { createDecideSilence } from '../common/policy/Silence.js';
 import { limitBySlots } from '../common/policy/SlotLimits.js';
@@ -99,6 +102,8 @@
 export interface IEndpointClient {
   runAttempt: RunAttempt;
   checkRun: CheckRun;
+  /** Leaves the kept connections to an endpoint's address behind. */
+  renewConnections: (address: string) => void;
 }
 
 /**
@@ -108,7 +113,7 @@
   id: string;
   zone: string;
   store: IFactStore;
-  createEndpointClient: (decideSilence: DecideSilence) => IEndpointClient;
+  createEndpointClient: (decideSilence: DecideSilence, paths: IPathPlanner) => IEndpointClient;
   createFrontEnd: (context: IFrontEndContext) => IFrontEnd;
   sink: IMetricsSink;
   writeEvent: (event: ITimelineEvent) => void;
@@ -281,6 +286,7 @@
     const network = peers.createNetwork({
       findHost: (id) => this._board.presentHosts.get(id),
       handleQuestion: (position, waitMs) => publisher.handleQuestion(position, waitMs),
+      tunnels: this._createTunnelContext(),
       lamport: {
         read: () => this._timeline.lamport,
         observe: (lamport) => {
@@ -295,6 +301,18 @@
     return { sources: new NewsSources({ ...common, host, hashTexts }), askForNews, decodeFact, log };
   }
 
+  private _createTunnelContext(): ITunnelContext {
+    const { endpoints, lifecycle, presentHosts } = this._board;
+    return {
+      isEndpoint: (target) => [...endpoints.list()].some(({ address }) => address === target),
+      isHost: (host, ip) => presentHosts.get(host)?.address?.startsWith(`${ip}:`) ?? false,
+      isServing: () => lifecycle.get('host')?.phase === 'serving',
+      onRefused: (host, target, reason) => {
+        this._timeline.record('tunnel.refused', { host, target, reason });
+      },
+    };
+  }
+
   /** Starts to answer other hosts. One that cannot listen serves calls all the same; the others read elsewhere. */
   private async _startNewsNetwork(): Promise<void> {
     try {
@@ -397,10 +415,15 @@
       new EndpointIndex({ board, host: id, zone, hashTexts, subsetSize: Infinity }),
     );
     const estimates = { ...common, index, zone };
-    const { checkRun, runAttempt } = createEndpointClient(
+    const paths = this._register(
+      new EndpointPathController({ ...common, host: id, zone, chooseRelays: createChooseRelays(hashTexts) }),
+    );
+    const { checkRun, renewConnections, runAttempt } = createEndpointClient(
       createDecideSilence({ hasBudget: retryBudgets.hasAttempt }),
+      paths,
     );
-    const { onCrash } = this._registerCrashDetector(checkRun);
+    this._register(paths.onRenewal(renewConnections));
+    const { onCrash } = this._registerCrashDetector(checkRun, paths.isLinkSuspect);
     const suspects = this._register(new CrashSuspectController({ ...common, host: id, store, onCrash }));
     const readWallClock = Date.now;
     this._register(new CrashEvidenceController({ ...common, host: id, store, onCrash, readWallClock }));
@@ -466,8 +489,9 @@
   }
 
   /** Detects crashes of endpoints, and records the parts of the prompts that were in flight without output. */
-  private _registerCrashDetector(checkRun: CheckRun): CrashDetector {
-    const detector = this._register(new CrashDetector({ board: this._board, clock: systemClock, checkRun }));
+  private _registerCrashDetector(checkRun: CheckRun, isLinkSuspect: () => boolean): CrashDetector {
+    const options = { board: this._board, clock: systemClock, checkRun, isLinkSuspect };
+    const detector = this._register(new CrashDetector(options));
     this._register(
       detector.onCrash(({ attempts, endpoint, id }) => {
         const withoutOutput = attempts.filter(({ hasOutput }) => !hasOutput);
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -1,12 +1,15 @@
 import { readFileSync, statSync } from 'node:fs';
 import { Result } from 'true-myth';
+import { buildConnector } from 'undici';
 import { createFactStore, decodePassedFact } from '../../platform/FactStore.js';
 import { FrontServer } from '../../platform/FrontServer.js';
 import { EndpointClient } from '../../platform/EndpointClient.js';
 import { parseRouterSettings, type RouterSettings } from '../../platform/Settings.js';
 import { StoreClient } from '../../platform/StoreClient.js';
+import { createEndpointConnector } from '../adapters/EndpointConnector.js';
 import { createNewsNetwork } from '../adapters/NewsNetwork.js';
 import { systemClock } from '../adapters/SystemClock.js';
+import { createOpenTunnel } from '../adapters/Tunnels.js';
 import type { LogFields } from '../adapters/DecisionLog.js';
 import type { IHostLimits } from '../common/fleet/Types.js';
 import type { IMetricsSink } from '../common/metrics/Types.js';
@@ -24,6 +27,9 @@
 
 const BYTES_PER_S_PER_MBPS = 125_000;
 
+/** Time in which an endpoint has to take a direct connection. */
+const ENDPOINT_CONNECT_TIMEOUT_MS = 500;
+
 /** Exit code if the settings cannot be read or are invalid. */
 const INVALID_SETTINGS_EXIT_CODE = 2;
 
@@ -155,8 +161,14 @@
     id: hostSettings.id,
     zone: hostSettings.zone,
     store: createFactStore(client),
-    createEndpointClient: (decideSilence) => {
-      runners = new EndpointClient({ clock: systemClock, decideSilence });
+    createEndpointClient: (decideSilence, paths) => {
+      const connect = createEndpointConnector({
+        clock: systemClock,
+        connect: buildConnector({ timeout: ENDPOINT_CONNECT_TIMEOUT_MS }),
+        openTunnel: createOpenTunnel({ host: hostSettings.id }),
+        paths,
+      });
+      runners = new EndpointClient({ clock: systemClock, decideSilence, connect });
       return runners;
     },
     createFrontEnd: (context) =>
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -3,8 +3,10 @@
 import { FrontServer } from '../../../platform/FrontServer.js';
 import { EndpointClient } from '../../../platform/EndpointClient.js';
 import { StoreClient } from '../../../platform/StoreClient.js';
+import { createEndpointConnector } from '../../adapters/EndpointConnector.js';
 import { createNewsNetwork } from '../../adapters/NewsNetwork.js';
 import { systemClock } from '../../adapters/SystemClock.js';
+import { createOpenTunnel } from '../../adapters/Tunnels.js';
 import type { IHostLimits } from '../../common/fleet/Types.js';
 import type { ITimelineEvent } from '../../common/timeline/Types.js';
 import { RouterHost, type IRouterHostOptions } from '../../daemons/RouterHost.js';
@@ -185,11 +187,16 @@
       id,
       zone: 'a',
       store: createFactStore(this._storeClient),
-      createEndpointClient: (decideSilence) => {
+      createEndpointClient: (decideSilence, paths) => {
         this._runnerClient = new EndpointClient({
           clock: systemClock,
           decideSilence,
-          connect: this.link.connect,
+          connect: createEndpointConnector({
+            clock: systemClock,
+            connect: this.link.connect,
+            openTunnel: createOpenTunnel({ host: id }),
+            paths,
+          }),
         });
         return this._runnerClient;
       },
