Keep brittle endpoints below the refusals that they bear

Cause: a refusal took one attempt's place only. A queued request took the place in the same moment, before the refusal counted, and each host tried again at once, so that full endpoints refused as fast as requests came.

Change: a host sends a brittle endpoint no more than its share of the slots, sends it nothing for a time after a refusal, so that all hosts together cause half of what it bears, and then one attempt at first. Endpoints of a service that have not said so to this host count like the others. The refusal is on the board before the attempt gives up its place.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -424,6 +424,13 @@
   attemptDueAt?: Millis | undefined;
   /** Time until which the endpoint wants nothing from this host, as it said. Absent while it takes work. */
   pausedUntil?: Millis | undefined;
+  /**
+   * Refusals for want of room in a second that the endpoint bears from all hosts together before it crashes, as it says in
+   * its responses. Absent while it names no such limit.
+   */
+  maxRefusalsPerS?: number | undefined;
+  /** When the endpoint last refused an attempt of this host for want of room. Absent if it never did. */
+  refusedAt?: Millis;
   /** Whether the endpoint has marked the end of a stream by other means than its connection. Default false. */
   marksStreamEnds?: boolean;
   /** When the endpoint last sent this host an answer that was malformed or broke off. Absent if it never did. */
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -160,6 +160,7 @@
     // The close of a connection before any output is how a busy or leaving endpoint turns work away.
     if (outcome === 'malformed' || (outcome === 'crashed' && progress.firstTokenMs !== undefined))
       patch.spoiltAt = clock.now();
+    if (outcome === 'overloaded') patch.refusedAt = clock.now();
     if (outcome === 'ok') patch.consecutiveFailures = 0;
     else if (!HEALTH_NEUTRAL_OUTCOMES.has(outcome))
       patch.consecutiveFailures = endpoint.consecutiveFailures + 1;
@@ -224,6 +225,10 @@
       this._handleRateLimit(part.requestsPerS);
       return;
     }
+    if (part.kind === 'refusal-limit') {
+      this._handleRefusalLimit(part.refusalsPerS);
+      return;
+    }
     if (part.kind === 'leaving') {
       this._updateSender({ hasSaidLeaving: true });
       return;
@@ -289,6 +294,11 @@
     this._updateSender({ maxRequestsPerS, rateLimitSource: 'answer', rateLimitHeardAt: clock.now() });
   }
 
+  private _handleRefusalLimit(maxRefusalsPerS: number | undefined): void {
+    const known = this._options.board.endpoints.get(this._attempt.endpoint)?.maxRefusalsPerS;
+    if (maxRefusalsPerS !== known) this._updateSender({ maxRefusalsPerS });
+  }
+
   private _handleFirstToken(now: Millis): void {
     const { board } = this._options;
     this._firstTokenAt = now;
--- a/src/common/request/InFlightLimitController.ts
+++ b/src/common/request/InFlightLimitController.ts
@@ -67,6 +67,7 @@
       firstTokenMs,
       baseFirstTokenMs: this._updateBaseline(endpoint, firstTokenMs, now),
       sinceDecreaseMs: now - decreasedAt,
+      hostCount: Math.max(1, this._options.board.presentHosts.size),
       now,
     });
     this._setLimit(endpoint, limit, newLimit);
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -39,6 +39,11 @@
    * `undefined` if it sets no limit.
    */
   | { kind: 'rate-limit'; requestsPerS: number | undefined }
+  /**
+   * The response has begun, and its endpoint crashes if it has to refuse more than `refusalsPerS` attempts in a second;
+   * `undefined` if it names no such limit.
+   */
+  | { kind: 'refusal-limit'; refusalsPerS: number | undefined }
   /** The endpoint has turned the attempt away, and wants nothing from this host for `forMs`. */
   | { kind: 'pause'; forMs: Millis }
   /** The response has begun, and its endpoint says that it is leaving. */
@@ -327,6 +332,8 @@
   baseFirstTokenMs: Millis;
   /** Time since the limit was last lowered. */
   sinceDecreaseMs: Millis;
+  /** Number of hosts that may send to the endpoint, this one included. */
+  hostCount: number;
   now: Millis;
 }
 
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -40,6 +40,7 @@
 import { FAIR_ORDER, refuseIfWaitReachesDeadline } from '../common/policy/Queueing.js';
 import { createComputeAttemptInterval } from '../common/policy/RateLimitShares.js';
 import { createDecideRetry } from '../common/policy/Retries.js';
+import { computeRefusalPause } from '../common/policy/RefusalPauses.js';
 import { createChooseRelays } from '../common/policy/Relays.js';
 import { decideReleaseRollout } from '../common/policy/ReleaseRollouts.js';
 import { createDecideSilence } from '../common/policy/Silence.js';
@@ -55,6 +56,7 @@
 import { InFlightLimitController } from '../common/request/InFlightLimitController.js';
 import { EarlyEscalationController } from '../common/request/EarlyEscalationController.js';
 import { OutcomeController } from '../common/request/OutcomeController.js';
+import { RefusalPauseController } from '../common/request/RefusalPauseController.js';
 import { refuseUnfinished } from '../common/request/Refusals.js';
 import { RouteController } from '../common/request/RouteController.js';
 import { ServiceRetryBudgets } from '../common/request/ServiceRetryBudgets.js';
@@ -441,6 +443,7 @@
     this._register(new WorkEstimateController(board));
     this._register(new BacklogController(common));
     this._register(new EndpointPauseController(common));
+    this._register(new RefusalPauseController({ ...common, computePause: computeRefusalPause }));
     this._register(new InFlightLimitController({ ...common, adaptLimit: limitBySlots }));
     this._register(new HealthController({ ...common, index, decideHealth: decideHealthByFailures }));
     this._register(
