Open no tunnels to endpoints that take no work from the relay

What callers saw: nothing yet; found by reading. To an endpoint a tunnel is a connection of the relay. One that has told the relay that it is leaving, or that it wants nothing from it for a time, would get more work over it (DRAIN, BUDGET).

Change: a relay refuses such tunnels as if it did not reach the endpoint, so that the asking host goes on to the next relay without avoiding this one. Tunnels that are open stay until their connection ends.

--- a/src/adapters/NewsNetwork.test.ts
+++ b/src/adapters/NewsNetwork.test.ts
@@ -7,6 +7,7 @@
 const LAMPORT = { read: () => 0, observe: () => undefined };
 const TUNNELS = {
   isEndpoint: () => false,
+  isEndpointOpen: () => false,
   isHost: () => false,
   isServing: () => false,
   onRefused: () => undefined,
--- a/src/adapters/Tunnels.test.ts
+++ b/src/adapters/Tunnels.test.ts
@@ -26,6 +26,7 @@
   const server = createServer();
   const tunnels = startTunnels(server, {
     isEndpoint: (address) => address === target,
+    isEndpointOpen: () => true,
     isHost: (host) => host === 'host-1',
     isServing: () => true,
     onRefused: (...refusal) => refusals.push(refusal),
@@ -53,10 +54,16 @@
   return 'opened';
 }
 
-// Guards against an open proxy: a process that is no host, or a target that is no endpoint, gets a connection.
+// Guards against an open proxy, where a process that is no host, or a target that is no endpoint, gets a connection, and
+// against DRAIN: an endpoint that has told this host that it leaves gets more work from it.
 test('tunnels are opened for known hosts to known endpoints only, and not during a drain', async (t) => {
   let isServing = true;
-  const rig = await startRelay({ isServing: () => isServing, maxTunnels: 1 });
+  let isEndpointOpen = true;
+  const rig = await startRelay({
+    isServing: () => isServing,
+    isEndpointOpen: () => isEndpointOpen,
+    maxTunnels: 1,
+  });
   const outcomes: Record<string, string> = {};
   outcomes['known host and endpoint'] = await describeTunnel('host-1', rig.relay, rig.target);
   outcomes['unknown host'] = await describeTunnel('host-9', rig.relay, rig.target);
@@ -68,6 +75,9 @@
   isServing = false;
   outcomes.draining = await describeTunnel('host-1', rig.relay, rig.target);
   isServing = true;
+  isEndpointOpen = false;
+  outcomes['endpoint leaving'] = await describeTunnel('host-1', rig.relay, rig.target);
+  isEndpointOpen = true;
   await rig.stopEndpoint();
   outcomes['endpoint down'] = await describeTunnel('host-1', rig.relay, rig.target);
   rig.close();
--- a/src/adapters/Tunnels.ts
+++ b/src/adapters/Tunnels.ts
@@ -44,6 +44,7 @@
 const REFUSAL_STATUSES: Readonly<Record<TunnelRefusal, string>> = {
   'unknown-host': '403 Forbidden',
   'unknown-endpoint': '403 Forbidden',
+  'endpoint-closed': '502 Bad Gateway',
   'not-serving': '503 Service Unavailable',
   'too-many': '503 Service Unavailable',
   'endpoint-unreachable': '502 Bad Gateway',
@@ -113,6 +114,7 @@
     if (!options.isHost(host, ip)) return 'unknown-host';
     if (!options.isEndpoint(target)) return 'unknown-endpoint';
     if (!options.isServing()) return 'not-serving';
+    if (!options.isEndpointOpen(target)) return 'endpoint-closed';
     return open.size >= maxTunnels ? 'too-many' : undefined;
   };
   server.on('connect', (call: IncomingMessage, caller: Socket) => {
--- a/src/common/paths/Types.ts
+++ b/src/common/paths/Types.ts
@@ -38,14 +38,24 @@
   relays: readonly IHostPresence[];
 }
 
-/** Why a host opens no connection for another one. */
+/**
+ * Why a host opens no connection for another one. `endpoint-closed`: the endpoint is leaving, or wants nothing from this host
+ * for a time.
+ */
 export type TunnelRefusal =
-  'unknown-host' | 'unknown-endpoint' | 'not-serving' | 'too-many' | 'endpoint-unreachable';
+  | 'unknown-host'
+  | 'unknown-endpoint'
+  | 'endpoint-closed'
+  | 'not-serving'
+  | 'too-many'
+  | 'endpoint-unreachable';
 
 /** State and functions of a host by which it decides on the tunnels that others ask it for. */
 export interface ITunnelContext {
   /** Whether a target, `ip:port`, is an endpoint that this host knows. */
   isEndpoint: (target: string) => boolean;
+  /** Whether an endpoint, `ip:port`, takes work from this host. It may tell hosts apart by their connections. */
+  isEndpointOpen: (target: string) => boolean;
   /** Whether a host that names itself so and has this IP number is known. */
   isHost: (host: string, ip: string) => boolean;
   /** Whether new tunnels are opened. */
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -307,6 +307,15 @@
     const { endpoints, lifecycle, presentHosts } = this._board;
     return {
       isEndpoint: (target) => [...endpoints.list()].some(({ address }) => address === target),
+      isEndpointOpen: (target) =>
+        [...endpoints.list()].some(
+          ({ address, hasSaidLeaving, health, pausedUntil }) =>
+            address === target &&
+            health !== 'leaving' &&
+            health !== 'gone' &&
+            hasSaidLeaving !== true &&
+            pausedUntil === undefined,
+        ),
       isHost: (host, ip) => presentHosts.get(host)?.address?.startsWith(`${ip}:`) ?? false,
       isServing: () => lifecycle.get('host')?.phase === 'serving',
       onRefused: (host, target, reason) => {
