Ask relays from the announced IP number

A relay knows a host by the IP number that it has announced. A host with several numbers could ask from another one and be refused as unknown.

Change: the request for a tunnel is bound to the announced number.

Evidence: tests of the tunnels and of lost links pass.

--- a/src/adapters/Tunnels.test.ts
+++ b/src/adapters/Tunnels.test.ts
@@ -48,7 +48,7 @@
 }
 
 async function describeTunnel(host: string, relay: string, target: string): Promise<string> {
-  const opened = await createOpenTunnel({ host })(relay, target);
+  const opened = await createOpenTunnel({ host, ip: IP })(relay, target);
   if (opened.isErr) return opened.error;
   opened.value.destroy();
   return 'opened';
@@ -69,7 +69,7 @@
   outcomes['unknown host'] = await describeTunnel('host-9', rig.relay, rig.target);
   outcomes['unknown target'] = await describeTunnel('host-1', rig.relay, '127.0.0.1:22');
   outcomes['odd target'] = await describeTunnel('host-1', rig.relay, 'example');
-  const first = await createOpenTunnel({ host: 'host-1' })(rig.relay, rig.target);
+  const first = await createOpenTunnel({ host: 'host-1', ip: IP })(rig.relay, rig.target);
   outcomes['one more than allowed'] = await describeTunnel('host-1', rig.relay, rig.target);
   if (first.isOk) first.value.destroy();
   isServing = false;
@@ -88,7 +88,7 @@
 /** Sends a request through a tunnel and tells how its connection ended. */
 async function readThroughTunnel(answer: (socket: Socket) => void, busyMs: number): Promise<string> {
   const rig = await startRelay({}, answer);
-  const openTunnel = createOpenTunnel({ host: 'host-1' });
+  const openTunnel = createOpenTunnel({ host: 'host-1', ip: IP });
   const agent = createHttpAgent({
     connect: (_options, callback) => {
       void openTunnel(rig.relay, rig.target).then((opened) => {
@@ -132,7 +132,7 @@
   const rig = await startRelay({}, (socket) => {
     endpointSocket = socket;
   });
-  const openTunnel = createOpenTunnel({ host: 'host-1' });
+  const openTunnel = createOpenTunnel({ host: 'host-1', ip: IP });
   const opened = await openTunnel(rig.relay, rig.target);
   if (opened.isErr) throw new Error(opened.error);
   const socket = opened.value;
--- a/src/adapters/Tunnels.ts
+++ b/src/adapters/Tunnels.ts
@@ -12,6 +12,8 @@
 export interface IOpenTunnelOptions {
   /** Id of this host. */
   host: string;
+  /** IP number that this host has announced, by which relays know it. */
+  ip: string;
   /** Time within which a tunnel has to be open. Default 350. */
   timeoutMs?: Millis;
 }
@@ -54,11 +56,12 @@
  * Creates the function that opens connections by way of other hosts, by HTTP `CONNECT`. The bytes of the connection pass
  * through that host unchanged.
  * @example
- * const openTunnel = createOpenTunnel({ host: 'host-1' });
+ * const openTunnel = createOpenTunnel({ host: 'host-1', ip: '10.0.0.1' });
  * const opened = await openTunnel('10.0.0.2:7355', '10.0.0.9:8080'); // a socket, or the reason, within 350 ms
  */
 export function createOpenTunnel({
   host,
+  ip: ownIp,
   timeoutMs = DEFAULT_OPEN_TIMEOUT_MS,
 }: IOpenTunnelOptions): OpenTunnel {
   return (relay, target) =>
@@ -67,6 +70,7 @@
       const call = request({
         host: ip,
         port: Number(port),
+        localAddress: ownIp,
         method: 'CONNECT',
         path: target,
         headers: { [HOST_HEADER]: host },
--- a/src/daemons/RouterProcess.ts
+++ b/src/daemons/RouterProcess.ts
@@ -165,7 +165,7 @@
       const connect = createEndpointConnector({
         clock: systemClock,
         connect: buildConnector({ timeout: ENDPOINT_CONNECT_TIMEOUT_MS }),
-        openTunnel: createOpenTunnel({ host: hostSettings.id }),
+        openTunnel: createOpenTunnel({ host: hostSettings.id, ip: hostSettings.ip }),
         paths,
       });
       runners = new EndpointClient({ clock: systemClock, decideSilence, connect });
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -194,7 +194,7 @@
           connect: createEndpointConnector({
             clock: systemClock,
             connect: this.link.connect,
-            openTunnel: createOpenTunnel({ host: id }),
+            openTunnel: createOpenTunnel({ host: id, ip: '127.0.0.1' }),
             paths,
           }),
         });
