Forget relayed paths over which nothing has connected

What callers saw: nothing yet.

Cause: the direct path is tried along with new connections only. As long as any path is relayed the host reports no crashes, and gives direct paths a short head start.

A new test of the controller failed before.

--- a/src/common/paths/EndpointPathController.test.ts
+++ b/src/common/paths/EndpointPathController.test.ts
@@ -101,3 +101,16 @@
   t.is(board.endpointPaths.size, 0);
   t.false(paths.isLinkSuspect());
 });
+
+// Guards against an endpoint that is not used, by which a host suspects its links and reports no crashes for good.
+test('a relayed path without connections counts as direct again', async (t) => {
+  const { board, clock, paths } = createFixture();
+  paths.recordDirect('e-1', 'failed');
+  paths.recordRelay('e-1', 'b1', 'connected');
+  const kinds: (string | undefined)[] = [];
+  for (let second = 0; second < 5; second += 1) {
+    await clock.advance(1000);
+    kinds.push(board.endpointPaths.get('e-1')?.kind);
+  }
+  t.snapshot({ kinds, isLinkSuspect: paths.isLinkSuspect() });
+});
--- a/src/common/paths/EndpointPathController.ts
+++ b/src/common/paths/EndpointPathController.ts
@@ -40,8 +40,12 @@
  */
 const ENDPOINT_DOWN_MS: Millis = 1000;
 
+/** Interval at which relayed paths are checked. */
+const PATH_CHECK_MS: Millis = 1000;
+
 /**
- * Interval at which the kept connections to relayed endpoints are left behind, so that the next ones try the direct path.
+ * Interval at which the kept connections to relayed endpoints are left behind, so that the next ones try the direct path. If
+ * none has followed by the next time, the path counts as direct again: nobody has found out whether it is.
  */
 const RENEWAL_MS: Millis = 2000;
 
@@ -55,6 +59,8 @@
   directFailedAt: Millis;
   relayConnectedAt: Millis;
   relaysFailedAt: Millis;
+  /** When the kept connections were last left behind. */
+  renewedAt: Millis;
   /** Relays that did not reach the endpoint since one last did. */
   unreachedBy: Set<string>;
 }
@@ -64,6 +70,7 @@
   directFailedAt: -Infinity,
   relayConnectedAt: -Infinity,
   relaysFailedAt: -Infinity,
+  renewedAt: -Infinity,
 };
 
 /**
@@ -72,7 +79,7 @@
  */
 export class EndpointPathController extends Disposable implements IPathPlanner {
   private readonly _histories = new Map<string, IDialHistory>();
-  private _renewalTimer: IDisposable | undefined;
+  private _checkTimer: IDisposable | undefined;
   private readonly _renewalEmitter = this._register(new Emitter<string>());
 
   /** Fires with an address when its kept connections are to be left behind: they may be silent, or lead through a relay. */
@@ -91,15 +98,16 @@
     this._register(
       board.endpointPaths.onChange(({ key, before, after }) => {
         if (!after || after.kind === before?.kind) return;
+        this._getHistory(key).renewedAt = this._options.clock.now();
         this._renewalEmitter.fire(key);
-        this._scheduleRenewal();
+        this._scheduleCheck();
       }),
     );
   }
 
   public override dispose(): void {
     super.dispose();
-    this._renewalTimer?.dispose();
+    this._checkTimer?.dispose();
   }
 
   /** Tells whether this host's own links may be lost, so that it cannot judge whether an endpoint is down. */
@@ -197,16 +205,29 @@
     });
   }
 
-  private _scheduleRenewal(): void {
-    if (this._renewalTimer || this._isDisposed) return;
-    this._renewalTimer = this._options.clock.schedule(RENEWAL_MS, () => {
-      this._renewalTimer = undefined;
-      for (const { address, kind } of this._options.board.endpointPaths.list())
-        if (kind === 'relayed') this._renewalEmitter.fire(address);
-      if (this._countRelayedPaths() > 0) this._scheduleRenewal();
+  private _scheduleCheck(): void {
+    if (this._checkTimer || this._isDisposed) return;
+    this._checkTimer = this._options.clock.schedule(PATH_CHECK_MS, () => {
+      this._checkTimer = undefined;
+      for (const { address, kind } of [...this._options.board.endpointPaths.list()])
+        if (kind === 'relayed') this._checkRelayedPath(address);
+      if (this._countRelayedPaths() > 0) this._scheduleCheck();
     });
   }
 
+  private _checkRelayedPath(address: string): void {
+    const { board, clock } = this._options;
+    const now = clock.now();
+    const history = this._getHistory(address);
+    if (now - history.renewedAt < RENEWAL_MS) return;
+    if (history.relayConnectedAt < history.renewedAt) {
+      board.endpointPaths.set(address, { address, kind: 'direct', changedAt: now });
+      return;
+    }
+    history.renewedAt = now;
+    this._renewalEmitter.fire(address);
+  }
+
   private _listRelays(address: string, now: Millis): IHostPresence[] {
     const { board, chooseRelays, host, zone } = this._options;
     return chooseRelays({
