Try the next relay after 100 ms

What callers saw: nothing yet; found while testing the connector. Relays were tried one after another, so that a connection to an endpoint without power failed after 1 s, and after 0.5 s without relays.

Change: the next relay is tried 100 ms after one that has not answered. A relay that does not reach what another one has just reached is avoided also if its answer comes later.

The tests of the paths and of lost links pass.

--- a/src/adapters/EndpointConnector.ts
+++ b/src/adapters/EndpointConnector.ts
@@ -3,7 +3,7 @@
 import type { IHostPresence } from '../common/fleet/Types.js';
 import type { IDisposable } from '../common/Lifecycle.js';
 import type { IDialPlan, IPathPlanner } from '../common/paths/Types.js';
-import type { IClock } from '../common/Types.js';
+import type { IClock, Millis } from '../common/Types.js';
 import type { OpenTunnel } from './Tunnels.js';
 
 /** Options of the connector to endpoints. */
@@ -31,6 +31,12 @@
   };
 }
 
+/**
+ * Time after which the next relay is tried beside one that has not answered. An endpoint without power would otherwise keep
+ * its callers waiting for one relay after another.
+ */
+const RELAY_INTERVAL_MS: Millis = 100;
+
 /** One connection that is being opened, over the direct path and relays at the same time. */
 class Dial {
   private _hasEnded = false;
@@ -78,14 +84,21 @@
   };
 
   private async _openByRelays(): Promise<void> {
+    const opened: Promise<boolean>[] = [];
     for (const relay of this._plan.relays) {
       if (this._hasEnded) return;
-      if (await this._openByRelay(relay)) return;
+      opened.push(this._openByRelay(relay));
+      await Promise.race([opened.at(-1), this._wait(RELAY_INTERVAL_MS)]);
     }
+    if ((await Promise.all(opened)).some(Boolean)) return;
     this._options.paths.recordNoRelay(this._address);
     this._endWay();
   }
 
+  private _wait(ms: Millis): Promise<void> {
+    return new Promise((resolve) => void this._options.clock.schedule(ms, resolve));
+  }
+
   private async _openByRelay({ address, host }: IHostPresence): Promise<boolean> {
     const { openTunnel, paths } = this._options;
     const opened = await openTunnel(address ?? '', this._address);
--- a/src/common/paths/EndpointPathController.test.ts
+++ b/src/common/paths/EndpointPathController.test.ts
@@ -85,11 +85,13 @@
   paths.recordRelay('e-1', 'c1', 'connected');
   const plans = { 'e-1': plan('e-1'), 'e-2': plan('e-2') };
   const avoided = [...board.relays.list()];
+  paths.recordRelay('e-1', 'a2', 'endpoint-unreachable');
+  const late = board.relays.get('a2');
   paths.recordRelay('e-2', 'b1', 'relay-unavailable');
   paths.recordRelay('e-2', 'b1', 'relay-unavailable');
   const twice = board.relays.get('b1');
   await clock.advance(1000);
-  t.snapshot({ plans, avoided, twice, later: plan('e-2') });
+  t.snapshot({ plans, avoided, late, twice, later: plan('e-2') });
 });
 
 // Guards against entries that stay for endpoints which have left.
--- a/src/common/paths/EndpointPathController.ts
+++ b/src/common/paths/EndpointPathController.ts
@@ -154,7 +154,9 @@
   ): void => {
     const { board, clock } = this._options;
     const history = this._getHistory(address);
+    const hasOtherReached = clock.now() - history.relayConnectedAt < EVIDENCE_MS;
     if (outcome === 'relay-unavailable') this._recordRelayFailure(host);
+    else if (outcome === 'endpoint-unreachable' && hasOtherReached) this._recordRelayFailure(host);
     else if (outcome === 'endpoint-unreachable') history.unreachedBy.add(host);
     else {
       history.unreachedBy.delete(host);
