--- a/src/common/news/NewsByPeers.test.ts
+++ b/src/common/news/NewsByPeers.test.ts
@@ -13,6 +13,17 @@
 
 const READER_FAULTS: readonly HostFault[] = ['none', 'gone', 'lost', 'frozen', 'cut', 'deaf', 'turned-away'];
 
+/** Changes the configuration and measures the time until all hosts know it, at most 10 s. */
+async function measureChange(fleet: NewsFleet): Promise<number> {
+  fleet.writeConfiguration();
+  let lateMs = 0;
+  while (fleet.listOutdated().length > 0 && lateMs < 10_000) {
+    await fleet.clock.advance(20);
+    lateMs += 20;
+  }
+  return lateMs;
+}
+
 /** Measures the longest time until a change is known, over times of the change relative to a fault of the readers. */
 async function measureSpread(fault: HostFault, failing: 'one' | 'all'): Promise<number> {
   let longestMs = 0;
@@ -22,13 +33,7 @@
     for (const reader of fleet.listReaders().slice(0, failing === 'one' ? 1 : undefined))
       reader.fault = fault;
     await fleet.clock.advance(changeAt);
-    fleet.writeConfiguration();
-    let lateMs = 0;
-    while (fleet.listOutdated().length > 0 && lateMs < 10_000) {
-      await fleet.clock.advance(20);
-      lateMs += 20;
-    }
-    longestMs = Math.max(longestMs, lateMs);
+    longestMs = Math.max(longestMs, await measureChange(fleet));
   }
   return longestMs;
 }
@@ -66,13 +71,7 @@
       await fleet.clock.advance(25);
     }
     await fleet.clock.advance(changeAt);
-    fleet.writeConfiguration();
-    let lateMs = 0;
-    while (fleet.listOutdated().length > 0 && lateMs < 10_000) {
-      await fleet.clock.advance(20);
-      lateMs += 20;
-    }
-    spread[`change ${changeAt} ms later`] = lateMs;
+    spread[`change ${changeAt} ms later`] = await measureChange(fleet);
   }
   t.deepEqual(
     Object.entries(spread).filter(([, lateMs]) => lateMs > APPLY_MS),
