Report crashes of endpoints that no relay reaches also while a path is relayed

What callers saw: nothing yet; found by reading. A host with a relayed path reported no crash at all.

Change: while a path is relayed, a crash counts if the relays were asked for the endpoint in the last second and none reached it.

Evidence: a test of the controller; tests of crashes on routers and of lost links pass.

--- a/src/common/fleet/CrashDetector.ts
+++ b/src/common/fleet/CrashDetector.ts
@@ -11,8 +11,10 @@
   clock: IClock;
   /** Asks an endpoint for an attempt. A broken connection is a crash only if the endpoint cannot be reached. */
   checkRun: CheckRun;
-  /** Whether this host's own links may be lost, so that it cannot tell whether an endpoint is down. Default: never. */
-  isLinkSuspect?: () => boolean;
+  /**
+   * Whether this host can tell that the endpoint at an address is down, rather than its own link to it. Default: always.
+   */
+  isVerdictSound?: (address: string) => boolean;
 }
 
 /** An attempt of this host that was in flight at an endpoint shortly before the endpoint crashed. */
@@ -99,7 +101,7 @@
     if (!attempts.some(({ end }) => end === 'broken')) return;
     const check = await checkEndpoint();
     if ((check !== 'unreachable' && check !== 'unanswered') || this._isDisposed) return;
-    if (this._options.isLinkSuspect?.() === true) return;
+    if (this._options.isVerdictSound?.(endpoint.address) === false) return;
     const unreported = attempts.filter((attempt) => !this._reported.has(attempt));
     if (unreported.length === 0) return;
     for (const attempt of unreported) this._reported.add(attempt);
--- a/src/common/paths/EndpointPathController.test.ts
+++ b/src/common/paths/EndpointPathController.test.ts
@@ -44,7 +44,7 @@
     endpoint: { consecutiveFailures, health },
     others: plan('e-2'),
     renewed,
-    isLinkSuspect: paths.isLinkSuspect(),
+    isVerdictSound: ENDPOINTS.map(paths.isVerdictSound),
     now: clock.now(),
   });
 });
@@ -101,7 +101,7 @@
   paths.recordRelay('e-1', 'b1', 'connected');
   board.endpoints.delete('e-1');
   t.is(board.endpointPaths.size, 0);
-  t.false(paths.isLinkSuspect());
+  t.true(paths.isVerdictSound('e-2'));
 });
 
 // Guards against an endpoint that is not used, by which a host suspects its links and reports no crashes for good.
@@ -114,5 +114,18 @@
     await clock.advance(1000);
     kinds.push(board.endpointPaths.get('e-1')?.kind);
   }
-  t.snapshot({ kinds, isLinkSuspect: paths.isLinkSuspect() });
+  t.snapshot({ kinds, isVerdictSound: paths.isVerdictSound('e-1') });
+});
+
+// Guards against BUDGET: a host that has lost one link reports no crashes of endpoints that nobody reaches.
+test('an endpoint that no relay reaches is down also for a host with lost links', async (t) => {
+  const { clock, paths } = createFixture();
+  paths.recordDirect('e-1', 'failed');
+  paths.recordRelay('e-1', 'b1', 'connected');
+  paths.recordDirect('e-2', 'failed');
+  const before = paths.isVerdictSound('e-2');
+  paths.recordNoRelay('e-2');
+  const after = paths.isVerdictSound('e-2');
+  await clock.advance(1000);
+  t.deepEqual([before, after, paths.isVerdictSound('e-2')], [false, true, false]);
 });
--- a/src/common/paths/EndpointPathController.ts
+++ b/src/common/paths/EndpointPathController.ts
@@ -110,8 +110,14 @@
     this._checkTimer?.dispose();
   }
 
-  /** Tells whether this host's own links may be lost, so that it cannot judge whether an endpoint is down. */
-  public readonly isLinkSuspect = (): boolean => this._countRelayedPaths() > 0;
+  /**
+   * Tells whether an endpoint that takes no connection is down, as far as anybody can tell: no path of this host is lost, or
+   * no relay reaches the endpoint either.
+   */
+  public readonly isVerdictSound = (address: string): boolean => {
+    if (this._countRelayedPaths() === 0) return true;
+    return this._options.clock.now() - this._getHistory(address).relaysFailedAt < ENDPOINT_DOWN_MS;
+  };
 
   /** Plans a connection to an endpoint. */
   public readonly planDial = (address: string): IDialPlan => {
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -434,7 +434,7 @@
       paths,
     );
     this._register(paths.onRenewal(renewConnections));
-    const { onCrash } = this._registerCrashDetector(checkRun, paths.isLinkSuspect);
+    const { onCrash } = this._registerCrashDetector(checkRun, paths.isVerdictSound);
     const suspects = this._register(new CrashSuspectController({ ...common, host: id, store, onCrash }));
     const readWallClock = Date.now;
     this._register(new CrashEvidenceController({ ...common, host: id, store, onCrash, readWallClock }));
@@ -501,8 +501,11 @@
   }
 
   /** Detects crashes of endpoints, and records the parts of the prompts that were in flight without output. */
-  private _registerCrashDetector(checkRun: CheckRun, isLinkSuspect: () => boolean): CrashDetector {
-    const options = { board: this._board, clock: systemClock, checkRun, isLinkSuspect };
+  private _registerCrashDetector(
+    checkRun: CheckRun,
+    isVerdictSound: (address: string) => boolean,
+  ): CrashDetector {
+    const options = { board: this._board, clock: systemClock, checkRun, isVerdictSound };
     const detector = this._register(new CrashDetector(options));
     this._register(
       detector.onCrash(({ attempts, endpoint, id }) => {
