Keep the relay of a path whose direct connection fails later

What callers saw: nothing; found by reading. Where connections hang, a relay connects before the direct path fails, and the path was recorded without its relay: the log named none, and the next connection chose another one.

Change: the relay is kept with what is known of the ways to an address. A relay no longer logs a refusal for a caller that has gone meanwhile, and addresses with IPv6 numbers are parsed.

Evidence: a new test of the controller failed before; tests of paths, tunnels and lost links pass.

--- a/src/adapters/Tunnels.ts
+++ b/src/adapters/Tunnels.ts
@@ -66,10 +66,8 @@
 }: IOpenTunnelOptions): OpenTunnel {
   return (relay, target) =>
     new Promise((resolve) => {
-      const [ip, port] = relay.split(':');
       const call = request({
-        host: ip,
-        port: Number(port),
+        ...parseAddress(relay),
         localAddress: ownIp,
         method: 'CONNECT',
         path: target,
@@ -109,7 +107,7 @@
  * Offers connections to endpoints to the other hosts, by HTTP `CONNECT` on a server. Each connection is opened directly,
  * so that no tunnel leads through a third host.
  * @example
- * const tunnels = startTunnels(server, { isEndpoint, isHost, isServing: () => true });
+ * const tunnels = startTunnels(server, { isEndpoint, isEndpointOpen, isHost, isServing, onRefused });
  */
 export function startTunnels(server: Server, options: ITunnelServerOptions): ITunnelServer {
   const { maxTunnels = DEFAULT_MAX_TUNNELS, timeoutMs = DEFAULT_DIAL_TIMEOUT_MS } = options;
@@ -155,8 +153,7 @@
  * answer without a length is complete only if its connection ended in order.
  */
 function openPipe(caller: Socket, target: string, timeoutMs: Millis, onUnreachable: () => void): void {
-  const [ip, port] = target.split(':');
-  const endpoint = connect({ host: ip ?? '', port: Number(port), noDelay: true });
+  const endpoint = connect({ ...parseAddress(target), noDelay: true });
   let isConnected = false;
   let hasEnded = false;
   const timer = setTimeout(() => {
@@ -179,6 +176,7 @@
   });
   endpoint.once('close', () => {
     clearTimeout(timer);
+    if (caller.destroyed) return;
     if (!isConnected) onUnreachable();
     else if (!hasEnded) caller.resetAndDestroy();
   });
@@ -186,3 +184,9 @@
     endpoint.destroy();
   });
 }
+
+/** Parses `ip:port`, where an IPv6 number is in brackets. */
+function parseAddress(address: string): { host: string; port: number } {
+  const end = address.lastIndexOf(':');
+  return { host: address.slice(0, end).replace(/^\[|\]$/g, ''), port: Number(address.slice(end + 1)) };
+}
--- a/src/common/paths/EndpointPathController.test.ts
+++ b/src/common/paths/EndpointPathController.test.ts
@@ -129,3 +129,13 @@
   await clock.advance(1000);
   t.deepEqual([before, after, paths.isVerdictSound('e-2')], [false, true, false]);
 });
+
+// Guards against a path without its relay, which the log and the next choice need: the direct path fails after a relay has
+// connected where connections hang.
+test('the relay of a path is known also if the direct path fails later', (t) => {
+  const { board, paths, plan } = createFixture();
+  paths.recordRelay('e-1', 'b1', 'connected');
+  paths.recordDirect('e-1', 'failed');
+  t.is(board.endpointPaths.get('e-1')?.relay, 'b1');
+  t.regex(plan('e-1').relays, /^b1,/);
+});
--- a/src/common/paths/EndpointPathController.ts
+++ b/src/common/paths/EndpointPathController.ts
@@ -58,6 +58,8 @@
   directTriedAt: Millis;
   directFailedAt: Millis;
   relayConnectedAt: Millis;
+  /** Relay that connected last, since the direct path last did. */
+  relay?: string | undefined;
   relaysFailedAt: Millis;
   /** When the kept connections were last left behind. */
   renewedAt: Millis;
@@ -141,10 +143,11 @@
     const history = this._getHistory(address);
     if (outcome === 'failed') {
       history.directFailedAt = now;
-      this._updatePath(address, undefined);
+      this._updatePath(address);
       return;
     }
     history.directFailedAt = -Infinity;
+    history.relay = undefined;
     if (board.endpointPaths.get(address)?.kind === 'relayed')
       board.endpointPaths.set(address, { address, kind: 'direct', changedAt: now });
   };
@@ -170,7 +173,8 @@
       history.unreachedBy.clear();
       board.relays.delete(host);
       history.relayConnectedAt = clock.now();
-      this._updatePath(address, host);
+      history.relay = host;
+      this._updatePath(address);
     }
   };
 
@@ -189,13 +193,13 @@
   }
 
   /** Marks a path as relayed if the direct one has failed and a relay has connected at about the same time. */
-  private _updatePath(address: string, relay: string | undefined): void {
+  private _updatePath(address: string): void {
     const { board, clock } = this._options;
-    const { directFailedAt, relayConnectedAt } = this._getHistory(address);
+    const { directFailedAt, relay, relayConnectedAt } = this._getHistory(address);
     if (Math.abs(directFailedAt - relayConnectedAt) > EVIDENCE_MS) return;
     const known = board.endpointPaths.get(address);
     if (known?.kind === 'relayed') {
-      if (relay !== undefined && relay !== known.relay) board.endpointPaths.update(address, { relay });
+      if (relay !== known.relay) board.endpointPaths.update(address, { relay });
       return;
     }
     board.endpointPaths.set(address, { address, kind: 'relayed', changedAt: clock.now(), relay });
@@ -244,7 +248,7 @@
       ),
       address,
       zone,
-      lastRelay: board.endpointPaths.get(address)?.relay,
+      lastRelay: this._getHistory(address).relay,
       findRelay: (id) => board.relays.get(id),
       now,
     });
