Wait in a test until each endpoint has marked the end of a stream

Cause, traced by the events of a failing run: the warm-ups were sent one after another, and all of 60 went to one endpoint whose first answers were the fastest. The endpoint of the test had marked no end, which the case takes for granted.

Change: warm-ups go out six at a time, so that they spread, and the test fails if an endpoint has served none. The checks are the same.

--- a/src/daemons/UnconfirmedStreams.test.ts
+++ b/src/daemons/UnconfirmedStreams.test.ts
@@ -21,12 +21,15 @@
 
 const UNMARKED_CUT = { ...UNMARKED_END, cut: 'fin' } as const;
 
-/** Lets each endpoint mark the end of a stream. */
+/** Lets each endpoint mark the end of a stream. Streams at the same time spread over the endpoints. */
 async function sendWarmUps(rig: RouterRig): Promise<void> {
   const hasAllServed = (): boolean =>
     rig.runners.filter(({ id, calls }) => id.startsWith('m-') && calls.length > 0).length === 3;
-  for (let index = 0; index < 60 && !hasAllServed(); index += 1)
-    await requestStream(rig, `${WARM_UP_NAME}-${index}`);
+  for (let round = 0; round < 20 && !hasAllServed(); round += 1) {
+    const names = [0, 1, 2, 3, 4, 5].map((index) => `${WARM_UP_NAME}-${round}-${index}`);
+    await Promise.all(names.map((name) => requestStream(rig, name)));
+  }
+  if (!hasAllServed()) throw new Error('Some endpoint has served no stream.');
 }
 
 function refuseRun(call: IRunnerCall, response: ServerResponse): void {
