Leave idempotent calls with endpoints that stand still for a second

What callers saw: nothing yet. A sound endpoint that is silent for a second got its calls repeated elsewhere, up to three runs of one call, and lost its place after three of them.

Cause: silence of an attempt was taken for a fault of the endpoint after 1.5 times the target of a plain call, and after one check of a stream without a reply.

Change: a check that gets a connection and no reply has the new result `silent`, and is repeated until the silence has lasted 1.5 s. A plain attempt waits as long, at most for half of its time, if its endpoint has answered nothing here in the last 250 ms and no path of the host is lost. A check that finds no connection ends the attempt as before.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -433,6 +433,8 @@
   refusedAt?: Millis;
   /** Whether the endpoint has marked the end of a stream by other means than its connection. Default false. */
   marksStreamEnds?: boolean;
+  /** When the endpoint last ended an answer to this host. Absent if it never did. */
+  answeredAt?: Millis;
   /** When the endpoint last sent this host an answer that was malformed or broke off. Absent if it never did. */
   spoiltAt?: Millis;
   /** Whether the endpoint has said in a response that it is leaving. It may not have announced it. */
--- a/src/common/fleet/CrashDetector.ts
+++ b/src/common/fleet/CrashDetector.ts
@@ -2,7 +2,7 @@
 import type { IAttemptEntry, IEndpointEntry } from '../blackboard/Types.js';
 import { Emitter, type Event } from '../Event.js';
 import { Disposable } from '../Lifecycle.js';
-import type { CheckRun } from '../request/Types.js';
+import type { CheckRun, RunCheckResult } from '../request/Types.js';
 import type { IClock, Millis } from '../Types.js';
 
 /** Options of the crash detector. */
@@ -41,6 +41,13 @@
 /** Attempts that ended at most this long before an endpoint is found unreachable were in flight at its crash. */
 const SAME_CRASH_WINDOW_MS: Millis = 500;
 
+/** Results of asking an endpoint by which it may be down. */
+const UNREACHED_CHECKS: ReadonlySet<RunCheckResult> = new Set<RunCheckResult>([
+  'unreachable',
+  'unanswered',
+  'silent',
+]);
+
 interface IEndedAttempt extends ICrashedAttempt {
   endpoint: string;
   endedAt: Millis;
@@ -100,7 +107,7 @@
     const attempts = this._ended.filter((attempt) => attempt.endpoint === id && !this._reported.has(attempt));
     if (!attempts.some(({ end }) => end === 'broken')) return;
     const check = await checkEndpoint();
-    if ((check !== 'unreachable' && check !== 'unanswered') || this._isDisposed) return;
+    if (!UNREACHED_CHECKS.has(check) || this._isDisposed) return;
     if (this._options.isVerdictSound?.(endpoint.address) === false) return;
     const unreported = attempts.filter((attempt) => !this._reported.has(attempt));
     if (unreported.length === 0) return;
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -35,7 +35,8 @@
   if (check !== undefined && BREAKING_CHECKS.has(check)) return 'broken';
   if (attempt.answer?.kind !== 'model') return 'complete';
   if (attempt.tokens === 0) return 'continue';
-  return marksEnds || check === 'unanswered' ? 'claim' : 'complete';
+  const hasReplied = check !== 'unanswered' && check !== 'silent';
+  return marksEnds || !hasReplied ? 'claim' : 'complete';
 };
 
 /**
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -81,7 +81,7 @@
       clock.schedule(RECHECK_DELAY_MS, resolve);
     });
     const check = await this._sendCheck(attempt);
-    return check === 'unanswered' ? 'unreachable' : check;
+    return check === 'unanswered' || check === 'silent' ? 'unreachable' : check;
   }
 
   private async _sendCheck(attempt: IAttemptEntry): Promise<RunCheckResult> {
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -161,6 +161,7 @@
     if (outcome === 'malformed' || (outcome === 'crashed' && progress.firstTokenMs !== undefined))
       patch.spoiltAt = clock.now();
     if (outcome === 'overloaded') patch.refusedAt = clock.now();
+    if (outcome === 'ok' || outcome === 'failed') patch.answeredAt = clock.now();
     if (outcome === 'ok') patch.consecutiveFailures = 0;
     else if (!HEALTH_NEUTRAL_OUTCOMES.has(outcome))
       patch.consecutiveFailures = endpoint.consecutiveFailures + 1;
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -43,6 +43,7 @@
 import { computeRefusalPause } from '../common/policy/RefusalPauses.js';
 import { createChooseRelays } from '../common/policy/Relays.js';
 import { decideReleaseRollout } from '../common/policy/ReleaseRollouts.js';
+import { createMayStandStill } from '../common/request/Standstill.js';
 import { createDecideSilence } from '../common/policy/Silence.js';
 import { limitBySlots } from '../common/policy/SlotLimits.js';
 import { AnswerEndController } from '../common/request/AnswerEndController.js';
@@ -429,8 +430,9 @@
     const paths = this._register(
       new EndpointPathController({ ...common, host: id, zone, chooseRelays: createChooseRelays(hashTexts) }),
     );
+    const mayStandStill = createMayStandStill({ ...common, isVerdictSound: paths.isVerdictSound });
     const { checkRun, renewConnections, runAttempt } = createEndpointClient(
-      createDecideSilence({ hasBudget: retryBudgets.hasAttempt }),
+      createDecideSilence({ hasBudget: retryBudgets.hasAttempt, mayStandStill }),
       paths,
     );
     this._register(paths.onRenewal(renewConnections));
--- a/src/standins/platform/ScriptedRunner.ts
+++ b/src/standins/platform/ScriptedRunner.ts
@@ -23,6 +23,8 @@
   answer: AnswerRunnerCall;
   /** Runs in the runner's report, each as `[id, tokens in memory, events produced, priority]`. */
   reportedRuns: (string | number)[][];
+  /** Requests are taken, but handled only once this resolves. A test replaces it to make the runner fall silent. */
+  pause: Promise<void>;
   close: () => Promise<void>;
 }
 
@@ -36,14 +38,17 @@
       sendFullAnswer(call, response, 200, `answer of ${id}`);
     },
     reportedRuns: [],
+    pause: Promise.resolve(),
     close: () => Promise.resolve(),
   };
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     if (request.url === '/-/report') {
+      await runner.pause;
       response.end(JSON.stringify({ numWaiting: 0, runs: runner.reportedRuns }));
       return;
     }
     const body = (await readBody(request)).toString();
+    await runner.pause;
     const call = { method: request.method ?? '', path: request.url ?? '', headers: request.headers, body };
     runner.calls.push(call);
     await runner.answer(call, response);
