Let the soak cut one router from all runners

What was missing: the soak's proxies stand in front of the runners, for all routers, and have taken a connection before they can refuse it. So no run showed what callers of a router see that has lost its link (RECOVER).

Change: a module that is loaded into each router process redirects connections to runners to a silent or closed port and silences or resets the open ones, when the soak says so by message. Kinds hang-router-link and refuse-router-link, a chain of their own in the mixed profile, the profile links (planned work and lost links), and the promise lost-links with the bound of the rule. A router without link stays bound by all other promises.

--- a/soak/Checks.test.ts
+++ b/soak/Checks.test.ts
@@ -3,6 +3,7 @@
 import { formatPiece, formatStamp, formatAnswer } from './Answers.js';
 import { BOUND_CHECKS } from './BoundChecks.js';
 import { CheckController } from './CheckController.js';
+import { LINK_CHECKS } from './LinkChecks.js';
 import { FLEET_CHECKS } from './RouterChecks.js';
 import { SoakBoard } from './SoakBoard.js';
 import type { ICallEntry, IRunEntry, SoakFaultKind } from './Types.js';
@@ -15,6 +16,7 @@
     ...ANSWER_CHECKS,
     ...FLEET_CHECKS,
     ...BOUND_CHECKS,
+    ...LINK_CHECKS,
   ]);
 
   constructor() {
@@ -247,6 +249,19 @@
       fixture.now += number === 1 ? 600 : 100;
     }
   },
+  'a router that has lost its link serves its callers worse than another': (fixture) => {
+    const router = { id: 'router-1', address: '', state: 'ready' as const, incarnation: 1 };
+    fixture.board.routers.set('router-1', { ...router, observedVersion: 0, observedAt: 0 });
+    fixture.addFault('hang-router-link', 'router-0-link', 6000, 12_000);
+    for (let number = 1; number <= 20; number += 1) {
+      fixture.sendCall(`c${number}`);
+      fixture.endCall(`c${number}`, { status: 502, isComplete: true });
+      fixture.sendCall(`d${number}`, { router: 'router-1' });
+      const run = fixture.recordRun(`d${number}`, { status: 200, endedAt: fixture.now });
+      const stamp = formatStamp(run.number);
+      fixture.endCall(`d${number}`, { status: 200, isComplete: true, stamp, answer: formatAnswer(run) });
+    }
+  },
 };
 
 // Guards against a check that does not report a violation of its promise.
--- a/soak/Disturbances.ts
+++ b/soak/Disturbances.ts
@@ -9,6 +9,14 @@
 /** Scope of the operator's planned work. */
 export const OPERATOR_SCOPE = 'operator';
 
+/**
+ * Scope of the link of a router to the runners. A router that has lost it stays bound by all time limits, since it still
+ * reaches its callers, the store and the other routers.
+ */
+export function formatLinkScope(router: string): string {
+  return `${router}-link`;
+}
+
 /** Time for which a router and the store must be undisturbed before time limits apply. */
 export const SETTLING_MS: Millis = 3000;
 
--- a/soak/FaultPlan.ts
+++ b/soak/FaultPlan.ts
@@ -6,6 +6,7 @@
   LinkFaultKind,
   PlannedWorkKind,
   RouterFaultKind,
+  RouterLinkFaultKind,
   RunnerFaultKind,
   SoakFault,
   SoakProfile,
@@ -58,6 +59,8 @@
 
 const FALSE_END_KINDS: readonly FalseEndKind[] = ['deny-resumptions', 'skip-events'];
 
+const ROUTER_LINK_KINDS: readonly RouterLinkFaultKind[] = ['hang-router-link', 'refuse-router-link'];
+
 const LASTING_KINDS: readonly LastingFaultKind[] = ['crash-on-part', 'limit-rate'];
 
 /**
@@ -66,6 +69,7 @@
  */
 const CHAIN_KINDS: Readonly<Record<SoakProfile, readonly (readonly SoakFault['kind'][])[]>> = {
   planned: [PLANNED_WORK_KINDS, PLANNED_WORK_KINDS],
+  links: [PLANNED_WORK_KINDS, ROUTER_LINK_KINDS],
   mixed: [
     PLANNED_WORK_KINDS,
     ROUTER_KINDS,
@@ -80,6 +84,7 @@
     ['unmark-answers'],
     ['end-runner'],
     FALSE_END_KINDS,
+    ROUTER_LINK_KINDS,
   ],
 };
 
--- a/soak/Injectors.ts
+++ b/soak/Injectors.ts
@@ -6,13 +6,19 @@
   IStoreCopy,
   RevisionStoreFault,
 } from '../src/standins/platform/RevisionStoreServer.js';
-import { OPERATOR_SCOPE, ALL_ROUTERS_SCOPE, STORE_SCOPE } from './Disturbances.js';
+import {
+  ALL_ROUTERS_SCOPE,
+  formatLinkScope,
+  OPERATOR_SCOPE,
+  SETTLING_MS,
+  STORE_SCOPE,
+} from './Disturbances.js';
 import { PLANNED_WORK_KINDS } from './FaultPlan.js';
 import type { RouterFleet } from './RouterFleet.js';
 import type { SoakBoard } from './SoakBoard.js';
 import type { SoakOperator } from './SoakOperator.js';
 import type { SoakRunner } from './SoakRunner.js';
-import type { LinkMode, PlannedWorkKind, RunnerFault, SoakFault, SoakFaultKind } from './Types.js';
+import type { ILinkCut, LinkMode, PlannedWorkKind, RunnerFault, SoakFault, SoakFaultKind } from './Types.js';
 
 /** The processes and stand-ins that faults are injected into. */
 export interface IFaultTargets {
@@ -21,6 +27,8 @@
   runners: readonly SoakRunner[];
   store: IRevisionStoreStandIn;
   operator: SoakOperator;
+  /** Loopback port that takes no connection and refuses none. */
+  silentPort: number;
 }
 
 /** Injects a fault; resolves when the fault has ended. */
@@ -60,6 +68,9 @@
 /** Rate that a limited runner names. It is far below what it gets otherwise. */
 const LIMITED_CALLS_PER_S = 2;
 
+/** Loopback port where nothing listens. */
+const CLOSED_PORT = 1;
+
 const pickRouter: IInjector['pickScope'] = ({ routers }, draw) => pickItem(routers.ids, draw);
 const pickRunner: IInjector['pickScope'] = ({ runners }, draw) =>
   pickItem(
@@ -124,6 +135,8 @@
   'silence-store': createRouterLinkFault('store', 'silent'),
   'reset-store': createRouterLinkFault('store', 'reset'),
   'delay-store': createRouterLinkFault('store', 'delay'),
+  'hang-router-link': createLinkCut('silent', ({ silentPort }) => silentPort),
+  'refuse-router-link': createLinkCut('reset', () => CLOSED_PORT),
   'crash-runner': {
     pickScope: pickRunner,
     inject: ({ runners }, id, durationMs) => findRunner(runners, id)?.crash(durationMs),
@@ -205,6 +218,27 @@
   };
 }
 
+/** Creates a fault by which one router loses its link to all runners, for long enough that it has to be served again. */
+function createLinkCut(
+  openConnections: ILinkCut['openConnections'],
+  getRedirectPort: (targets: IFaultTargets) => number,
+): IInjector {
+  return {
+    pickScope: (targets, draw) => formatLinkScope(pickRouter(targets, draw)),
+    inject: async (targets, scope, durationMs) => {
+      const { routers, runners } = targets;
+      const router = routers.ids.find((id) => formatLinkScope(id) === scope) ?? '';
+      const ports = runners.map(({ proxy }) => proxy.port);
+      const cut = routers.stopLink(router, {
+        ports,
+        redirectPort: getRedirectPort(targets),
+        openConnections,
+      });
+      await disposeAfter(cut, SETTLING_MS + durationMs);
+    },
+  };
+}
+
 function createRunnerFault(fault: RunnerFault): IInjector {
   return {
     pickScope: pickRunner,
--- a/soak/LinkProxy.ts
+++ b/soak/LinkProxy.ts
@@ -39,7 +39,12 @@
 
   /** Address of the proxy, as `ip:port`. */
   public get address(): string {
-    return `127.0.0.1:${(this._server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this.port}`;
+  }
+
+  /** Port of the proxy. */
+  public get port(): number {
+    return (this._server.address() as AddressInfo).port;
   }
 
   /** Adds a mode, which applies until the result is disposed. */
--- a/soak/Main.ts
+++ b/soak/Main.ts
@@ -13,7 +13,7 @@
   .option('routers', { type: 'number', default: 3, describe: 'Number of router processes' })
   .option('callers', { type: 'number', default: 12, describe: 'Number of callers' })
   .option('profile', {
-    choices: ['planned', 'mixed'] as const,
+    choices: ['planned', 'links', 'mixed'] as const,
     describe: 'Default: planned for every third seed, mixed for the others',
   })
   .option('folder', {
--- a/soak/RouterChecks.ts
+++ b/soak/RouterChecks.ts
@@ -3,6 +3,7 @@
 import {
   SETTLING_MS,
   findDisturbance,
+  formatLinkScope,
   isRouterUndisturbed,
   isRunnerUndisturbed,
   OPERATOR_SCOPE,
@@ -194,7 +195,12 @@
     return undefined;
   const runs = board.listRuns(id).filter(({ wasExecuted }) => wasExecuted);
   if (runs.length === 0 && endedAt - sentAt <= UNCOUNTED_LOSS_MS) return undefined;
-  const ids = [...board.routers.list(), ...board.runners.list()].map((entry) => entry.id);
+  const routers = [...board.routers.list()].map((entry) => entry.id);
+  const ids = [
+    ...routers,
+    ...routers.map(formatLinkScope),
+    ...[...board.runners.list()].map(({ id: runner }) => runner),
+  ];
   const allScopesQuery = {
     scopes: [...ids, STORE_SCOPE, ALL_ROUTERS_SCOPE],
     from: sentAt - SETTLING_MS,
--- a/soak/RouterFleet.ts
+++ b/soak/RouterFleet.ts
@@ -3,15 +3,20 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { readUsage } from '../bench/Processes.js';
+import { toDisposable, type IDisposable } from '../src/common/Lifecycle.js';
 import type { Millis } from '../src/common/Types.js';
 import { waitFor } from '../src/standins/HttpTools.js';
 import { formatTestSettings } from '../src/standins/platform/RouterSettings.js';
 import { LinkProxy } from './LinkProxy.js';
 import type { SoakBoard } from './SoakBoard.js';
+import type { ILinkCut } from './Types.js';
 
 /** The router program as it is deployed. */
 const ROUTER_SCRIPT_PATH = fileURLToPath(new URL('../router/RouterMain.cjs', import.meta.url));
-const CLOCK_SCRIPT_URL = new URL('./ClockStep.js', import.meta.url).href;
+/** Modules that are loaded into a router process before the program. */
+const FAULT_SCRIPT_URLS = ['./ClockStep.js', './LinkCut.js'].map(
+  (path) => new URL(path, import.meta.url).href,
+);
 
 /** Time that a stopping router has before it is killed, as in the platform's deployments. */
 export const STOP_TIMEOUT_MS: Millis = 8000;
@@ -50,6 +55,8 @@
   /** Proxy between the router and the store. */
   store: LinkProxy;
   retryShare: number;
+  /** Cut of its link to the runners, which also applies to the next process. */
+  linkCut: ILinkCut | undefined;
   child: ChildProcess | undefined;
   /** Whether SIGTERM or SIGKILL was sent to the running process, so that its exit is no finding. */
   isExitExpected: boolean;
@@ -86,6 +93,19 @@
     return this._getRouter(id)[side];
   }
 
+  /** Cuts the link of a router to the runners until the result is disposed. */
+  public stopLink(id: string, cut: ILinkCut): IDisposable {
+    const router = this._getRouter(id);
+    const setCut = (linkCut: ILinkCut | undefined): void => {
+      router.linkCut = linkCut;
+      if (router.child) sendLinkCut(router.child, linkCut);
+    };
+    setCut(cut);
+    return toDisposable(() => {
+      setCut(undefined);
+    });
+  }
+
   /** Sends a signal to the running process of a router. */
   public sendSignal(id: string, signal: NodeJS.Signals): void {
     const router = this._getRouter(id);
@@ -158,6 +178,7 @@
     const store = await LinkProxy.start(storePort);
     const state = {
       retryShare: 0.9,
+      linkCut: undefined,
       child: undefined,
       isExitExpected: false,
       failedPolls: 0,
@@ -181,11 +202,16 @@
     const logFile = openSync(this._locateFile(router.id, 'log'), 'a');
     const child = spawn(
       process.execPath,
-      ['--import', CLOCK_SCRIPT_URL, ROUTER_SCRIPT_PATH, this._locateFile(router.id, 'ini')],
-      { stdio: ['ignore', logFile, logFile] },
+      [
+        ...FAULT_SCRIPT_URLS.flatMap((url) => ['--import', url]),
+        ROUTER_SCRIPT_PATH,
+        this._locateFile(router.id, 'ini'),
+      ],
+      { stdio: ['ignore', logFile, logFile, 'ipc'] },
     );
     closeSync(logFile);
     router.child = child;
+    if (router.linkCut) sendLinkCut(child, router.linkCut);
     router.isExitExpected = false;
     router.hasReplied = false;
     const incarnation = (board.routers.get(router.id)?.incarnation ?? 0) + 1;
@@ -257,6 +283,11 @@
   }
 }
 
+/** Tells a router process of the cut of its link, or that it has ended. A process that has ended takes no message. */
+function sendLinkCut(child: ChildProcess, cut: ILinkCut | undefined): void {
+  if (child.connected) child.send({ cut }, () => undefined);
+}
+
 /**
  * Formats the loopback address of a router. It depends on the process id, so that soaks which run at the same
  * time on one machine use different addresses.
--- a/soak/Soak.test.ts
+++ b/soak/Soak.test.ts
@@ -14,6 +14,7 @@
 for (const [seed, profile] of [
   [101, 'planned'],
   [102, 'mixed'],
+  [103, 'links'],
 ] as const) {
   test.serial(`short soak with seed ${seed}, ${profile}`, async (t) => {
     const { findings, served } = await runSoak({ seed, profile, durationMs: 6000, folder });
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -4,11 +4,13 @@
 import { createSeededRandom } from '../src/adapters/Random.js';
 import type { Millis } from '../src/common/Types.js';
 import { waitFor } from '../src/standins/HttpTools.js';
+import { startSilentAddress } from '../src/standins/SilentAddress.js';
 import { startRevisionStoreServer } from '../src/standins/platform/RevisionStoreServer.js';
 import { ANSWER_CHECKS } from './AnswerChecks.js';
 import { BOUND_CHECKS } from './BoundChecks.js';
 import { CheckController } from './CheckController.js';
 import { planSoakFaults } from './FaultPlan.js';
+import { LINK_CHECKS } from './LinkChecks.js';
 import { FLEET_CHECKS } from './RouterChecks.js';
 import { runFaultChain } from './Injectors.js';
 import { RouterFleet } from './RouterFleet.js';
@@ -55,7 +57,12 @@
   const board = new SoakBoard(() => performance.now() - startedAt);
   const eventLoopDelay = monitorEventLoopDelay();
   eventLoopDelay.enable();
-  const checks = new CheckController(board, [...ANSWER_CHECKS, ...FLEET_CHECKS, ...BOUND_CHECKS]);
+  const checks = new CheckController(board, [
+    ...ANSWER_CHECKS,
+    ...FLEET_CHECKS,
+    ...BOUND_CHECKS,
+    ...LINK_CHECKS,
+  ]);
   const store = await startRevisionStoreServer();
   const operator = new SoakOperator(board, store);
   const random = createSeededRandom(seed);
@@ -73,12 +80,15 @@
   await waitForRouters(board);
   const soakCallers = new SoakCallers({ board, count: callers, random });
   const faultChains = planSoakFaults(profile, createSeededRandom(seed), durationMs);
-  const targets = { board, routers: fleet, runners, store, operator };
+  const silent = await startSilentAddress();
+  const silentPort = Number(silent.address.split(':')[1]);
+  const targets = { board, routers: fleet, runners, store, operator, silentPort };
   await Promise.all(faultChains.map((chain) => runFaultChain(targets, chain)));
   await checkRecovery(board);
   await soakCallers.stop();
   checks.runFinalChecks();
   fleet.close();
+  silent.close();
   for (const runner of runners) await runner.close();
   await store.close();
   checks.dispose();
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -22,6 +22,21 @@
   | 'reset-store'
   | 'delay-store';
 
+/**
+ * Faults of the link of one router to all runners: new connections hang and open ones fall silent, or new ones are
+ * refused and open ones reset.
+ */
+export type RouterLinkFaultKind = 'hang-router-link' | 'refuse-router-link';
+
+/** Order to a router process to lose its link to the runners. */
+export interface ILinkCut {
+  /** Ports of the runners. */
+  ports: readonly number[];
+  /** Loopback port to which new connections go instead. */
+  redirectPort: number;
+  openConnections: 'silent' | 'reset';
+}
+
 /** Faults in how runners handle requests. */
 export type RunnerFaultKind =
   'crash-runner' | 'fail-answers' | 'refuse-calls' | 'lose-answers' | 'tear-answers' | 'hang-answers';
@@ -44,6 +59,7 @@
   | PlannedWorkKind
   | RouterFaultKind
   | LinkFaultKind
+  | RouterLinkFaultKind
   | RunnerFaultKind
   | UnmarkedEndKind
   | FalseEndKind
@@ -53,8 +69,8 @@
 /** One planned injection of a fault or of planned work. */
 export type SoakFault = IChainedFault<SoakFaultKind>;
 
-/** What a soak injects: planned work only, or planned work and faults of every kind. */
-export type SoakProfile = 'planned' | 'mixed';
+/** What a soak injects: planned work only, planned work and lost links of routers, or faults of every kind. */
+export type SoakProfile = 'planned' | 'links' | 'mixed';
 
 /**
  * How a proxy treats its connections. `mute-request` and `mute-response` hold back the bytes of one
@@ -74,7 +90,10 @@
 export interface IFaultEntry {
   id: number;
   kind: SoakFaultKind;
-  /** What it affects: the id of a router or runner, `routers` for all of them, `store` or `operator`. */
+  /**
+   * What it affects: the id of a router or runner, the link of a router, `routers` for all of them, `store` or
+   * `operator`.
+   */
   scope: string;
   isPlannedWork: boolean;
   startedAt: Millis;
@@ -237,6 +256,7 @@
   | 'retry-budget'
   | 'crashing-prompts'
   | 'rate-limits'
+  | 'lost-links'
   | 'recovery'
   | 'process-health';
 
--- a/src/testing/HostLink.ts
+++ b/src/testing/HostLink.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import { buildConnector, errors } from 'undici';
+import { pauseSocket } from './PausedSocket.js';
 
 /** State of a host's link: up, or cut, so that new connections hang or are refused. */
 export type LinkState = 'up' | 'hung' | 'refused';
@@ -56,10 +57,3 @@
     socket.once('close', () => this._sockets.delete(socket));
   }
 }
-
-/** Makes a connection lose what is sent in both directions. */
-function pauseSocket(socket: Socket): void {
-  socket.read = () => null;
-  socket._write = () => undefined;
-  socket._writev = () => undefined;
-}
