Choose relays only for connections that ask one

What callers saw: nothing by itself; processor time of hosts.

Cause: the plan of each new connection to an endpoint ranked all hosts as relays, also where the direct path is sound.

Change: the plan holds a function that lists the relays, called once they are to be tried.

--- a/src/adapters/EndpointConnector.test.ts
+++ b/src/adapters/EndpointConnector.test.ts
@@ -59,7 +59,10 @@
       planDial: () => ({
         isDirectTried: direct !== undefined,
         relayDelayMs: relays.length === 0 ? undefined : relayDelayMs,
-        relays: relays.map((_, index) => ({ host: `r${index}`, address: `${index}`, announcedAt: 0 })),
+        listRelays: () => {
+          records.push('relays chosen');
+          return relays.map((_, index) => ({ host: `r${index}`, address: `${index}`, announcedAt: 0 }));
+        },
       }),
       recordDirect: (_address, outcome) => records.push(`direct ${outcome}`),
       recordRelay: (_address, host, outcome) => records.push(`${host} ${outcome}`),
--- a/src/adapters/EndpointConnector.ts
+++ b/src/adapters/EndpointConnector.ts
@@ -84,8 +84,13 @@
   };
 
   private async _openByRelays(): Promise<void> {
+    const relays = this._plan.listRelays();
+    if (relays.length === 0) {
+      this._endWay();
+      return;
+    }
     const opened: Promise<boolean>[] = [];
-    for (const relay of this._plan.relays) {
+    for (const relay of relays) {
       if (this._hasEnded) return;
       opened.push(this._openByRelay(relay));
       await Promise.race([opened.at(-1), this._wait(RELAY_INTERVAL_MS)]);
--- a/src/common/paths/EndpointPathController.test.ts
+++ b/src/common/paths/EndpointPathController.test.ts
@@ -20,8 +20,14 @@
   const renewed: string[] = [];
   paths.onRenewal((address) => renewed.push(address));
   const plan = (address: string) => {
-    const { isDirectTried, relayDelayMs, relays } = paths.planDial(address);
-    return { isDirectTried, relayDelayMs, relays: relays.map(({ host }) => host).join() };
+    const { isDirectTried, listRelays, relayDelayMs } = paths.planDial(address);
+    return {
+      isDirectTried,
+      relayDelayMs,
+      relays: listRelays()
+        .map(({ host }) => host)
+        .join(),
+    };
   };
   return { board, clock, paths, plan, renewed };
 }
--- a/src/common/paths/EndpointPathController.ts
+++ b/src/common/paths/EndpointPathController.ts
@@ -67,6 +67,9 @@
   unreachedBy: Set<string>;
 }
 
+/** Plan of a connection for which no relay is asked. */
+const DIRECT_DIAL: IDialPlan = { isDirectTried: true, relayDelayMs: undefined, listRelays: () => [] };
+
 const NEW_HISTORY: Omit<IDialHistory, 'unreachedBy'> = {
   directTriedAt: -Infinity,
   directFailedAt: -Infinity,
@@ -127,13 +130,14 @@
     const history = this._getHistory(address);
     const isRelayed = this._options.board.endpointPaths.get(address)?.kind === 'relayed';
     const areRelaysUsed = now - history.relaysFailedAt >= ENDPOINT_DOWN_MS;
-    const relays = areRelaysUsed ? this._listRelays(address, now) : [];
-    const isDirectTried = !isRelayed || relays.length === 0 || now - history.directTriedAt >= DIRECT_RETRY_MS;
-    if (isDirectTried) history.directTriedAt = now;
-    if (relays.length === 0) return { isDirectTried, relayDelayMs: undefined, relays };
+    if (isRelayed) return this._planRelayedDial(history, areRelaysUsed ? this._listRelays(address) : []);
+    history.directTriedAt = now;
+    if (!areRelaysUsed || !this._hasOtherHosts()) return DIRECT_DIAL;
+    // The choice ranks all hosts, and most connections need no relay.
+    const listRelays = (): IHostPresence[] => this._listRelays(address);
     const areLinksSuspect = this._countRelayedPaths() >= MIN_RELAYED_PATHS;
-    const relayDelayMs = isRelayed ? 0 : areLinksSuspect ? SUSPECT_RELAY_DELAY_MS : RELAY_DELAY_MS;
-    return { isDirectTried, relayDelayMs, relays };
+    const relayDelayMs = areLinksSuspect ? SUSPECT_RELAY_DELAY_MS : RELAY_DELAY_MS;
+    return { isDirectTried: true, relayDelayMs, listRelays };
   };
 
   /** Records how a direct connection ended. */
@@ -185,6 +189,14 @@
     history.unreachedBy.clear();
   };
 
+  private _planRelayedDial(history: IDialHistory, relays: readonly IHostPresence[]): IDialPlan {
+    const now = this._options.clock.now();
+    const isDirectTried = relays.length === 0 || now - history.directTriedAt >= DIRECT_RETRY_MS;
+    if (isDirectTried) history.directTriedAt = now;
+    if (relays.length === 0) return DIRECT_DIAL;
+    return { isDirectTried, relayDelayMs: 0, listRelays: () => relays };
+  }
+
   private _recordRelayFailure(host: string): void {
     const { board, clock } = this._options;
     const failures = (board.relays.get(host)?.failures ?? 0) + 1;
@@ -240,17 +252,25 @@
     this._renewalEmitter.fire(address);
   }
 
-  private _listRelays(address: string, now: Millis): IHostPresence[] {
-    const { board, chooseRelays, host, zone } = this._options;
+  private _hasOtherHosts(): boolean {
+    for (const presence of this._options.board.presentHosts.list())
+      if (this._isOtherHost(presence)) return true;
+    return false;
+  }
+
+  private _isOtherHost({ address, host }: Readonly<IHostPresence>): boolean {
+    return host !== this._options.host && address !== undefined;
+  }
+
+  private _listRelays(address: string): IHostPresence[] {
+    const { board, chooseRelays, clock, zone } = this._options;
     return chooseRelays({
-      hosts: [...board.presentHosts.list()].filter(
-        (presence) => presence.host !== host && presence.address !== undefined,
-      ),
+      hosts: [...board.presentHosts.list()].filter((presence) => this._isOtherHost(presence)),
       address,
       zone,
       lastRelay: this._getHistory(address).relay,
       findRelay: (id) => board.relays.get(id),
-      now,
+      now: clock.now(),
     });
   }
 
--- a/src/common/paths/Types.ts
+++ b/src/common/paths/Types.ts
@@ -34,8 +34,8 @@
   isDirectTried: boolean;
   /** Time after which the relays are tried as well, unless the direct path has failed before; `undefined`: not at all. */
   relayDelayMs: Millis | undefined;
-  /** Hosts to try as relays, one after another. */
-  relays: readonly IHostPresence[];
+  /** Lists the hosts to try as relays, one after another. Called only when they are to be tried. */
+  listRelays: () => readonly IHostPresence[];
 }
 
 /**
