Let the calls of other hosts end before a relay stops

What callers saw: nothing yet; found by reading. A host that stops ended once its own calls had: calls that a host without links had sent by way of it were cut, and one that may not be repeated got 502.

Cause: the drain knew the connections of the host's callers only, and closed the tunnels of other hosts with its server.

Change: the drain waits until no tunnel is open, up to the moment at which the stop ends requests anyway. Hosts leave the connections that they keep over relayed paths behind every 2 s, so unused ones do not hold up the stop.

--- a/src/adapters/NewsNetwork.ts
+++ b/src/adapters/NewsNetwork.ts
@@ -37,6 +37,7 @@
         tunnels,
       });
     },
+    drainTunnels: () => server?.drainTunnels() ?? Promise.resolve(),
     close: () => {
       void server?.close();
       void client.close();
--- a/src/adapters/PeerRpc.ts
+++ b/src/adapters/PeerRpc.ts
@@ -60,6 +60,8 @@
 /** A running peer server. */
 export interface IPeerServer {
   port: number;
+  /** Resolves once no other host has a tunnel open. */
+  drainTunnels: () => Promise<void>;
   close: () => Promise<void>;
 }
 
@@ -122,6 +124,7 @@
   await startListening(server, options.ip, options.port);
   return {
     port: (server.address() as AddressInfo).port,
+    drainTunnels: () => tunnels?.drain() ?? Promise.resolve(),
     close: () => {
       tunnels?.close();
       return closeServer(server);
--- a/src/adapters/Tunnels.ts
+++ b/src/adapters/Tunnels.ts
@@ -30,6 +30,8 @@
 export interface ITunnelServer {
   /** Number of open tunnels. */
   readonly size: number;
+  /** Resolves once no tunnel is open. Hosts close those that they do not use within some seconds. */
+  drain: () => Promise<void>;
   close: () => void;
 }
 
@@ -112,6 +114,7 @@
 export function startTunnels(server: Server, options: ITunnelServerOptions): ITunnelServer {
   const { maxTunnels = DEFAULT_MAX_TUNNELS, timeoutMs = DEFAULT_DIAL_TIMEOUT_MS } = options;
   const open = new Set<Duplex>();
+  const drained: (() => void)[] = [];
   const findRefusal = (host: string, ip: string, target: string): TunnelRefusal | undefined => {
     if (!options.isHost(host, ip)) return 'unknown-host';
     if (!options.isEndpoint(target)) return 'unknown-endpoint';
@@ -133,7 +136,10 @@
       return;
     }
     open.add(caller);
-    caller.once('close', () => open.delete(caller));
+    caller.once('close', () => {
+      open.delete(caller);
+      if (open.size === 0) for (const resolve of drained.splice(0)) resolve();
+    });
     openPipe(caller, target, timeoutMs, () => {
       refuse('endpoint-unreachable');
     });
@@ -142,6 +148,11 @@
     get size() {
       return open.size;
     },
+    drain: () =>
+      new Promise((resolve) => {
+        if (open.size === 0) resolve();
+        else drained.push(resolve);
+      }),
     close: () => {
       for (const caller of open) caller.destroy();
     },
--- a/src/common/news/Types.ts
+++ b/src/common/news/Types.ts
@@ -69,6 +69,8 @@
   askForNews: AskForNews;
   /** Starts to answer the questions of other hosts. */
   startListening: () => Promise<void>;
+  /** Resolves once no other host has a connection to an endpoint by way of this one. */
+  drainTunnels: () => Promise<void>;
   close: () => void;
 }
 
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -21,7 +21,7 @@
 import { RateLimitController } from '../common/fleet/RateLimitController.js';
 import { RoutingTableController } from '../common/fleet/RoutingTableController.js';
 import type { IFactStore, IHostLimits } from '../common/fleet/Types.js';
-import { Disposable, toDisposable } from '../common/Lifecycle.js';
+import { Disposable, toDisposable, type IDisposable } from '../common/Lifecycle.js';
 import { MetricsController } from '../common/metrics/MetricsController.js';
 import type { IMetricsSink } from '../common/metrics/Types.js';
 import { NewsLog } from '../common/news/NewsLog.js';
@@ -43,7 +43,6 @@
 import { computeRefusalPause } from '../common/policy/RefusalPauses.js';
 import { createChooseRelays } from '../common/policy/Relays.js';
 import { decideReleaseRollout } from '../common/policy/ReleaseRollouts.js';
-import { createMayStandStill } from '../common/request/Standstill.js';
 import { createDecideSilence } from '../common/policy/Silence.js';
 import { limitBySlots } from '../common/policy/SlotLimits.js';
 import { AnswerEndController } from '../common/request/AnswerEndController.js';
@@ -61,6 +60,7 @@
 import { refuseUnfinished } from '../common/request/Refusals.js';
 import { RouteController } from '../common/request/RouteController.js';
 import { ServiceRetryBudgets } from '../common/request/ServiceRetryBudgets.js';
+import { createMayStandStill } from '../common/request/Standstill.js';
 import type { CheckRun, DecideAdmission, DecideSilence, RunAttempt } from '../common/request/Types.js';
 import { WorkEstimateController } from '../common/request/WorkEstimateController.js';
 import {
@@ -192,6 +192,8 @@
   private readonly _timeline: TimelineRecorder;
   private readonly _store: IFactStore;
   private _newsNetwork: INewsNetwork | undefined;
+  /** During a stop, the time at which requests in progress are ended. */
+  private _answersEndAt: Millis = -Infinity;
 
   constructor(private readonly _options: IRouterHostOptions) {
     super();
@@ -242,7 +244,7 @@
       board,
       clock: systemClock,
       closeFrontEnd: () => this._frontEnd.drain(),
-      finishSteps: [],
+      finishSteps: [() => this._drainTunnels()],
       onStepError: _options.onError,
     });
   }
@@ -259,11 +261,23 @@
     const lastCall = systemClock.schedule(shutdownTimeoutMs - LAST_ANSWER_MARGIN_MS, () => {
       refuseUnfinished(this._board);
     });
+    this._answersEndAt = systemClock.now() + shutdownTimeoutMs - LAST_ANSWER_MARGIN_MS;
     await this._drainController.drain(Math.min(BALANCER_DELAY_MS, shutdownTimeoutMs / 2));
     lastCall.dispose();
     this.dispose();
   }
 
+  /** Waits until other hosts have no requests in progress by way of this one, for as long as the stop allows. */
+  private async _drainTunnels(): Promise<void> {
+    if (!this._newsNetwork) return;
+    let timer: IDisposable | undefined;
+    const timedOut = new Promise<void>((resolve) => {
+      timer = systemClock.schedule(Math.max(0, this._answersEndAt - systemClock.now()), resolve);
+    });
+    await Promise.race([this._newsNetwork.drainTunnels(), timedOut]);
+    timer?.dispose();
+  }
+
   /** Replaces the limits in force. The new limits apply to later requests; earlier decisions stay. */
   public applyLimits(limits: IHostLimits): void {
     this._board.limits.set('in-force', limits);
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -92,9 +92,13 @@
     return rig;
   }
 
-  /** Starts another host on the same store. Its `close` leaves the store and the runners running. */
-  public async startPeer(id: string): Promise<RouterRig> {
+  /**
+   * Starts another host on the same store, which has 2 s for its stop by default. Its `close` leaves the store and the
+   * runners running.
+   */
+  public async startPeer(id: string, { shutdownTimeoutMs = 2000 } = {}): Promise<RouterRig> {
     const peer = new RouterRig();
+    peer._shutdownTimeoutMs = shutdownTimeoutMs;
     peer.store = this.store;
     peer._isPeer = true;
     peer._hasPeers = this._hasPeers;
