--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -77,9 +77,10 @@
 
 /**
  * Result of asking an endpoint, on another connection, about an attempt that has stopped producing output or whose end
- * is in doubt. `unreachable`: the endpoint takes no connection. `unanswered`: no reply came in time. `silent`: no reply came
- * in time although the endpoint has taken the connection. `unknown`: it does not know the run. `running`: it runs the attempt or has it queued. `ahead`: it has produced more output than has
- * arrived here, by more than may be in transit. `replaced`: another process has its address.
+ * is in doubt. `unreachable`: the endpoint takes no connection. `unanswered`: no reply came in time. `silent`: no reply
+ * came in time although the endpoint has taken the connection. `unknown`: it does not know the run. `running`: it runs the
+ * attempt or has it queued. `ahead`: it has produced more output than has arrived here, by more than may be in transit.
+ * `replaced`: another process has its address.
  */
 export type RunCheckResult =
   'unreachable' | 'unanswered' | 'silent' | 'replaced' | 'unknown' | 'running' | 'ahead';
