Wait for the end of the routers before the next soak

Cause: the fleet of a soak was killed without waiting for the end of its processes, and the next one uses the same addresses.

Change: closing a fleet resolves once its processes have ended.

--- a/soak/RouterFleet.ts
+++ b/soak/RouterFleet.ts
@@ -1,4 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
 import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -153,11 +154,16 @@
     if (this._getRouter(id).hasReplied) this.sendSignal(id, signal);
   }
 
-  /** Kills all processes, and checks their logs for unhandled errors and failed controllers. */
-  public close(): void {
+  /**
+   * Kills all processes, and checks their logs for unhandled errors and failed controllers. Resolves once the processes
+   * have ended, because the routers of the next soak use the same ports.
+   */
+  public async close(): Promise<void> {
     this._isClosed = true;
+    await Promise.all(
+      [...this._routers.values()].flatMap(({ child }) => (child ? [killAndWait(child)] : [])),
+    );
     for (const router of this._routers.values()) {
-      router.child?.kill('SIGKILL');
       router.callers.close();
       router.store.close();
       this._checkLog(router.id);
@@ -283,6 +289,13 @@
   }
 }
 
+async function killAndWait(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const exited = once(child, 'exit');
+  child.kill('SIGKILL');
+  await exited;
+}
+
 /** Tells a router process of the cut of its link, or that it has ended. A process that has ended takes no message. */
 function sendLinkCut(child: ChildProcess, cut: ILinkCut | undefined): void {
   if (child.connected) child.send({ cut }, () => undefined);
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -87,7 +87,7 @@
   await checkRecovery(board);
   await soakCallers.stop();
   checks.runFinalChecks();
-  fleet.close();
+  await fleet.close();
   silent.close();
   for (const runner of runners) await runner.close();
   await store.close();
