Close sockets of the soak whose end is being sent instead of resetting them

Cause, traced with gdb and a program of two lines: Node.js 20.19 marks a socket as closing when resetAndDestroy is called while its shutdown is pending, but libuv refuses the reset, so the socket is never closed, and the end of the process waits for it in a loop without a pause. The proxy reset connections that it had just ended.

Change: such a socket is destroyed. A proxied connection is forgotten once both of its sockets are closed, so that the proxy closes what is left.

--- a/soak/LinkProxy.test.ts
+++ b/soak/LinkProxy.test.ts
@@ -72,3 +72,19 @@
   t.snapshot({ underBoth, underFirst, after: [fixture.received.length, fixture.replies.join('')] });
   fixture.close();
 });
+
+// Guards against a socket that Node.js never closes, because of which the process of the soak does not exit.
+test.serial('a connection whose end is being sent is closed when the proxy closes', async (t) => {
+  const fixture = await startFixture();
+  const closed = once(fixture.socket, 'close');
+  const fault = fixture.proxy.addMode('close');
+  fixture.proxy.close();
+  fault.dispose();
+  await closed;
+  await waitFor(50);
+  const open = process
+    .getActiveResourcesInfo()
+    .filter((name) => name === 'TCPSocketWrap' || name.includes('Shutdown'));
+  fixture.close();
+  t.deepEqual(open, []);
+});
--- a/soak/LinkProxy.ts
+++ b/soak/LinkProxy.ts
@@ -78,7 +78,7 @@
 
   private _openConnection(caller: Socket): void {
     if (this._mode === 'reset' || this._mode === 'close') {
-      caller.resetAndDestroy();
+      resetSocket(caller);
       return;
     }
     const target = connect({ port: this._targetPort, host: this._targetHost, allowHalfOpen: true });
@@ -90,7 +90,16 @@
   }
 }
 
-/** One connection through the proxy. */
+/**
+ * Resets a connection. Node.js never closes a socket that is reset while its end is being sent, and a process with such a
+ * socket does not exit, so one that has ended is closed.
+ */
+function resetSocket(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
+/** One connection through the proxy. `onClose` is called once both of its sockets are closed. */
 class ProxiedConnection {
   private readonly _request: Pipe;
   private readonly _response: Pipe;
@@ -100,8 +109,13 @@
     private readonly _target: Socket,
     onClose: () => void,
   ) {
-    this._request = new Pipe('request', _caller, _target, onClose);
-    this._response = new Pipe('response', _target, _caller, onClose);
+    let openSockets = 2;
+    const handleClose = (): void => {
+      openSockets -= 1;
+      if (openSockets === 0) onClose();
+    };
+    this._request = new Pipe('request', _caller, _target, handleClose);
+    this._response = new Pipe('response', _target, _caller, handleClose);
   }
 
   public setMode(mode: LinkMode): void {
@@ -112,12 +126,12 @@
   /** Closes the connection in order, as the system does for a process that has ended. */
   public close(): void {
     this._caller.end();
-    this._target.resetAndDestroy();
+    resetSocket(this._target);
   }
 
   public reset(): void {
-    this._caller.resetAndDestroy();
-    this._target.resetAndDestroy();
+    resetSocket(this._caller);
+    resetSocket(this._target);
   }
 }
 
@@ -177,7 +191,7 @@
       this._queue.shift();
       if (next.kind === 'bytes') this._destination.write(next.bytes);
       else if (next.kind === 'end') this._destination.end();
-      else this._destination.resetAndDestroy();
+      else resetSocket(this._destination);
     }
   }
 }
