Measure the memory and processor time of a relay's tunnels

What a host pays that carries the connections of others was not measured, so the page on capacity could not tell whether 400 tunnels fit into a host.

Two series open tunnels through a process that offers them as a host does: idle tunnels, and events through 400 of them.

--- a/bench/Capacity.ts
+++ b/bench/Capacity.ts
@@ -5,6 +5,7 @@
 import { measureJournal, measureRecords } from './capacity/Journal.js';
 import { IDLE_LOAD, measureDaemon, type IDaemonLoad } from './capacity/Daemons.js';
 import { renderTable } from './capacity/Table.js';
+import { measureTunnels } from './capacity/Tunnels.js';
 import type { IPoint, ISeries } from './capacity/Types.js';
 
 const argv = await yargs(hideBin(process.argv))
@@ -95,6 +96,16 @@
   [50_000, 100_000, 200_000, 400_000],
   measureRecords,
 );
+await measureSeries('tunnels of a relay, idle', 'tunnel', DAEMON_CPU, [0, 100, 200, 400], (x) =>
+  measureTunnels({ tunnels: x, eventsPerSecond: 0 }, x),
+);
+await measureSeries(
+  'events through 400 tunnels of a relay',
+  'event/s',
+  DAEMON_CPU,
+  [0, 1000, 2000, 4000],
+  (x) => measureTunnels({ tunnels: 400, eventsPerSecond: x }, x),
+);
 process.stdout.write(renderTable(series));
 if (argv.json !== undefined) writeFileSync(argv.json, `${JSON.stringify(series, undefined, 2)}\n`);
 process.exit(0);
