Doubt unmarked ends until it is known how a service ends its streams

Cause: an end that only its connection marks was believed at a live endpoint unless an endpoint of the service had marked the end of a stream before. The host learned that from streams that had ended, so for as long as its first streams took it had seen no mark, and a stream that is broken off ends before the sound ones that began with it.

Change: a mark is learned from the head of a response, and what is known of a service is marked, unmarked or unknown. Three streams of two endpoints without a mark make it unmarked. Until then another endpoint is asked to go on. Where no end is ever marked, an empty answer of a live endpoint confirms an end.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -431,8 +431,10 @@
   maxRefusalsPerS?: number | undefined;
   /** When the endpoint last refused an attempt of this host for want of room. Absent if it never did. */
   refusedAt?: Millis;
-  /** Whether the endpoint has marked the end of a stream by other means than its connection. Default false. */
+  /** Whether a stream of the endpoint has begun whose end is marked by other means than its connection. Default false. */
   marksStreamEnds?: boolean;
+  /** Number of streams that the endpoint has begun without such a mark, counted up to a few. Default 0. */
+  unmarkedStreams?: number;
   /** When the endpoint last ended an answer to this host. Absent if it never did. */
   answeredAt?: Millis;
   /** When the endpoint last sent this host an answer that was malformed or broke off. Absent if it never did. */
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -8,6 +8,9 @@
   'ahead',
 ]);
 
+/** Results of asking an endpoint that show neither that it is alive nor that it is not. */
+const OPEN_CHECKS: ReadonlySet<RunCheckResult> = new Set<RunCheckResult>(['unanswered', 'silent']);
+
 /** Longest time that an endpoint is waited for when it is asked, with some for the decision. */
 const CHECK_TIME_MS: Millis = 500;
 
@@ -15,16 +18,17 @@
  * Believes an end only with evidence. A mark is evidence, unless the endpoint has lately spoilt answers and its report
  * lists more events of the run than have arrived; without such a report the mark stands. The end of a connection is none
  * by itself: the system closes the connections of a process that dies in order. So the endpoint must not be found dead,
- * and if it cannot be asked, or the endpoints of its service mark the ends of streams, it only claims the end: another
- * endpoint, asked to go on, sends what is missing or agrees that nothing is. A stream without any event does not even
+ * and unless it has replied and the endpoints of its service are known to mark no ends of streams, it only claims the end:
+ * another endpoint, asked to go on, sends what is missing or agrees that nothing is. A stream without any event does not even
  * claim an end, since a fault that all endpoints have in common gives the same. A stream that none can continue is broken
  * off, and one of which nothing has come at all is refused.
  * @example
  * // 'check' if only the connection ended
- * decideAnswerEnd({ request, attempt, check: undefined, marksEnds: false, leftMs: 900, hasSpoiltLately: () => false });
+ * const view = { request, attempt, check: undefined, leftMs: 900, hasSpoiltLately: () => false };
+ * decideAnswerEnd({ ...view, streamEnds: 'unknown' });
  */
 export const decideAnswerEnd: DecideAnswerEnd = (view) => {
-  const { attempt, check, leftMs, marksEnds } = view;
+  const { attempt, check, leftMs, streamEnds } = view;
   if (isAgreedEnd(view)) return 'complete';
   if (attempt.doubt === 'endpoint-spoils') {
     // At the deadline, a marked answer is worth more than the question.
@@ -35,19 +39,24 @@
   if (check !== undefined && BREAKING_CHECKS.has(check)) return 'broken';
   if (attempt.answer?.kind !== 'model') return 'complete';
   if (attempt.tokens === 0) return 'continue';
-  const hasReplied = check !== 'unanswered' && check !== 'silent';
-  return marksEnds || !hasReplied ? 'claim' : 'complete';
+  return streamEnds === 'unmarked' && hasReplied(check) ? 'complete' : 'claim';
 };
 
 /**
  * Tells whether another endpoint has claimed the same end before, and this one has found nothing after it. An endpoint
- * that spoils answers is not believed, nor one that does not mark the end of its empty answer.
+ * that spoils answers is not believed, nor one that does not mark the end of its empty answer, unless it is alive and the
+ * endpoints of its service mark none.
  */
-function isAgreedEnd({ attempt, hasSpoiltLately, request }: IAnswerEndView): boolean {
+function isAgreedEnd({ attempt, check, hasSpoiltLately, request, streamEnds }: IAnswerEndView): boolean {
   const { answer, endMark, endpoint, tokens } = attempt;
   const { claimedEnd } = request;
   if (answer?.kind !== 'model' || !claimedEnd || claimedEnd.endpoint === endpoint) return false;
-  if (endMark === 'connection' || hasSpoiltLately(endpoint) || hasSpoiltLately(claimedEnd.endpoint))
-    return false;
+  if (hasSpoiltLately(endpoint) || hasSpoiltLately(claimedEnd.endpoint)) return false;
+  if (endMark === 'connection' && (streamEnds !== 'unmarked' || !hasReplied(check))) return false;
   return tokens === 0 && answer.lastEventId !== undefined && claimedEnd.lastEventId === answer.lastEventId;
 }
+
+/** Tells whether an endpoint was asked and has replied as the process that sent the answer. */
+function hasReplied(check: RunCheckResult | undefined): boolean {
+  return check !== undefined && !BREAKING_CHECKS.has(check) && !OPEN_CHECKS.has(check);
+}
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -3,7 +3,7 @@
 import { Disposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck } from './AttemptPlan.js';
-import { hasSpoiltLately } from './DoubtfulEnds.js';
+import { findStreamEndForm, hasSpoiltLately } from './DoubtfulEnds.js';
 import type { AnswerEndDecision, CheckRun, DecideAnswerEnd, RunCheckResult } from './Types.js';
 
 /** Options of the answer end controller. */
@@ -24,9 +24,7 @@
     super();
     this._register(
       _options.board.attempts.onChange(({ before, after }) => {
-        if (!after || after.phase === before?.phase) return;
-        if (after.phase === 'doubted') void this._handleDoubted(after);
-        else if (after.phase === 'finished') this._recordMark(after);
+        if (after?.phase === 'doubted' && before?.phase !== 'doubted') void this._handleDoubted(after);
       }),
     );
   }
@@ -50,21 +48,12 @@
       request,
       attempt,
       check,
-      marksEnds: this._hasMarkedEnds(attempt),
+      streamEnds: findStreamEndForm(board, attempt.endpoint),
       leftMs: request.deadlineAt - clock.now(),
       hasSpoiltLately: (id) => hasSpoiltLately(board.endpoints.get(id), clock.now()),
     });
   }
 
-  /** Tells whether any endpoint of the service marks the ends of its streams. */
-  private _hasMarkedEnds({ endpoint: id }: IAttemptEntry): boolean {
-    const { board } = this._options;
-    const service = board.endpoints.get(id)?.service;
-    for (const endpoint of board.endpoints.list())
-      if (endpoint.service === service && endpoint.marksStreamEnds === true) return true;
-    return false;
-  }
-
   private async _checkEndpoint(attempt: IAttemptEntry): Promise<RunCheckResult> {
     const first = await this._sendCheck(attempt);
     // A refusal does not change the decision on an answer whose end is marked.
@@ -132,12 +121,4 @@
     const error = { kind, ran: 'yes' as const, message, ...position };
     this._options.board.attempts.update(id, { phase: 'failed', answer: undefined, error });
   }
-
-  /** Records that an endpoint marks the ends of its streams. */
-  private _recordMark({ answer, endMark, endpoint }: IAttemptEntry): void {
-    const { board } = this._options;
-    if (endMark === undefined || endMark === 'connection' || answer?.kind !== 'model') return;
-    if (board.endpoints.get(endpoint)?.marksStreamEnds !== true)
-      board.endpoints.update(endpoint, { marksStreamEnds: true });
-  }
 }
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -12,11 +12,11 @@
 import { classifyLength } from '../policy/Queueing.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck, releaseAttempt } from './AttemptPlan.js';
-import { findDoubt, hasSpoiltLately, refuteEnd } from './DoubtfulEnds.js';
+import { findDoubt, findStreamEndPatch, hasSpoiltLately, refuteEnd } from './DoubtfulEnds.js';
 import { EndpointMeter } from './EndpointMeter.js';
 import { formatPool } from './EndpointIndex.js';
 import { hasEnded } from './Refusals.js';
-import type { AttemptPart, DeliverChunk, DoubtReason, RunAttempt } from './Types.js';
+import type { AttemptPart, DeliverChunk, DoubtReason, EndMark, RunAttempt } from './Types.js';
 
 /** Options of the attempt controller. */
 export interface IAttemptOptions {
@@ -241,7 +241,8 @@
       return;
     }
     if (part.kind === 'opening') {
-      const { confidence } = part;
+      const { confidence, endMark } = part;
+      if (endMark !== undefined) this._handleEndMark(endMark);
       if (confidence !== undefined) this._options.board.attempts.update(this._attempt.id, { confidence });
       return;
     }
@@ -288,6 +289,12 @@
       board.endpoints.update(endpoint.id, patch);
   }
 
+  private _handleEndMark(endMark: EndMark): void {
+    const endpoint = this._options.board.endpoints.get(this._attempt.endpoint);
+    const patch = endpoint && findStreamEndPatch(endpoint, endMark);
+    if (patch) this._updateSender(patch);
+  }
+
   private _handleRateLimit(maxRequestsPerS: number | undefined): void {
     const { board, clock } = this._options;
     const known = board.endpoints.get(this._attempt.endpoint)?.maxRequestsPerS;
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -18,6 +18,12 @@
 /** What marks the end of a response: its length, its last chunk, or only the end of its connection. */
 export type EndMark = 'length' | 'chunks' | 'connection';
 
+/**
+ * How the endpoints of a service end their streams. `marked`: at least one of them marks the ends of some. `unmarked`: as
+ * far as known none does. `unknown`: too few streams have begun to tell.
+ */
+export type StreamEndForm = 'marked' | 'unmarked' | 'unknown';
+
 /**
  * What followed an answer behind its marked end on the same connection. `rest`: more of the same answer, so that the
  * end was false. `response`: another response. `other`: bytes that say nothing about the answer.
@@ -49,9 +55,10 @@
   /** The response has begun, and its endpoint says that it is leaving. */
   | { kind: 'leaving' }
   /**
-   * The response has begun. `confidence` is the model's confidence in its answer, 0 to 1, if it reports one.
+   * The response has begun. `confidence` is the model's confidence in its answer, 0 to 1, if it reports one. `endMark` is
+   * what will mark the end of the response, absent if the adapter does not tell.
    */
-  | { kind: 'opening'; confidence: number | undefined }
+  | { kind: 'opening'; confidence: number | undefined; endMark?: EndMark }
   /**
    * The response has ended, and nothing before its end was wrong. `afterEnd` is absent if the adapter does not look
    * behind the end.
@@ -122,8 +129,8 @@
   attempt: IAttemptEntry;
   /** Result of asking the endpoint after the end; `undefined` if it has not been asked. */
   check: RunCheckResult | undefined;
-  /** Whether an endpoint of the same service has marked the end of a stream. */
-  marksEnds: boolean;
+  /** How the endpoints of the same service end their streams. */
+  streamEnds: StreamEndForm;
   /** Time until the deadline of the request. */
   leftMs: Millis;
   /** Tells whether an endpoint has lately sent an answer that was malformed or broke off. */
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -3,6 +3,7 @@
 import type { FactSizes, IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { PathKind } from '../paths/Types.js';
+import { findStreamEndForm } from '../request/DoubtfulEnds.js';
 import type { IClock } from '../Types.js';
 import type { TimelineFields } from './Types.js';
 
@@ -155,6 +156,7 @@
       tokens,
       resumeAfter,
       lastEvent: answer?.kind === 'model' ? answer.lastEventId : undefined,
+      streamEnds: answer?.kind === 'model' ? findStreamEndForm(board, attempt.endpoint) : undefined,
       claimedBy: claimedEnd?.endpoint,
     });
   }
--- a/src/daemons/UnconfirmedStreams.test.ts
+++ b/src/daemons/UnconfirmedStreams.test.ts
@@ -36,6 +36,15 @@
   response.writeHead(503, { ...buildRunnerHeaders(call), 'not-executed': '1', 'content-length': 0 }).end();
 }
 
+// Guards against ORDER after a start: the host has seen no mark yet and believes an end without one.
+test('the first stream after a start goes on elsewhere if it ends without a mark', async (t) => {
+  const [outcome] = await runStream((run, call, response) => {
+    if (run === 0) sendBrokenAnswer(call, response, UNMARKED_CUT);
+    else sendStream(call, response, 'chunks');
+  });
+  t.is(outcome, 'complete 1,2,3,4,5,6');
+});
+
 // Guards against ORDER: if no other endpoint takes a stream, the end that was in doubt is framed as complete after all.
 test('a stream without a mark of its end is broken off if its endpoint marks others and no endpoint goes on', async (t) => {
   const rig = await startStreamRig((run, call, response) => {
