Doubt a gap at the first step of a stream until ids are known to leave out numbers

Callers could get a stream as complete that lacked its second event, if its endpoint left it out: OpenEnds, 'leaves out the second event', failed with 'complete 1,3,4,6'.

Cause: a first step larger than one counted as the nature of the ids, since each stream began without any knowledge of its service.

Change: what the streams of a service have shown of the steps of their ids is kept on the endpoints, in the same way as whether they mark their ends. Unless three streams of two endpoints had gaps and none had ids that rise by one, a gap anywhere ends the run, and is accepted if another endpoint has the same.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -435,6 +435,10 @@
   marksStreamEnds?: boolean;
   /** Number of streams that the endpoint has begun without such a mark, counted up to a few. Default 0. */
   unmarkedStreams?: number;
+  /** Whether the ids of a stream of the endpoint have risen by one. Default false. */
+  hasSingleSteps?: boolean;
+  /** Number of streams of the endpoint whose ids have left out numbers, counted up to a few. Default 0. */
+  unevenStreams?: number;
   /** When the endpoint last ended an answer to this host. Absent if it never did. */
   answeredAt?: Millis;
   /** When the endpoint last sent this host an answer that was malformed or broke off. Absent if it never did. */
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -3,7 +3,8 @@
 import { Disposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck } from './AttemptPlan.js';
-import { findStreamEndForm, hasSpoiltLately } from './DoubtfulEnds.js';
+import { hasSpoiltLately } from './DoubtfulEnds.js';
+import { findStreamEndForm } from './StreamTraits.js';
 import type { AnswerEndDecision, CheckRun, DecideAnswerEnd, RunCheckResult } from './Types.js';
 
 /** Options of the answer end controller. */
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -12,10 +12,11 @@
 import { classifyLength } from '../policy/Queueing.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck, releaseAttempt } from './AttemptPlan.js';
-import { findDoubt, findStreamEndPatch, hasSpoiltLately, refuteEnd } from './DoubtfulEnds.js';
+import { findDoubt, hasSpoiltLately, refuteEnd } from './DoubtfulEnds.js';
 import { EndpointMeter } from './EndpointMeter.js';
 import { formatPool } from './EndpointIndex.js';
 import { hasEnded } from './Refusals.js';
+import { findEventStepsPatch, findServiceEventSteps, findStreamEndPatch } from './StreamTraits.js';
 import type { AttemptPart, DeliverChunk, DoubtReason, EndMark, RunAttempt } from './Types.js';
 
 /** Options of the attempt controller. */
@@ -93,7 +94,9 @@
     this._abortControllers.set(attempt.id, controller);
     board.attempts.update(attempt.id, { phase: 'sent' });
     const progress = new AttemptProgress(this._options, this._meter, attempt, request);
-    const received = await runAttempt({ attempt, request, endpoint, signal: controller.signal }, (part) => {
+    const eventSteps = findServiceEventSteps(board, endpoint.id);
+    const call = { attempt, request, endpoint, eventSteps, signal: controller.signal };
+    const received = await runAttempt(call, (part) => {
       progress.handlePart(part);
     });
     const result = this._refuteResult(attempt, received);
@@ -122,6 +125,7 @@
     const doubt = current && result.isOk ? this._findDoubt(current, result.value) : undefined;
     const outcome = doubt ? 'unconfirmed' : result.isOk ? 'ok' : result.error.kind;
     this._updateEndpoint(attempt, progress, isCancelled ? 'cancelled' : outcome);
+    this._recordEventSteps(attempt, result);
     if (isCancelled) this._finish(attempt, 'cancelled', undefined, undefined);
     else if (result.isErr) this._finish(attempt, 'failed', undefined, result.error);
     else if (doubt) this._finish(attempt, 'doubted', result.value, undefined, doubt);
@@ -171,6 +175,23 @@
     board.endpoints.update(endpoint.id, patch);
   }
 
+  /** Records how the ids of a stream rose, if it shows that. A resumed run begins with what others have shown. */
+  private _recordEventSteps(
+    { endpoint: id, request }: IAttemptEntry,
+    result: Result<IAnswer, IAttemptError>,
+  ): void {
+    const { board } = this._options;
+    const endpoint = board.endpoints.get(id);
+    const stream = result.isErr ? result.error : result.value.kind === 'model' ? result.value : undefined;
+    if (!endpoint || stream?.eventSteps === undefined) return;
+    const isResumed = board.requests.get(request)?.resumeAfter !== undefined;
+    const hasGap = 'nextEventId' in stream && stream.eventSteps === 'unknown';
+    const steps = hasGap ? 'free' : stream.eventSteps;
+    if (steps === 'single' && isResumed) return;
+    const patch = findEventStepsPatch(endpoint, steps);
+    if (patch) board.endpoints.update(id, patch);
+  }
+
   private _cancelAttempts(request: IRequestEntry): void {
     const { board } = this._options;
     for (const id of request.attemptIds ?? []) {
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -72,6 +72,8 @@
   attempt: IAttemptEntry;
   request: IRequestEntry;
   endpoint: IEndpointEntry;
+  /** How the ids of events rise at the endpoints of the service. Default `unknown`. */
+  eventSteps?: EventSteps;
   /** Cancels the run at the endpoint. */
   signal: AbortSignal;
 }
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -3,7 +3,7 @@
 import type { FactSizes, IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
 import type { PathKind } from '../paths/Types.js';
-import { findStreamEndForm } from '../request/DoubtfulEnds.js';
+import { findStreamEndForm } from '../request/StreamTraits.js';
 import type { IClock } from '../Types.js';
 import type { TimelineFields } from './Types.js';
 
--- a/src/daemons/FaultyEvents.test.ts
+++ b/src/daemons/FaultyEvents.test.ts
@@ -3,7 +3,7 @@
 import { EventSplitter } from '../../platform/EventSplitter.js';
 import { EVIDENT_CUT, sendBrokenAnswer, sendStream } from '../standins/platform/BrokenAnswer.js';
 import { formatEvents, startStream, type IRunnerCall } from '../standins/platform/ScriptedRunner.js';
-import { runStream, type AnswerRun } from '../standins/platform/StreamRig.js';
+import { requestStream, runStream, startStreamRig, type AnswerRun } from '../standins/platform/StreamRig.js';
 
 /** Sends a complete stream of pieces, all of them at once or each by itself. */
 type SendPieces = (call: IRunnerCall, response: ServerResponse, pieces: readonly string[]) => Promise<void>;
@@ -133,11 +133,24 @@
   ])
     outcomes.push(await runStream(createIdAnswer(ids)));
   t.deepEqual(outcomes, [
-    ['complete 10,20,30,31,40', [1]],
+    ['complete 10,20,30,31,40', [1, 1]],
     ['complete 1,2,3,7,8,12', [1, 1]],
   ]);
 });
 
+// Guards against a second run of every stream of endpoints whose ids are not consecutive.
+test('streams whose ids leave out numbers by their nature are run once after the first two', async (t) => {
+  const rig = await startStreamRig(createIdAnswer([10, 20, 30, 31, 40]));
+  const results: unknown[] = [];
+  for (const name of ['first', 'second', 'third', 'fourth', 'fifth']) {
+    const outcome = await requestStream(rig, name);
+    const calls = rig.runners.flatMap((runner) => runner.calls);
+    results.push([outcome, calls.filter(({ path }) => path.endsWith(name)).length]);
+  }
+  await rig.close();
+  t.snapshot(results);
+});
+
 // Guards against events without end, and against a limit for callers that named none.
 test('a run has no more events than the caller allows tokens, if it names a number', async (t) => {
   const outcomes: Record<string, string> = {};
