--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -284,7 +284,7 @@
   lastEventId?: string;
   /** How the ids have risen up to that event. */
   eventSteps?: EventSteps;
-  /** Id of the event that followed it, if the ids show that others between them are missing. */
+  /** Id of the event that followed it, empty if it had none, if that shows that others between them may be missing. */
   nextEventId?: string;
   /** Error response of the endpoint. It is delivered to the caller if no other attempt follows. */
   answer?: IAnswer;
