Give up requests that run once after their endpoint has stopped working on them

Cause: a request that may run once at most was told its outcome at its deadline, and its attempt was left running so that a late answer is recorded. If no answer ever comes, nothing ended it, and it held its place at the endpoint. With all places held, also idempotent calls got none.

Change: such a request is given up some time after its deadline. Nothing is sent again, and the caller has had its answer.

--- a/src/common/request/DeadlineController.test.ts
+++ b/src/common/request/DeadlineController.test.ts
@@ -29,3 +29,20 @@
   }));
   t.snapshot(states);
 });
+
+// Guards against places at endpoints that are held for good, because the answer to a request that runs once is lost.
+test('a non-idempotent request is given up some time after its deadline, unless its answer has come', async (t) => {
+  const board = new Blackboard();
+  const clock = new ManualClock();
+  const controller = new DeadlineController({ board, clock, overdueLimitMs: 50 });
+  const running = { phase: 'running', deadlineAt: 100, isIdempotent: false } as const;
+  for (const id of ['lost', 'answered', 'gone']) board.requests.set(id, createTestRequest(id, running));
+  board.requests.update('gone', { isCallerGone: true });
+  await clock.advance(120);
+  board.requests.update('answered', { phase: 'answered' });
+  const listStates = (): string[] => [...board.requests.list()].map(({ id, phase }) => `${id} ${phase}`);
+  const before = listStates();
+  await clock.advance(40);
+  controller.dispose();
+  t.snapshot({ before, after: listStates() });
+});
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -162,6 +162,9 @@
  */
 const SAMPLE_INTERVAL_MS: Millis = 400;
 
+/** Endpoints stop work at the deadline that they were given. This is for the way there and back. */
+const OVERDUE_LIMIT_MS: Millis = 1000;
+
 /**
  * Kinds of events that are not logged, because the next event of the same request or attempt contains the
  * same information.
@@ -512,7 +515,7 @@
     const decideRetry = suspects.protectRetry(createDecideRetry(Math.random));
     this._register(new OutcomeController({ ...common, decideRetry, takeRetryBudget }));
     this._register(new AnswerEndController({ ...common, checkRun, decideAnswerEnd }));
-    this._register(new DeadlineController(common));
+    this._register(new DeadlineController({ ...common, overdueLimitMs: OVERDUE_LIMIT_MS }));
     this._register(new CleanUpController(board));
   }
 
