Count an attempt only at the process that it was sent to

An endpoint could count as full or as idle when it was neither: if it started again under its id, attempts of its former process were taken off the count of the new one; if its announcement expired and came back, its open attempts were no longer counted, and their ends were taken off those of later attempts.

Change: an attempt is taken off only at the process that it was sent to, and an endpoint that is listed anew begins with the attempts that still run there.

Evidence: a property test over random orders of requests, callers that leave, attempts that end, fail or never end, and endpoints that restart, expire and return. At rest all counts are zero.

--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -11,7 +11,7 @@
 import { Disposable } from '../Lifecycle.js';
 import { classifyLength } from '../policy/Queueing.js';
 import type { IClock, Millis } from '../Types.js';
-import { recordRunCheck, releaseAttempt } from './AttemptPlan.js';
+import { recordRunCheck, releaseAttempt, restoreAttemptCounts } from './AttemptPlan.js';
 import { findDoubt, hasSpoiltLately, refuteEnd } from './DoubtfulEnds.js';
 import { EndpointMeter } from './EndpointMeter.js';
 import { formatPool } from './EndpointIndex.js';
@@ -69,6 +69,11 @@
         if (after?.phase === 'cancelled') this._abort(after.id);
       }),
     );
+    this._register(
+      board.endpoints.onChange(({ key, before, after }) => {
+        if (after && (!before || before.incarnation !== after.incarnation)) restoreAttemptCounts(board, key);
+      }),
+    );
     this._register(
       board.requests.onChange(({ before, after }) => {
         if (before && (!after || hasEnded(after))) this._cancelAttempts(before);
--- a/src/common/request/AttemptPlan.ts
+++ b/src/common/request/AttemptPlan.ts
@@ -88,11 +88,14 @@
     board.endpoints.update(endpoint.id, chargeRateLimit(endpoint, clock.now()));
 }
 
-/** Removes an attempt from the in-flight counts of its endpoint. */
+/**
+ * Removes an attempt from the in-flight counts of its endpoint, unless another process has taken the endpoint's place
+ * since: the attempt is none of its own.
+ */
 export function releaseAttempt(board: Blackboard, id: string): void {
   const attempt = board.attempts.get(id);
   const entry = attempt && board.endpoints.get(attempt.endpoint);
-  if (!attempt || !entry) return;
+  if (!attempt || !entry || entry.incarnation !== attempt.incarnation) return;
   board.endpoints.update(entry.id, {
     inFlight: Math.max(0, entry.inFlight - 1),
     inFlightTokens: Math.max(0, entry.inFlightTokens - (attempt.expectedTokens ?? 0)),
@@ -100,3 +103,23 @@
     ...(entry.probeAttempt === id ? { probeAttempt: undefined } : {}),
   });
 }
+
+/**
+ * Sets the in-flight counts of an endpoint that has been listed anew to those of its attempts that still run. An endpoint
+ * can be listed again as the same process, after its announcement had expired.
+ * @example
+ * restoreAttemptCounts(board, 'm-1');
+ */
+export function restoreAttemptCounts(board: Blackboard, endpoint: string): void {
+  const entry = board.endpoints.get(endpoint);
+  if (!entry) return;
+  const counts = { inFlight: 0, inFlightTokens: 0, longInFlight: 0 };
+  for (const attempt of board.attempts.list()) {
+    if (attempt.endpoint !== endpoint || attempt.incarnation !== entry.incarnation) continue;
+    if (attempt.endedAt !== undefined) continue;
+    counts.inFlight += 1;
+    counts.inFlightTokens += attempt.expectedTokens ?? 0;
+    counts.longInFlight += attempt.isLong === true ? 1 : 0;
+  }
+  if (counts.inFlight > 0) board.endpoints.update(endpoint, counts);
+}
