Keep connections of a pool usable after a request that undici refuses

Cause: undici refuses to send such a request, and its dispatch returns false. The pool takes that for a connection that is busy and waits for it to become free, which never happens, since it was not in use. Each refused request takes one connection out of the pool for good.

Change: dispatch tells a refused request from a busy connection.

Evidence: eight refused requests at a pool of three connections, then eight sound ones: before, they waited until the test ended.

--- a/src/adapters/HttpAgent.test.ts
+++ b/src/adapters/HttpAgent.test.ts
@@ -95,3 +95,19 @@
   }
   t.snapshot(outcomes);
 });
+
+// Guards against a pool that sends nothing more, because each request that undici refuses takes one of its connections.
+test('requests that are refused as invalid leave the connections of a pool usable', async (t) => {
+  const server = await startServer((_request, response) => {
+    response.end();
+  });
+  const agent = createHttpAgent({ connections: 3, pipelining: 1 });
+  const request = { origin: server.address, path: '/', method: 'GET' } as const;
+  const headers = ['host', 'a.example', 'host', 'b.example'];
+  const refused = Array.from({ length: 8 }, () => readOutcome(agent.request({ ...request, headers })));
+  t.deepEqual([...new Set(await Promise.all(refused))], ['UND_ERR_INVALID_ARG']);
+  const sound = Array.from({ length: 8 }, () => readOutcome(agent.request(request)));
+  t.deepEqual([...new Set(await Promise.all(sound))], ['answered']);
+  void agent.destroy();
+  await server.close();
+});
--- a/src/adapters/HttpAgent.ts
+++ b/src/adapters/HttpAgent.ts
@@ -4,7 +4,9 @@
 import { ResponseConnection } from './ResponseConnection.js';
 import { failIfAborted, AbortableAgent, type RequestOptions } from './AbortableAgent.js';
 import { countBody, ResponseOverhead } from './ResponseOverhead.js';
+import { ForwardingHandler, type IResponseHandler } from './ResponseHandler.js';
 import { refuseBadStatus } from './ResponseStatus.js';
+import { isInvalidRequest } from './UnsentRequest.js';
 
 /**
  * Largest number of bytes that the parser takes at once. undici creates an error for each header beyond the limit until
@@ -54,6 +56,16 @@
 /** Agent of all calls that are given none. */
 export const DEFAULT_AGENT = createHttpAgent();
 
+/** Records whether undici has refused to send a request. */
+class InvalidRequestRecorder extends ForwardingHandler {
+  public hasRefused = false;
+
+  public override onError(error: Error): void {
+    this.hasRefused = isInvalidRequest(error);
+    super.onError(error);
+  }
+}
+
 /** One connection of an agent. Tells the response in progress there how the connection ends. */
 class RecordingClient extends Client {
   private _current: ResponseConnection | undefined;
@@ -84,10 +96,14 @@
     // Requests that were aborted in the pool's queue would each open a connection only to close it again.
     if (failIfAborted(options, handler)) return true;
     this._current = options.opaque instanceof ResponseConnection ? options.opaque : undefined;
-    return super.dispatch(
+    const recorder = new InvalidRequestRecorder(handler as unknown as IResponseHandler);
+    const canTakeMore = super.dispatch(
       options,
-      countBody(refuseBadStatus(handler), () => this._overhead),
+      countBody(refuseBadStatus(recorder), () => this._overhead),
     );
+    // undici returns `false` for a request that it refuses, and the pool then waits for a connection to become free that
+    // has never been in use.
+    return canTakeMore || recorder.hasRefused;
   }
 
   private _recordStates(socket: Socket): void {
--- a/src/adapters/UnsentRequest.ts
+++ b/src/adapters/UnsentRequest.ts
@@ -28,6 +28,19 @@
   return UNSENT_CODES.has(code) || syscall === 'connect';
 }
 
+/** Codes of errors with which undici refuses to send a request. */
+const INVALID_REQUEST_CODES: ReadonlySet<unknown> = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+
+/**
+ * Tells whether a request was not sent because it is not valid, which says nothing of the other side.
+ * @example
+ * const headers = ['host', 'a.example', 'host', 'b.example'];
+ * await agent.request({ origin, path, method: 'GET', headers }).catch(isInvalidRequest); // true
+ */
+export function isInvalidRequest(error: unknown): boolean {
+  return error instanceof Error && INVALID_REQUEST_CODES.has((error as NodeJS.ErrnoException).code);
+}
+
 /**
  * Wraps the handler of a request so that it fails with an `UnsentRequestError` as soon as its signal is aborted while it
  * waits for a connection. undici itself looks at the signal only once it has a connection, and one to a host that does
