Blame no endpoint for a request that this side refuses to send

An endpoint became suspect, and retries were used up, when a caller sent requests that undici refuses, such as those with two Host headers.

Cause: the error was taken for a connection that broke after the request.

Change: such an attempt is rejected and has not run.

--- a/src/adapters/EngineClient.ts
+++ b/src/adapters/EngineClient.ts
@@ -7,7 +7,7 @@
 import type { IClock, Millis, RanStatus } from '../common/Types.js';
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { isMalformedResponse } from './ResponseErrors.js';
-import { isUnsent } from './UnsentRequest.js';
+import { isInvalidRequest, isUnsent } from './UnsentRequest.js';
 import { limitList } from './LimitedList.js';
 
 /** Options of the engine client. */
@@ -300,6 +300,7 @@
   const code = error instanceof Error && 'code' in error ? String(error.code) : '';
   if (signal.aborted)
     return failAttempt('cancelled', isUnsent(error) ? 'no' : 'unknown', 'The attempt was cancelled.');
+  if (isInvalidRequest(error)) return failAttempt('rejected', 'no', message);
   if (isUnsent(error)) return failAttempt('connect-failed', 'no', message);
   if (TIMEOUT_ERROR_CODES.has(code)) return failAttempt('silent', 'unknown', message);
   if (isMalformedResponse(error)) return failAttempt('malformed', 'unknown', message);
