--- a/src/daemons/FrontEnd.test.ts
+++ b/src/daemons/FrontEnd.test.ts
@@ -31,6 +31,8 @@
     badChunk: `${formatRequest(CHAT_REQUEST_LINE, '', { 'content-length': '0' }).replace('content-length: 0', 'transfer-encoding: chunked')}zz\r\n`,
     expectation: formatRequest(CHAT_REQUEST_LINE, '', { expect: 'tea' }),
     continued: formatChat({}, { expect: '100-continue' }),
+    twoHosts: formatChat({}).replace(/\r\nhost: [^\r]*/i, '$&$&'),
+    badHost: formatChat({}, { host: 'a b' }),
   };
   const replies: Record<string, string> = {};
   for (const [name, text] of Object.entries(cases)) replies[name] = maskReply(await rig.sendRaw(text));
--- a/src/daemons/FrontEnd.ts
+++ b/src/daemons/FrontEnd.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { ChatChunk } from '../adapters/EngineClient.js';
+import { findHeadFault } from '../adapters/RequestHead.js';
 import { hashAccountKey } from '../adapters/Random.js';
 import { startListening } from '../adapters/Listening.js';
 import type { Blackboard } from '../common/blackboard/Blackboard.js';
@@ -157,6 +158,11 @@
 
   private async _route(exchange: IOpenExchange, writer: ResponseWriter): Promise<void> {
     const { request, response } = exchange;
+    const fault = findHeadFault(request.rawHeaders);
+    if (fault !== undefined) {
+      writer.endWithRefusal({ code: 'invalid_request', message: fault, ran: 'no' });
+      return;
+    }
     const path = request.url?.split('?', 1)[0] ?? '/';
     if (path === '/health') {
       this._sendHealth(response);
