Choose one model beforehand for streams that run once at most

Cause: every request with several models was planned for the smallest and then the largest, whatever may be repeated.

Change: a request that runs once gets one model. It is the smallest if that has been confident in nine of ten answers to requests of the service and size, of which the new panel modelConfidence keeps count, and the largest otherwise.

--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -16,6 +16,7 @@
   IHostPresence,
   ILifecycleEntry,
   IListedHost,
+  IModelConfidenceEntry,
   IPartitionEntry,
   IPromptBlockEntry,
   IPromptPrefixEntry,
@@ -90,6 +91,8 @@
   public readonly cachedPrefixes = this._createPanel<string, ICachedPrefix>();
   /** Smoothed measurements of finished work, by endpoint pool or account. */
   public readonly workEstimates = this._createPanel<string, IWorkEstimate>();
+  /** How often models are confident in their answers, by service, model and size of the request. */
+  public readonly modelConfidence = this._createPanel<string, IModelConfidenceEntry>();
   /** Ratings and failure counts, by service, kind of request and version. */
   public readonly quality = this._createPanel<string, IQualityEntry>();
   /** Hosts in the platform's host list, by host id. */
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -622,6 +622,15 @@
   longDurationMs: Millis | undefined;
 }
 
+/** How often a model has been confident in its answers to requests of a service and size. Older answers count less. */
+export interface IModelConfidenceEntry {
+  key: string;
+  /** Number of answers. */
+  answers: number;
+  /** Number of those in which the model was confident. */
+  confident: number;
+}
+
 /**
  * Observed quality, for one of two purposes. For the choice of a version, `kind` is a kind of request, and
  * `version` lists the versions that ran one after another, joined by '>'. The ratings are those of the last
--- a/src/common/fleet/VersionChoice.ts
+++ b/src/common/fleet/VersionChoice.ts
@@ -40,6 +40,37 @@
 export const chooseSmallestThenLargest: ChooseModels = ({ models }) =>
   models.length > 1 ? [...models.slice(0, 1), ...models.slice(-1)] : models;
 
+/** Options of the choice of models. */
+export interface IModelOptions {
+  /** Finds how often a model is confident in its answers to requests like this one; `undefined` if that is not known. */
+  findConfidentShare: (request: IRequestEntry, model: string) => number | undefined;
+  /**
+   * Share of confident answers from which on a request that runs once runs on the smallest model. Default 0.9: an answer
+   * without confidence is worth little, and the largest model costs about a tenth of what a good answer is worth.
+   */
+  minConfidentShare?: number;
+}
+
+/**
+ * Creates the choice that has the answers of the smallest model replaced by the largest if need be. A request that may run
+ * once at most gets one model only, chosen by what is known of requests of its size.
+ * @example
+ * const chooseModels = createChooseModels({ findConfidentShare: () => 0.4 });
+ * chooseModels({ request: { ...request, isIdempotent: false }, models: ['small', 'large'], specs }); // ['large']
+ */
+export function createChooseModels({
+  findConfidentShare,
+  minConfidentShare = 0.9,
+}: IModelOptions): ChooseModels {
+  return (view) => {
+    const { models, request } = view;
+    const [smallest] = models;
+    if (request.isIdempotent || smallest === undefined) return chooseSmallestThenLargest(view);
+    const share = findConfidentShare(request, smallest) ?? 0;
+    return share >= minConfidentShare ? [smallest] : chooseLargestModel(view);
+  };
+}
+
 /** Options of the choice of a release. */
 export interface IReleaseOptions {
   /**
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -4,6 +4,10 @@
 import type { IRefusal } from '../common/blackboard/Types.js';
 import { DrainController } from '../common/coordination/DrainController.js';
 import { createEstimateAnswer, createMeasurePressure } from '../common/estimates/AnswerEstimates.js';
+import {
+  findConfidentShare,
+  ModelConfidenceController,
+} from '../common/estimates/ModelConfidenceController.js';
 import { BacklogController } from '../common/estimates/BacklogController.js';
 import { CrashDetector } from '../common/fleet/CrashDetector.js';
 import { CrashEvidenceController } from '../common/fleet/CrashEvidenceController.js';
@@ -16,7 +20,7 @@
 import { HostPresenceController } from '../common/fleet/HostPresenceController.js';
 import { PromptBlockController } from '../common/fleet/PromptBlockController.js';
 import { PlanController } from '../common/fleet/PlanController.js';
-import { chooseSmallestThenLargest, createChooseRelease } from '../common/fleet/VersionChoice.js';
+import { createChooseModels, createChooseRelease } from '../common/fleet/VersionChoice.js';
 import { computeHoldExchangeMs, SessionHoldController } from '../common/fleet/SessionHoldController.js';
 import { RateLimitController } from '../common/fleet/RateLimitController.js';
 import { RoutingTableController } from '../common/fleet/RoutingTableController.js';
@@ -398,6 +402,7 @@
         computeAttemptInterval: createComputeAttemptInterval(hashTexts),
       }),
     );
+    this._register(new ModelConfidenceController(common));
     this._register(new RolloutEvidenceController({ ...common, host: id, store }));
     this._register(
       new FleetRolloutController({
@@ -411,7 +416,9 @@
     this._register(
       new PlanController({
         ...common,
-        chooseModels: chooseSmallestThenLargest,
+        chooseModels: createChooseModels({
+          findConfidentShare: (request, model) => findConfidentShare(common.board, request, model),
+        }),
         chooseRelease: createChooseRelease({
           readCanaryDelayMs: () => computeHoldExchangeMs(this._limits.maxApplyDelayMs),
         }),
--- a/src/standins/platform/RouterRig.ts
+++ b/src/standins/platform/RouterRig.ts
@@ -21,7 +21,7 @@
 const MODEL_SERVICE = 'drafts';
 const PLAIN_SERVICE = 'ledger';
 
-/** Test configuration: routes for a resumable stream, for calls that may be repeated, and for calls that may not. */
+/** Test configuration: routes for streams that may be resumed and that may not, for calls that may be repeated, and for calls that may not. */
 export const TEST_CONFIGURATION = {
   version: 1,
   routes: [
@@ -32,6 +32,11 @@
       gapAimMs: 1200,
       maxAttempts: 3,
     }),
+    createTestRoute('once', 'streaming', {
+      service: MODEL_SERVICE,
+      sizes: ['small', 'large'],
+      maxAttempts: 3,
+    }),
     createTestRoute('look', 'safe', { service: PLAIN_SERVICE, maxAttempts: 2 }),
     createTestRoute('post', 'unsafe', { service: PLAIN_SERVICE }),
     createTestRoute('short', 'unsafe', { service: PLAIN_SERVICE, timeoutMs: 300 }),
