--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -174,7 +174,7 @@
   claimedEnd?: { endpoint: string; lastEventId: string | undefined };
   /** How the ids of the events have risen that the caller has received. Default `unknown`. */
   eventSteps?: EventSteps;
-  /** Event after which an endpoint went on with `nextEventId`, though the ids had risen by one up to there. */
+  /** Event after which an endpoint went on with `nextEventId`, leaving out numbers; empty if that event had no id. */
   claimedGap?: { endpoint: string; lastEventId: string; nextEventId: string };
   /**
    * Refusal that was sent to the caller at the deadline of a non-idempotent request. Its attempt is not
