Log the path, the mark and the bytes of plain answers

Callers got plain answers that ended early and looked complete. The log told neither how many bytes an answer had nor how its end was marked, so it could not show whether the endpoint's answer or the caller's copy was cut.

attempt.finished and answer.doubted now name the path, the mark and the bytes of a plain answer. call.answered, written only for answers whose endpoint gave no mark and for those that were not written whole, names the mark of the caller's copy. An ordinary answer costs no further line.

--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -37,6 +37,18 @@
  */
 export type EventSteps = 'unknown' | 'single' | 'free';
 
+/** How a whole answer was written to its caller. */
+export interface IWrittenAnswer {
+  status: number;
+  bytes: number;
+  /** What marked the end of the answer at its endpoint. */
+  endpointMark: EndMark;
+  /** What marks the end of the caller's copy. */
+  endMark: EndMark;
+  /** Whether the connection took all of it before it closed. */
+  isSent: boolean;
+}
+
 /** Event that an adapter reports about a running attempt. Decisions do not look at the data of a chunk. */
 export type AttemptPart =
   | { kind: 'chunk'; tokens: number; data: unknown }
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -2,9 +2,9 @@
 import type { IAttemptEntry } from '../blackboard/Types.js';
 import type { FactSizes, IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
-import type { PathKind } from '../paths/Types.js';
 import { findStreamEndForm } from '../request/StreamTraits.js';
 import type { IClock, Millis } from '../Types.js';
+import { findPath } from './AttemptPath.js';
 import type { TimelineFields } from './Types.js';
 
 /** Options of the decision recorder. */
@@ -183,7 +183,7 @@
           const end = endMark === undefined ? {} : { endMark, afterEnd };
           this._options.record('attempt.error', {
             ...describeAttempt(after),
-            path: this._findPath(after),
+            path: findPath(this._options.board, after),
             error: kind,
             ran,
             message,
@@ -214,7 +214,7 @@
     record('route.chosen', {
       ...describeAttempt(attempt),
       role: attempt.role,
-      path: this._findPath(attempt),
+      path: findPath(board, attempt),
       route: request?.route,
       session: request?.session,
       leftMs: request && Math.round(request.deadlineAt - now),
@@ -227,20 +227,16 @@
     });
   }
 
-  /** Finds how the next connection to the endpoint of an attempt is opened. */
-  private _findPath({ endpoint }: IAttemptEntry): PathKind {
-    const { endpointPaths, endpoints } = this._options.board;
-    return endpointPaths.get(endpoints.get(endpoint)?.address ?? '')?.kind ?? 'direct';
-  }
-
   private _recordDoubt(attempt: IAttemptEntry): void {
     const { board, record } = this._options;
     const { answer, doubt, endMark, tokens } = attempt;
     const { claimedEnd, resumeAfter } = board.requests.get(attempt.request) ?? {};
     record('answer.doubted', {
       ...describeAttempt(attempt),
+      path: findPath(board, attempt),
       doubt,
       endMark,
+      bytes: answer?.kind === 'plain' ? answer.body.length : undefined,
       tokens,
       resumeAfter,
       lastEvent: answer?.kind === 'model' ? answer.lastEventId : undefined,
--- a/src/common/timeline/TimelineRecorder.ts
+++ b/src/common/timeline/TimelineRecorder.ts
@@ -1,6 +1,7 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IAttemptEntry } from '../blackboard/Types.js';
 import { Disposable } from '../Lifecycle.js';
+import { findPath } from './AttemptPath.js';
 import type { ITimelineEvent, TimelineFields } from './Types.js';
 
 /** Options of the timeline recorder. */
@@ -78,12 +79,20 @@
           version: after.version,
           tokens: after.tokens,
           error: after.error?.kind,
-          ...(hasBytesBehind(after) ? { endMark: after.endMark, afterEnd: after.afterEnd } : {}),
+          ...this._describeEnd(after),
         });
       }),
     );
   }
 
+  /** Describes by which way a whole answer came, and how it ended, or what followed its end. */
+  private _describeEnd(attempt: IAttemptEntry): TimelineFields {
+    const { afterEnd, answer, endMark } = attempt;
+    const behind = hasBytesBehind(attempt) ? { endMark, afterEnd } : {};
+    if (answer?.kind !== 'plain' || endMark === undefined) return behind;
+    return { path: findPath(this._options.board, attempt), endMark, bytes: answer.body.length, ...behind };
+  }
+
   private _recordEndpoints(): void {
     this._register(
       this._options.board.endpoints.onChange(({ key, before, after }) => {
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -79,7 +79,13 @@
 import { RouteController } from '../common/request/RouteController.js';
 import { ServiceRetryBudgets } from '../common/request/ServiceRetryBudgets.js';
 import { createMayStandStill } from '../common/request/Standstill.js';
-import type { CheckRun, DecideAdmission, DecideSilence, RunAttempt } from '../common/request/Types.js';
+import type {
+  CheckRun,
+  DecideAdmission,
+  DecideSilence,
+  IWrittenAnswer,
+  RunAttempt,
+} from '../common/request/Types.js';
 import { WorkEstimateController } from '../common/request/WorkEstimateController.js';
 import {
   chooseTarget,
@@ -124,6 +130,8 @@
   chooseService: (matched: IMatchedCall, session: string) => string;
   /** Called for each call that is refused before it is written to the `requests` panel. */
   onRefused: (id: string, refusal: IRefusal) => void;
+  /** Called for each whole answer whose caller may not have received it as its endpoint sent it. */
+  onAnswered: (id: string, answer: IWrittenAnswer) => void;
   /** Whether the load balancer should send calls to this host. */
   isReady: () => boolean;
   /** Whether callers should send their next calls to other hosts. */
@@ -296,6 +304,9 @@
           const config = board.routing.get('in-force')?.version;
           this._timeline.record('call.refused', { request: id, code, ran, config });
         },
+        onAnswered: (id, answer) => {
+          this._timeline.record('call.answered', { request: id, ...answer });
+        },
         isReady: this._isReady,
         isClosing: () => board.lifecycle.get('host')?.phase !== 'serving',
         hasStoppedAccepting: () => hasStoppedAccepting(board),
