Believe an unmarked plain answer only where answers have no marks

Callers got parts of plain answers as complete ones: a live endpoint, or a proxy in front of it that turns a reset into an end in order, ends an answer without length and chunks early, and the host took the end of the connection for the end of the answer once the endpoint was found alive.

Cause: that an endpoint is alive says nothing of its answer.

Now the heads of plain answers show how a route, service and release end them. Where one had a mark, an answer without is malformed; where too few have been seen, it is unproven; only where none has a mark it is believed as before. An idempotent call is sent again elsewhere, another one gets 502 (ran: yes). The body of a failure without a mark is not passed on either.

Evidence: UnmarkedAnswers, a part that a live endpoint ends in order, and a part at a host that has seen nothing yet, failed before: all four parts were complete (GET and POST) or passed on (500).

Tests of whole answers without a mark (BrokenAnswers, UnconfirmedAnswers, RouterProcessStreams, RouterHost, ChunklessCallers) let the host see first that the endpoints mark none; what they ask for is unchanged.

--- a/src/adapters/PlainClient.ts
+++ b/src/adapters/PlainClient.ts
@@ -7,7 +7,7 @@
 import { mapCallError } from './EngineClient.js';
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { isCutByConnection, ResponseConnection } from './ResponseConnection.js';
-import { findEndMark, hasSoundFraming } from './ResponseFraming.js';
+import { findEndMark, hasBody, hasSoundFraming } from './ResponseFraming.js';
 import { readLimitedBytes } from './LimitedBody.js';
 import { BodyBudgetError, BodyLimitError } from './ResponseErrors.js';
 
@@ -56,9 +56,10 @@
       const message = 'The answer has another transfer encoding than chunked.';
       return Result.err({ kind: 'malformed', ran: 'unknown', message });
     }
+    const mark = findEndMark(form);
+    if (hasBody(form)) onPart({ kind: 'plain-opening', endMark: mark });
     const { budget = DEFAULT_BUDGET, maxAnswerBytes: maxBytes = MAX_ANSWER_BYTES } = options;
     const body = await readLimitedBytes(reply.body, { maxBytes, budget });
-    const mark = findEndMark(form);
     if (await isCutByConnection(mark, connection)) {
       const message = 'The connection was reset at the end of the answer.';
       return Result.err({ kind: 'crashed', ran: 'yes', message });
--- a/src/adapters/ResponseFraming.ts
+++ b/src/adapters/ResponseFraming.ts
@@ -14,13 +14,22 @@
 /** The only transfer encoding of which the end is certain. The parser takes others for it too. */
 const CHUNKED_ENCODING = /^[\t ]*chunked[\t ]*$/i;
 
+/**
+ * Tells whether a response has a body, so that its head tells how its endpoint marks ends.
+ * @example
+ * hasBody({ method: 'HEAD', status: 200 }); // false
+ */
+export function hasBody({ method, status }: Pick<IResponseForm, 'method' | 'status'>): boolean {
+  return method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+}
+
 /**
  * Finds what marks the end of a response, by the rules of HTTP/1.1 on the length of a message.
  * @example
  * findEndMark({ method: 'GET', status: 200, findHeader: () => undefined }); // 'connection'
  */
 export function findEndMark({ findHeader, method, status }: IResponseForm): EndMark {
-  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return 'length';
+  if (!hasBody({ method, status })) return 'length';
   // A transfer encoding goes before a length, and one that does not end with chunks lasts until the connection ends.
   const encoding = findHeader('transfer-encoding');
   if (encoding !== undefined) return CHUNKED_ENCODING.test(encoding) ? 'chunks' : 'connection';
@@ -35,7 +44,7 @@
  * hasSoundFraming({ method: 'GET', status: 200, findHeader: () => 'chunked, chunked' }); // false
  */
 export function hasSoundFraming({ findHeader, method, status }: IResponseForm): boolean {
-  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return true;
+  if (!hasBody({ method, status })) return true;
   const encoding = findHeader('transfer-encoding');
   return encoding === undefined || CHUNKED_ENCODING.test(encoding);
 }
--- a/src/common/blackboard/Blackboard.ts
+++ b/src/common/blackboard/Blackboard.ts
@@ -29,6 +29,7 @@
   IListedHost,
   IModelConfidenceEntry,
   IPartitionEntry,
+  IPlainEndEntry,
   IPromptBlockEntry,
   IPromptPrefixEntry,
   IQualityEntry,
@@ -70,6 +71,8 @@
   public readonly attempts = this._createPanel<string, IAttemptEntry>();
   /** By endpoint id. */
   public readonly endpoints = this._createPanel<string, IEndpointEntry>();
+  /** How plain answers end, by service, release and route. */
+  public readonly plainEnds = this._createPanel<string, IPlainEndEntry>();
   /** How this host reaches endpoints, by address. An endpoint without an entry is reached directly. */
   public readonly endpointPaths = this._createPanel<string, IEndpointPathEntry>();
   /** Hosts that failed as relays of late, by host id. */
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -471,6 +471,17 @@
   incarnation?: number;
 }
 
+/** How plain answers of a route have ended at the endpoints of one release of a service. */
+export interface IPlainEndEntry {
+  service: string;
+  release: string;
+  route: string;
+  /** Whether the head of an answer has announced a length or chunks. */
+  hasMark: boolean;
+  /** Number of answers without either, counted up to a few, by endpoint. */
+  unmarkedAnswers: Readonly<Record<string, number>>;
+}
+
 /**
  * Why this host holds back requests to an endpoint. `evacuated`: it gets none, and will be cold afterwards. `cold`: all
  * hosts together keep to a bound. `settling`: it has just become usable, and every host sees it idle.
--- a/src/common/policy/AnswerEnds.test.ts
+++ b/src/common/policy/AnswerEnds.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { createTestRequest } from '../../testing/EntryFixtures.js';
 import type { IAnswer, IAttemptEntry } from '../blackboard/Types.js';
-import type { RunCheckResult, StreamEndForm } from '../request/Types.js';
+import type { RunCheckResult, EndForm } from '../request/Types.js';
 import { decideAnswerEnd } from './AnswerEnds.js';
 
 const CHECKS: readonly (RunCheckResult | undefined)[] = [
@@ -14,7 +14,7 @@
   'ahead',
 ];
 
-const STREAM_ENDS: readonly StreamEndForm[] = ['unmarked', 'unknown', 'marked'];
+const END_FORMS: readonly EndForm[] = ['unmarked', 'unknown', 'marked'];
 
 /** Kinds of ends, each with the endpoints that spoil answers and the endpoint that has claimed the same end before. */
 const ENDS = {
@@ -62,10 +62,27 @@
       hasSpoiltLately: (id: string) => spoiling.includes(id),
     };
     const byCheck = CHECKS.map((check) => {
-      const byForm = STREAM_ENDS.map((streamEnds) => decideAnswerEnd({ ...view, check, streamEnds }));
+      const byForm = END_FORMS.map((endForm) => decideAnswerEnd({ ...view, check, endForm }));
       return [check ?? 'not asked', byForm.join(', ')];
     });
     return [name, Object.fromEntries(byCheck) as unknown];
   });
-  t.snapshot(Object.fromEntries(decisions), `decisions where ends are ${STREAM_ENDS.join(', ')}`);
+  t.snapshot(Object.fromEntries(decisions), `decisions where ends are ${END_FORMS.join(', ')}`);
+});
+
+// Guards against MIXED: a plain answer that nothing marks is believed where answers carry marks, or by a dead endpoint.
+test('a plain answer without a mark is complete only where its endpoints mark none', (t) => {
+  const answer: IAnswer = { kind: 'plain', status: 200, contentType: undefined, body: Buffer.from('part') };
+  const attempt = { endpoint: 'p-1', answer, doubt: 'unmarked', endMark: 'connection', tokens: 0 };
+  const view = {
+    request: createTestRequest('r-1', {}),
+    attempt: attempt as unknown as IAttemptEntry,
+    leftMs: 5000,
+    hasSpoiltLately: () => false,
+  };
+  const byCheck = CHECKS.map((check) => {
+    const byForm = END_FORMS.map((endForm) => decideAnswerEnd({ ...view, check, endForm }));
+    return [check ?? 'not asked', byForm.join(', ')];
+  });
+  t.snapshot(Object.fromEntries(byCheck), `decisions where ends are ${END_FORMS.join(', ')}`);
 });
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -1,4 +1,4 @@
-import type { DecideAnswerEnd, IAnswerEndView, RunCheckResult } from '../request/Types.js';
+import type { AnswerEndDecision, DecideAnswerEnd, IAnswerEndView, RunCheckResult } from '../request/Types.js';
 import type { Millis } from '../Types.js';
 
 /** Results of asking an endpoint that show that it cannot have completed the answer. */
@@ -21,14 +21,15 @@
  * and unless it has replied and the endpoints of its service are known to mark no ends of streams, it only claims the end:
  * another endpoint, asked to go on, sends what is missing or agrees that nothing is. A stream without any event does not even
  * claim an end, since a fault that all endpoints have in common gives the same. A stream that none can continue is broken
- * off, and one of which nothing has come at all is refused.
+ * off, and one of which nothing has come at all is refused. A plain answer cannot be continued, so it is complete only if
+ * the endpoints of its service are known to mark no ends.
  * @example
  * // 'check' if only the connection ended
  * const view = { request, attempt, check: undefined, leftMs: 900, hasSpoiltLately: () => false };
- * decideAnswerEnd({ ...view, streamEnds: 'unknown' });
+ * decideAnswerEnd({ ...view, endForm: 'unknown' });
  */
 export const decideAnswerEnd: DecideAnswerEnd = (view) => {
-  const { attempt, check, leftMs, streamEnds } = view;
+  const { attempt, check, leftMs, endForm } = view;
   if (isAgreedEnd(view)) return 'complete';
   if (attempt.doubt === 'endpoint-spoils') {
     // At the deadline, a marked answer is worth more than the question.
@@ -37,22 +38,31 @@
   }
   if (attempt.endMark === 'connection' && check === undefined) return 'check';
   if (check !== undefined && BREAKING_CHECKS.has(check)) return 'broken';
-  if (attempt.answer?.kind !== 'model') return 'complete';
+  if (attempt.answer?.kind !== 'model') return decidePlainEnd(view);
   if (attempt.tokens === 0) return 'continue';
-  return streamEnds === 'unmarked' && hasReplied(check) ? 'complete' : 'claim';
+  return endForm === 'unmarked' && hasReplied(check) ? 'complete' : 'claim';
 };
 
+/**
+ * Decides on a plain answer that only its connection ended, at an endpoint that was not found dead. Anything on the way
+ * can end a connection in order, so that where answers carry marks, one without is taken for a part.
+ */
+function decidePlainEnd({ endForm }: IAnswerEndView): AnswerEndDecision {
+  if (endForm === 'unmarked') return 'complete';
+  return endForm === 'marked' ? 'malformed' : 'unproven';
+}
+
 /**
  * Tells whether another endpoint has claimed the same end before, and this one has found nothing after it. An endpoint
  * that spoils answers is not believed, nor one that does not mark the end of its empty answer, unless it is alive and the
  * endpoints of its service mark none.
  */
-function isAgreedEnd({ attempt, check, hasSpoiltLately, request, streamEnds }: IAnswerEndView): boolean {
+function isAgreedEnd({ attempt, check, hasSpoiltLately, request, endForm }: IAnswerEndView): boolean {
   const { answer, endMark, endpoint, tokens } = attempt;
   const { claimedEnd } = request;
   if (answer?.kind !== 'model' || !claimedEnd || claimedEnd.endpoint === endpoint) return false;
   if (hasSpoiltLately(endpoint) || hasSpoiltLately(claimedEnd.endpoint)) return false;
-  if (endMark === 'connection' && (streamEnds !== 'unmarked' || !hasReplied(check))) return false;
+  if (endMark === 'connection' && (endForm !== 'unmarked' || !hasReplied(check))) return false;
   return tokens === 0 && answer.lastEventId !== undefined && claimedEnd.lastEventId === answer.lastEventId;
 }
 
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -4,6 +4,7 @@
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck } from './AttemptPlan.js';
 import { hasSpoiltLately } from './DoubtfulEnds.js';
+import { findPlainEndForm } from './PlainEnds.js';
 import { findStreamEndForm } from './StreamTraits.js';
 import type { AnswerEndDecision, CheckRun, DecideAnswerEnd, RunCheckResult } from './Types.js';
 
@@ -49,7 +50,10 @@
       request,
       attempt,
       check,
-      streamEnds: findStreamEndForm(board, attempt.endpoint),
+      endForm:
+        attempt.answer?.kind === 'model'
+          ? findStreamEndForm(board, attempt.endpoint)
+          : findPlainEndForm(board, attempt.endpoint, request.route),
       leftMs: request.deadlineAt - clock.now(),
       hasSpoiltLately: (id) => hasSpoiltLately(board.endpoints.get(id), clock.now()),
     });
@@ -102,14 +106,21 @@
       this._fail(attempt, 'unconfirmed', 'Another endpoint has to confirm the end of the answer.');
     } else if (decision === 'continue') {
       this._fail(attempt, 'unconfirmed', 'An answer without any event is no end of a stream.');
+    } else if (decision === 'unproven') {
+      this._fail(attempt, 'unconfirmed', 'Nothing shows that the answer is whole.');
     } else {
       const consecutiveFailures = (board.endpoints.get(id)?.consecutiveFailures ?? 0) + 1;
       board.endpoints.update(id, { consecutiveFailures, spoiltAt: clock.now() });
-      const message =
-        attempt.doubt === 'endpoint-spoils'
-          ? 'The endpoint reports more events than came before the end of its answer.'
-          : 'The endpoint did not outlast its answer, whose end nothing marks.';
-      this._fail(attempt, 'crashed', message);
+      if (decision === 'malformed')
+        this._fail(attempt, 'malformed', 'Nothing marks the end of the answer, as in other answers.');
+      else if (attempt.doubt === 'endpoint-spoils')
+        this._fail(
+          attempt,
+          'crashed',
+          'The endpoint reports more events than came before the end of its answer.',
+        );
+      else
+        this._fail(attempt, 'crashed', 'The endpoint did not outlast its answer, whose end nothing marks.');
     }
   }
 
--- a/src/common/request/AttemptController.ts
+++ b/src/common/request/AttemptController.ts
@@ -16,6 +16,7 @@
 import { EndpointMeter } from './EndpointMeter.js';
 import { formatPool } from './EndpointIndex.js';
 import { hasEnded } from './Refusals.js';
+import { findPlainEndForm, recordPlainEnd } from './PlainEnds.js';
 import { findEventStepsPatch, findServiceEventSteps, findStreamEndPatch } from './StreamTraits.js';
 import type { AttemptPart, DeliverChunk, DoubtReason, EndMark, RunAttempt } from './Types.js';
 
@@ -138,14 +139,19 @@
     this._handleResult(attempt, progress, result);
   }
 
-  /** Turns the result of an attempt whose end was false into an error. */
+  /** Turns the result of an attempt whose end was false into an error, and drops a failure that may be a part of one. */
   private _refuteResult(
     attempt: IAttemptEntry,
     result: Result<IAnswer, IAttemptError>,
   ): Result<IAnswer, IAttemptError> {
-    const current = this._options.board.attempts.get(attempt.id);
+    const { board } = this._options;
+    const current = board.attempts.get(attempt.id);
     const error = current && refuteEnd(current, result.isOk ? result.value : undefined);
-    return error ? Result.err(error) : result;
+    if (error) return Result.err(error);
+    if (result.isOk || result.error.answer === undefined || current?.endMark !== 'connection') return result;
+    const { kind, message, ran } = result.error;
+    const endForm = findPlainEndForm(board, attempt.endpoint, board.requests.get(attempt.request)?.route);
+    return endForm === 'unmarked' ? result : Result.err({ kind, ran, message });
   }
 
   private _handleResult(
@@ -311,6 +317,12 @@
       if (confidence !== undefined) this._options.board.attempts.update(this._attempt.id, { confidence });
       return;
     }
+    if (part.kind === 'plain-opening') {
+      const endpoint = this._options.board.endpoints.get(this._attempt.endpoint);
+      const { route } = this._request;
+      if (endpoint) recordPlainEnd(this._options.board, { endpoint, route, endMark: part.endMark });
+      return;
+    }
     if (part.kind === 'end') {
       const { afterEnd, mark } = part;
       const patch = afterEnd === undefined ? {} : { afterEnd };
--- a/src/common/request/StreamTraits.ts
+++ b/src/common/request/StreamTraits.ts
@@ -1,24 +1,12 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IEndpointEntry } from '../blackboard/Types.js';
-import type { EndMark, EventSteps, StreamEndForm } from './Types.js';
-
-/**
- * Number of streams that lack a trait, and of endpoints that sent them, from which on the streams of a service count as
- * lacking it by nature. Faulty endpoints spoil single answers.
- */
-const MIN_LACKING_STREAMS = 3;
-const MIN_LACKING_ENDPOINTS = 2;
-
-/** What the streams of an endpoint have shown of a trait. */
-interface ITraitCounts {
-  /** Whether any stream had the trait. */
-  isSeen: boolean;
-  /** Number of streams that lacked it, counted up to a few. */
-  lacking: number;
-}
-
-/** Whether the streams of a service have a trait. `unknown`: too few have been seen to tell. */
-type TraitState = 'present' | 'lacking' | 'unknown';
+import {
+  classifyTraitCounts,
+  MIN_LACKING_ANSWERS,
+  type ITraitCounts,
+  type TraitState,
+} from './TraitCounts.js';
+import type { EndMark, EventSteps, EndForm } from './Types.js';
 
 /**
  * Finds what the head of a stream tells of how its endpoint ends streams; `undefined` if nothing new.
@@ -31,7 +19,7 @@
 ): Partial<IEndpointEntry> | undefined {
   if (marksStreamEnds) return undefined;
   if (endMark !== 'connection') return { marksStreamEnds: true };
-  return unmarkedStreams < MIN_LACKING_STREAMS ? { unmarkedStreams: unmarkedStreams + 1 } : undefined;
+  return unmarkedStreams < MIN_LACKING_ANSWERS ? { unmarkedStreams: unmarkedStreams + 1 } : undefined;
 }
 
 /**
@@ -46,7 +34,7 @@
 ): Partial<IEndpointEntry> | undefined {
   if (hasSingleSteps || steps === 'unknown') return undefined;
   if (steps === 'single') return { hasSingleSteps: true };
-  return unevenStreams < MIN_LACKING_STREAMS ? { unevenStreams: unevenStreams + 1 } : undefined;
+  return unevenStreams < MIN_LACKING_ANSWERS ? { unevenStreams: unevenStreams + 1 } : undefined;
 }
 
 /**
@@ -54,7 +42,7 @@
  * @example
  * findStreamEndForm(board, attempt.endpoint); // 'unknown' shortly after a start
  */
-export function findStreamEndForm(board: Blackboard, endpoint: string): StreamEndForm {
+export function findStreamEndForm(board: Blackboard, endpoint: string): EndForm {
   const state = classifyTrait(board, endpoint, ({ marksStreamEnds = false, unmarkedStreams = 0 }) => ({
     isSeen: marksStreamEnds,
     lacking: unmarkedStreams,
@@ -75,27 +63,12 @@
   return state === 'present' ? 'single' : state === 'lacking' ? 'free' : 'unknown';
 }
 
-/**
- * Classifies a trait of the streams of a service. A single stream that has it is enough, since what a fault does to a
- * stream takes such a trait away and gives it to none.
- */
 function classifyTrait(
   { endpoints }: Blackboard,
   endpoint: string,
   readCounts: (entry: Readonly<IEndpointEntry>) => ITraitCounts,
 ): TraitState {
   const service = endpoints.get(endpoint)?.service;
-  let streams = 0;
-  let lackingEndpoints = 0;
-  let endpointCount = 0;
-  for (const entry of endpoints.list()) {
-    if (entry.service !== service) continue;
-    const { isSeen, lacking } = readCounts(entry);
-    if (isSeen) return 'present';
-    streams += lacking;
-    endpointCount += 1;
-    if (lacking > 0) lackingEndpoints += 1;
-  }
-  const hasEndpoints = lackingEndpoints >= Math.min(MIN_LACKING_ENDPOINTS, endpointCount);
-  return streams >= MIN_LACKING_STREAMS && hasEndpoints ? 'lacking' : 'unknown';
+  const mates = [...endpoints.list()].filter((entry) => entry.service === service);
+  return classifyTraitCounts(mates.map(readCounts), mates.length);
 }
--- /dev/null
+++ b/src/common/request/TraitCounts.ts
@@ -0,0 +1,31 @@
+/**
+ * Number of answers that lack a trait, and of endpoints that sent them, from which on the answers of a service count as
+ * lacking it by nature. Faulty endpoints spoil single answers.
+ */
+export const MIN_LACKING_ANSWERS = 3;
+const MIN_LACKING_ENDPOINTS = 2;
+
+/** What the answers of one endpoint have shown of a trait. */
+export interface ITraitCounts {
+  /** Whether any answer had the trait. */
+  isSeen: boolean;
+  /** Number of answers that lacked it, counted up to a few. */
+  lacking: number;
+}
+
+/** Whether the answers of a service have a trait. `unknown`: too few have been seen to tell. */
+export type TraitState = 'present' | 'lacking' | 'unknown';
+
+/**
+ * Classifies a trait of the answers of a service with a number of endpoints. A single answer that has it is enough, since
+ * what a fault does to an answer takes such a trait away and gives it to none.
+ * @example
+ * classifyTraitCounts([{ isSeen: false, lacking: 2 }, { isSeen: false, lacking: 1 }], 2); // 'lacking'
+ */
+export function classifyTraitCounts(counts: readonly ITraitCounts[], endpointCount: number): TraitState {
+  if (counts.some(({ isSeen }) => isSeen)) return 'present';
+  const answers = counts.reduce((sum, { lacking }) => sum + lacking, 0);
+  const lackingEndpoints = counts.filter(({ lacking }) => lacking > 0).length;
+  const hasEndpoints = lackingEndpoints >= Math.min(MIN_LACKING_ENDPOINTS, endpointCount);
+  return answers >= MIN_LACKING_ANSWERS && hasEndpoints ? 'lacking' : 'unknown';
+}
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -20,10 +20,10 @@
 export type EndMark = 'length' | 'chunks' | 'connection';
 
 /**
- * How the endpoints of a service end their streams. `marked`: at least one of them marks the ends of some. `unmarked`: as
- * far as known none does. `unknown`: too few streams have begun to tell.
+ * How the endpoints of a service end answers of one kind. `marked`: at least one of them marks the ends of some.
+ * `unmarked`: as far as known none does. `unknown`: too few answers have begun to tell.
  */
-export type StreamEndForm = 'marked' | 'unmarked' | 'unknown';
+export type EndForm = 'marked' | 'unmarked' | 'unknown';
 
 /**
  * What followed an answer behind its marked end on the same connection. `rest`: more of the same answer, so that the
@@ -70,10 +70,12 @@
   /** The response has begun, and its endpoint says that it is leaving. */
   | { kind: 'leaving' }
   /**
-   * The response has begun. `confidence` is the model's confidence in its answer, 0 to 1, if it reports one. `endMark` is
-   * what will mark the end of the response, absent if the adapter does not tell.
+   * A stream has begun. `confidence` is the model's confidence in its answer, 0 to 1, if it reports one. `endMark` is what
+   * will mark the end of the response, absent if the adapter does not tell.
    */
   | { kind: 'opening'; confidence: number | undefined; endMark?: EndMark }
+  /** A plain answer with a body has begun, and this will mark its end. */
+  | { kind: 'plain-opening'; endMark: EndMark }
   /**
    * The response has ended, and nothing before its end was wrong. `afterEnd` is absent if the adapter does not look
    * behind the end.
@@ -148,8 +150,8 @@
   attempt: IAttemptEntry;
   /** Result of asking the endpoint after the end; `undefined` if it has not been asked. */
   check: RunCheckResult | undefined;
-  /** How the endpoints of the same service end their streams. */
-  streamEnds: StreamEndForm;
+  /** How the endpoints of the same service end their streams or, if this is a plain answer, their plain answers. */
+  endForm: EndForm;
   /** Time until the deadline of the request. */
   leftMs: Millis;
   /** Tells whether an endpoint has lately sent an answer that was malformed or broke off. */
@@ -158,9 +160,12 @@
 
 /**
  * Decision on an answer whose end is in doubt: it is complete or broken, its endpoint has to be asked first, or another
- * endpoint has to go on after its last event. With `claim`, that endpoint confirms the end if it finds nothing after it.
+ * endpoint has to go on after its last event. With `claim`, that endpoint confirms the end if it finds nothing after it. A
+ * plain answer cannot be continued, so it is dropped: as `malformed` if its endpoint marks other ends, or as `unproven`,
+ * which is held against no endpoint.
  */
-export type AnswerEndDecision = 'complete' | 'broken' | 'check' | 'claim' | 'continue';
+export type AnswerEndDecision =
+  'complete' | 'broken' | 'check' | 'claim' | 'continue' | 'malformed' | 'unproven';
 
 /** Decides whether an answer is complete whose end is in doubt. */
 export type DecideAnswerEnd = (view: IAnswerEndView) => AnswerEndDecision;
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -2,6 +2,7 @@
 import type { IAttemptEntry } from '../blackboard/Types.js';
 import type { FactSizes, IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
+import { findPlainEndForm } from '../request/PlainEnds.js';
 import { findStreamEndForm } from '../request/StreamTraits.js';
 import type { IClock, Millis } from '../Types.js';
 import { findPath } from './AttemptPath.js';
@@ -230,7 +231,7 @@
   private _recordDoubt(attempt: IAttemptEntry): void {
     const { board, record } = this._options;
     const { answer, doubt, endMark, tokens } = attempt;
-    const { claimedEnd, resumeAfter } = board.requests.get(attempt.request) ?? {};
+    const { claimedEnd, resumeAfter, route } = board.requests.get(attempt.request) ?? {};
     record('answer.doubted', {
       ...describeAttempt(attempt),
       path: findPath(board, attempt),
@@ -241,6 +242,7 @@
       resumeAfter,
       lastEvent: answer?.kind === 'model' ? answer.lastEventId : undefined,
       streamEnds: answer?.kind === 'model' ? findStreamEndForm(board, attempt.endpoint) : undefined,
+      plainEnds: answer?.kind === 'plain' ? findPlainEndForm(board, attempt.endpoint, route) : undefined,
       claimedBy: claimedEnd?.endpoint,
     });
   }
--- a/src/daemons/BrokenAnswers.test.ts
+++ b/src/daemons/BrokenAnswers.test.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
+import { learnUnmarkedEnds, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
 import {
   sendFullAnswer,
@@ -87,10 +88,23 @@
 
 // Guards against whole answers that are rejected, or whose calls run twice, because only a close marks their end.
 test('a whole answer that its live endpoint ends only by closing the connection is delivered once', async (t) => {
+  const rig = await RouterRig.startReady();
+  let calls = 0;
+  for (const runner of rig.runners) {
+    runner.answer = (call, response) => {
+      calls += 1;
+      sendUnmarkedAnswer(call, response, TEXT);
+    };
+  }
+  await learnUnmarkedEnds((path) => rig.send(path));
   for (const path of PATHS) {
-    const outcome = await sendToBadEndpoint(path, (call, { socket }) => {
-      if (socket) void sendThenCut(socket, formatAnswer(call, 'connection', TEXT), 'fin');
-    });
-    t.deepEqual(outcome, { status: 200, body: TEXT, isComplete: true, calls: 1 }, path);
+    calls = 0;
+    const { body, isComplete, status } = await rig.send(path);
+    t.deepEqual(
+      { status, body, isComplete, calls },
+      { status: 200, body: TEXT, isComplete: true, calls: 1 },
+      path,
+    );
   }
+  await rig.close();
 });
--- a/src/daemons/RouterProcessStreams.test.ts
+++ b/src/daemons/RouterProcessStreams.test.ts
@@ -3,6 +3,7 @@
 import { finished } from 'node:stream/promises';
 import test from 'ava';
 import { sendCall } from '../standins/platform/CallSender.js';
+import { learnUnmarkedEnds, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
 import { startRouterProcess, stopProcess } from '../standins/platform/RouterProcessRig.js';
 import type { AnswerRunnerCall } from '../standins/platform/ScriptedRunner.js';
 
@@ -64,12 +65,13 @@
   test.serial(
     `a large plain answer without length is not complete when its router ends by ${signal}`,
     async (t) => {
-      const router = await startRouterProcess(({ headers }, { socket }) => {
-        const id = headers['attempt-id']?.toString() ?? '';
-        socket?.write(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nresponse-stamp: s\r\n\r\n`);
-        socket?.end(LARGE_BODY);
+      const router = await startRouterProcess((call, response) => {
+        sendUnmarkedAnswer(call, response, call.path === '/look/1' ? LARGE_BODY.toString() : 'short');
       }, STOP_MS);
       t.teardown(router.close);
+      const { address } = router;
+      const call = { address, headers: CALL_HEADERS, method: 'POST' };
+      await learnUnmarkedEnds((path) => sendCall({ ...call, path }).result);
       const [host, port] = router.address.split(':');
       const request = sendRequest({ host, port, path: '/look/1', method: 'POST', headers: CALL_HEADERS });
       const [response] = (await once(request.end(), 'response')) as [IncomingMessage];
--- a/src/daemons/UnmarkedAnswers.test.ts
+++ b/src/daemons/UnmarkedAnswers.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava';
 import { startCuttingProxy } from '../standins/CuttingProxy.js';
 import { sendCall } from '../standins/platform/CallSender.js';
-import { sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
+import { learnUnmarkedEnds, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
+import { sendFullAnswer, type AnswerRunnerCall } from '../standins/platform/ScriptedRunner.js';
 
 const TEXT = 'an answer whose end only its connection marks';
 
@@ -17,7 +18,7 @@
       sendUnmarkedAnswer(call, response, text);
     };
   }
-  for (let index = 1; index <= 3; index += 1) await rig.send(`/look/learn-${index}`);
+  await learnUnmarkedEnds((path) => rig.send(path));
   return rig;
 }
 
@@ -56,3 +57,52 @@
   }
   t.snapshot(outcomes);
 });
+
+/** Calls of each path, with the answers that the endpoints give in turn. */
+async function sendInTurn(path: string, answers: readonly AnswerRunnerCall[]): Promise<string> {
+  const rig = await RouterRig.startReady();
+  for (const name of ['look', 'post'])
+    for (let index = 0; index < 3; index += 1) await rig.send(`/${name}/warm`);
+  let calls = 0;
+  for (const runner of rig.runners) {
+    runner.answer = async (call, response) => {
+      const answer = answers[calls] ?? answers.at(-1);
+      calls += 1;
+      await answer?.(call, response);
+    };
+  }
+  const { body, isComplete, status } = await rig.send(path);
+  await rig.close();
+  return status < 500
+    ? `${status} ${isComplete ? 'complete' : 'broken'} "${body}", ${calls} runs`
+    : `${status}, ${calls} runs`;
+}
+
+const sendPart: AnswerRunnerCall = (call, response) => {
+  sendUnmarkedAnswer(call, response, TEXT.slice(0, 20));
+};
+const sendFailedPart: AnswerRunnerCall = (call, response) => {
+  sendUnmarkedAnswer(call, response, 'half of an err', { status: 500 });
+};
+const sendWhole: AnswerRunnerCall = (call, response) => {
+  sendFullAnswer(call, response, 200, TEXT);
+};
+
+// Guards against MIXED: a live endpoint, or a proxy in front of it, ends an answer early and in order.
+test('a part that a live endpoint ends in order is not believed where answers have marks', async (t) => {
+  t.snapshot({
+    'idempotent, then whole': await sendInTurn('/look/1', [sendPart, sendWhole]),
+    'idempotent, then another part': await sendInTurn('/look/1', [sendPart]),
+    'not idempotent': await sendInTurn('/post/1', [sendPart]),
+    'a part of a failure': await sendInTurn('/post/1', [sendFailedPart]),
+  });
+});
+
+// Guards against MIXED after a start: a host that has seen no answer yet believes the first part.
+test('a part is not believed by a host that has not seen how answers end', async (t) => {
+  const rig = await RouterRig.startReady();
+  for (const runner of rig.runners) runner.answer = sendPart;
+  const { status } = await rig.send('/post/1');
+  await rig.close();
+  t.is(status, 502);
+});
--- a/src/standins/platform/PlainAnswers.ts
+++ b/src/standins/platform/PlainAnswers.ts
@@ -13,3 +13,8 @@
   const head = [`HTTP/1.1 ${status} Status`, ...headers, '\r\n'].join('\r\n');
   if (socket) void sendThenCut(socket, head + text, cut);
 }
+
+/** Sends calls whose answers show a host that the endpoints of plain calls mark no ends. */
+export async function learnUnmarkedEnds(send: (path: string) => Promise<unknown>): Promise<void> {
+  for (let index = 1; index <= 3; index += 1) await send(`/look/learn-${index}`);
+}
