Ask an endpoint without marks until it says that the call is over

Callers got parts of plain answers as complete ones also where endpoints mark no ends: an endpoint that did not reply to the question, was no longer listed, or still reported the call as running confirmed the end of its connection as well as one that had finished.

Cause: what is not known counted as evidence. Now such an answer is believed only after a reply that does not list the call. A report may be some hundred milliseconds old, so an endpoint that lists it is asked again after 500 ms, and one that does not reply after 100 ms.

An answer whose report is 200 ms late is delivered.

--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -45,11 +45,13 @@
 
 /**
  * Decides on a plain answer that only its connection ended, at an endpoint that was not found dead. Anything on the way
- * can end a connection in order, so that where answers carry marks, one without is taken for a part.
+ * can end a connection in order, so that where answers carry marks, one without is taken for a part. Elsewhere the endpoint
+ * has to reply that the run is over.
  */
-function decidePlainEnd({ endForm }: IAnswerEndView): AnswerEndDecision {
-  if (endForm === 'unmarked') return 'complete';
-  return endForm === 'marked' ? 'malformed' : 'unproven';
+function decidePlainEnd({ check, endForm }: IAnswerEndView): AnswerEndDecision {
+  if (endForm === 'marked') return 'malformed';
+  const isOver = hasReplied(check) && check !== 'running';
+  return endForm === 'unmarked' && isOver ? 'complete' : 'unproven';
 }
 
 /**
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -20,6 +20,9 @@
 /** Delay before an endpoint is asked again that could not be reached. One at its limit resets new connections. */
 const RECHECK_DELAY_MS: Millis = 100;
 
+/** Delay before an endpoint is asked again that reports a run as running. Its reports may be some hundred ms old. */
+const REPORT_DELAY_MS: Millis = 500;
+
 /** Decides whether answers are complete whose end is in doubt, and asks their endpoints first if need be. */
 export class AnswerEndController extends Disposable {
   constructor(private readonly _options: IAnswerEndOptions) {
@@ -61,21 +64,25 @@
 
   private async _checkEndpoint(attempt: IAttemptEntry): Promise<RunCheckResult> {
     const first = await this._sendCheck(attempt);
-    // A refusal does not change the decision on an answer whose end is marked.
-    const isCheckedAgain = first === 'unreachable' && attempt.doubt !== 'endpoint-spoils';
-    const check = isCheckedAgain ? await this._checkAgain(attempt) : first;
+    const delayMs = findRecheckDelay(attempt, first);
+    const check = delayMs === undefined ? first : await this._checkAgain(attempt, first, delayMs);
     recordRunCheck(this._options, attempt, { result: check, silentMs: 0 });
     return check;
   }
 
-  /** Asks once more an endpoint that has refused the connection. No reply does not take the refusal back. */
-  private async _checkAgain(attempt: IAttemptEntry): Promise<RunCheckResult> {
+  /** Asks an endpoint once more. No reply does not take back that it has refused the connection. */
+  private async _checkAgain(
+    attempt: IAttemptEntry,
+    first: RunCheckResult,
+    delayMs: Millis,
+  ): Promise<RunCheckResult> {
     const { clock } = this._options;
     await new Promise<void>((resolve) => {
-      clock.schedule(RECHECK_DELAY_MS, resolve);
+      clock.schedule(delayMs, resolve);
     });
     const check = await this._sendCheck(attempt);
-    return check === 'unanswered' || check === 'silent' ? 'unreachable' : check;
+    const hasReply = check !== 'unanswered' && check !== 'silent';
+    return first === 'unreachable' && !hasReply ? first : check;
   }
 
   private async _sendCheck(attempt: IAttemptEntry): Promise<RunCheckResult> {
@@ -134,3 +141,12 @@
     this._options.board.attempts.update(id, { phase: 'failed', answer: undefined, error });
   }
 }
+
+/** Finds after which time an endpoint is asked again; `undefined` if its first reply decides. */
+function findRecheckDelay({ answer, doubt }: IAttemptEntry, check: RunCheckResult): Millis | undefined {
+  // A refusal does not change the decision on an answer whose end is marked.
+  if (check === 'unreachable') return doubt === 'endpoint-spoils' ? undefined : RECHECK_DELAY_MS;
+  if (answer?.kind !== 'plain') return undefined;
+  if (check === 'running') return REPORT_DELAY_MS;
+  return check === 'unanswered' || check === 'silent' ? RECHECK_DELAY_MS : undefined;
+}
--- a/src/daemons/BrokenAnswers.test.ts
+++ b/src/daemons/BrokenAnswers.test.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
-import { learnUnmarkedEnds, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
+import { sendWarmUpCalls, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
 import {
   sendFullAnswer,
@@ -96,7 +96,7 @@
       sendUnmarkedAnswer(call, response, TEXT);
     };
   }
-  await learnUnmarkedEnds((path) => rig.send(path));
+  await sendWarmUpCalls((path) => rig.send(path));
   for (const path of PATHS) {
     calls = 0;
     const { body, isComplete, status } = await rig.send(path);
--- a/src/daemons/ChunklessCallers.test.ts
+++ b/src/daemons/ChunklessCallers.test.ts
@@ -7,7 +7,7 @@
   UNMARKED_END,
 } from '../standins/platform/BrokenAnswer.js';
 import { sendText } from '../standins/platform/CallSender.js';
-import { learnUnmarkedEnds } from '../standins/platform/PlainAnswers.js';
+import { sendWarmUpCalls } from '../standins/platform/PlainAnswers.js';
 import type { RouterRig } from '../standins/platform/RouterRig.js';
 import { buildRunnerHeaders, startStream, type IRunnerCall } from '../standins/platform/ScriptedRunner.js';
 import { startStreamRig, type AnswerRun } from '../standins/platform/StreamRig.js';
@@ -96,7 +96,7 @@
         sendStream(call, response, framing);
       };
     }
-    if (framing === 'connection') await learnUnmarkedEnds((path) => sendOldCall(rig, path));
+    if (framing === 'connection') await sendWarmUpCalls((path) => sendOldCall(rig, path));
     outcomes.push([framing, await sendOldCall(rig, '/look/1')]);
   }
   await rig.close();
--- a/src/daemons/RouterHost.test.ts
+++ b/src/daemons/RouterHost.test.ts
@@ -1,7 +1,7 @@
 import { Agent } from 'node:http';
 import { connect } from 'node:net';
 import test from 'ava';
-import { learnUnmarkedEnds, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
+import { sendWarmUpCalls, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
 import { RouterRig, TEST_CONFIGURATION } from '../standins/platform/RouterRig.js';
 import { sendEvents, sendFullAnswer, startStream } from '../standins/platform/ScriptedRunner.js';
 
@@ -110,7 +110,7 @@
       sendUnmarkedAnswer(call, response, 'unframed');
     };
   }
-  await learnUnmarkedEnds((path) => rig.send(path));
+  await sendWarmUpCalls((path) => rig.send(path));
   const view = await rig.send('/post/1');
   const { 'content-length': length, 'transfer-encoding': encoding } = view.headers;
   t.deepEqual([view.body, length, encoding], ['unframed', '8', undefined]);
--- a/src/daemons/RouterProcessStreams.test.ts
+++ b/src/daemons/RouterProcessStreams.test.ts
@@ -3,7 +3,7 @@
 import { finished } from 'node:stream/promises';
 import test from 'ava';
 import { sendCall } from '../standins/platform/CallSender.js';
-import { learnUnmarkedEnds, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
+import { sendWarmUpCalls, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
 import { startRouterProcess, stopProcess } from '../standins/platform/RouterProcessRig.js';
 import type { AnswerRunnerCall } from '../standins/platform/ScriptedRunner.js';
 
@@ -71,7 +71,7 @@
       t.teardown(router.close);
       const { address } = router;
       const call = { address, headers: CALL_HEADERS, method: 'POST' };
-      await learnUnmarkedEnds((path) => sendCall({ ...call, path }).result);
+      await sendWarmUpCalls((path) => sendCall({ ...call, path }).result);
       const [host, port] = router.address.split(':');
       const request = sendRequest({ host, port, path: '/look/1', method: 'POST', headers: CALL_HEADERS });
       const [response] = (await once(request.end(), 'response')) as [IncomingMessage];
--- a/src/daemons/UnconfirmedAnswers.test.ts
+++ b/src/daemons/UnconfirmedAnswers.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { startServer } from '../standins/HttpTools.js';
-import { learnUnmarkedEnds } from '../standins/platform/PlainAnswers.js';
+import { sendWarmUpCalls } from '../standins/platform/PlainAnswers.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
 import { sendThenCut } from '../standins/RawServer.js';
 
@@ -21,7 +21,7 @@
   for (const id of ['p-1', 'p-2']) rig.store.remove(`servers/${id}`);
   rig.publish({ ...rig.runners[0]!, id: 'w-1', address: server.address.replace('http://', '') }, 'ledger');
   await rig.waitUntil(() => rig.events.some(({ fields }) => fields.key === 'servers/w-1'));
-  await learnUnmarkedEnds((path) => rig.send(path));
+  await sendWarmUpCalls((path) => rig.send(path));
   questions = 0;
   const { body, status } = await rig.send('/post/1');
   await rig.close();
--- a/src/daemons/UnmarkedAnswers.test.ts
+++ b/src/daemons/UnmarkedAnswers.test.ts
@@ -1,9 +1,14 @@
 import test from 'ava';
 import { startCuttingProxy } from '../standins/CuttingProxy.js';
 import { sendCall } from '../standins/platform/CallSender.js';
-import { learnUnmarkedEnds, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
+import { sendWarmUpCalls, sendUnmarkedAnswer } from '../standins/platform/PlainAnswers.js';
 import { RouterRig } from '../standins/platform/RouterRig.js';
-import { sendFullAnswer, type AnswerRunnerCall } from '../standins/platform/ScriptedRunner.js';
+import {
+  sendFullAnswer,
+  type AnswerRunnerCall,
+  type IRunnerCall,
+  type IRunnerStandIn,
+} from '../standins/platform/ScriptedRunner.js';
 
 const TEXT = 'an answer whose end only its connection marks';
 
@@ -18,7 +23,7 @@
       sendUnmarkedAnswer(call, response, text);
     };
   }
-  await learnUnmarkedEnds((path) => rig.send(path));
+  await sendWarmUpCalls((path) => rig.send(path));
   return rig;
 }
 
@@ -106,3 +111,35 @@
   await rig.close();
   t.is(status, 502);
 });
+
+/** What an endpoint does after a part that it ends in order. */
+const ENDINGS: Readonly<Record<string, (runner: IRunnerStandIn, call: IRunnerCall) => void>> = {
+  'does not reply': (runner) => {
+    runner.pause = new Promise((resolve) => setTimeout(resolve, 3000));
+  },
+  'still runs the call': (runner, { headers }) => {
+    runner.reportedRuns = [[headers['attempt-id']?.toString() ?? '', 100, 0, 5]];
+  },
+  'reports the call for 200 ms': (runner, { headers }) => {
+    runner.reportedRuns = [[headers['attempt-id']?.toString() ?? '', 100, 0, 5]];
+    setTimeout(() => (runner.reportedRuns = []), 200);
+  },
+};
+
+// Guards against MIXED: an endpoint confirms the end of its answer without having said that the call is over.
+test('an endpoint that marks no ends confirms an end only by a reply without the call', async (t) => {
+  const outcomes: Record<string, unknown> = {};
+  for (const [name, end] of Object.entries(ENDINGS)) {
+    const rig = await startUnmarkedRig();
+    for (const runner of rig.runners) {
+      runner.answer = (call, response) => {
+        end(runner, call);
+        sendUnmarkedAnswer(call, response, TEXT.slice(0, 20));
+      };
+    }
+    const { body, isComplete, status } = await rig.send('/post/1');
+    outcomes[name] = status === 200 ? { body, isComplete } : status;
+    await rig.close();
+  }
+  t.snapshot(outcomes);
+});
--- a/src/standins/platform/PlainAnswers.ts
+++ b/src/standins/platform/PlainAnswers.ts
@@ -15,6 +15,6 @@
 }
 
 /** Sends calls whose answers show a host that the endpoints of plain calls mark no ends. */
-export async function learnUnmarkedEnds(send: (path: string) => Promise<unknown>): Promise<void> {
+export async function sendWarmUpCalls(send: (path: string) => Promise<unknown>): Promise<void> {
   for (let index = 1; index <= 3; index += 1) await send(`/look/learn-${index}`);
 }
