Parse what callers send in slices, in turn with other connections

Clients ended a process: whole requests sent ahead, with bodies in chunks of a byte, exhausted its heap. Bodies in such chunks that went on left it alive, but no ordinary caller got an answer.

Cause: Node.js parses the 64 KB that it reads of a connection in one go. In chunks of a byte these are 11,000 calls and objects, and 80 connections bring as many in one turn of the event loop. Objects of requests that wait for earlier ones were counted by nobody.

ParseScheduler hands the bytes to the parser in slices of 4 KB, in turn with other connections and for about 10 ms in a turn. A connection whose requests wait is not parsed on, and its bytes count against the memory budget. No caller within the limits of the platform is refused by it.

--- a/src/daemons/CallerConnections.ts
+++ b/src/daemons/CallerConnections.ts
@@ -1,9 +1,11 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { IRefusal } from '../common/blackboard/Types.js';
 import type { IHeldMemory, MemoryBudget } from '../common/memory/MemoryBudget.js';
 import type { CallerLimitCause, ChooseConnection, ConnectionState } from '../common/memory/Types.js';
 import type { Millis } from '../common/Types.js';
+import { ParseScheduler, type IScheduledSocket } from './ParseScheduler.js';
 import { PipelineGate } from './PipelineGate.js';
 
 /** Options of the tracking of callers' connections. */
@@ -73,7 +75,8 @@
  */
 export class CallerConnections {
   /** In the order of their last activity, the longest inactive first. */
-  private readonly _connections = new Map<Socket, CallerConnection>();
+  private readonly _connections = new Map<Duplex, CallerConnection>();
+  private readonly _parseScheduler = new ParseScheduler();
   private _turnRequests = 0;
 
   constructor(private readonly _options: ICallerConnectionsOptions) {}
@@ -88,6 +91,8 @@
     const connection = new CallerConnection(socket, this._options, () => {
       this._recordActivity(socket, connection);
     });
+    const { setUnparsedBytes: onUnparsedBytes } = connection;
+    connection.schedule = this._parseScheduler.addSocket(socket, { onUnparsedBytes });
     const isOneTooMany = this._connections.size >= readMaxConnections();
     const closed = isOneTooMany ? (chooseConnection(this._connections.values()) ?? connection) : undefined;
     this._connections.set(socket, connection);
@@ -112,6 +117,11 @@
     connection.addRequest(request);
   }
 
+  /** Drops what a connection has sent and the parser has not seen yet, after an error of the parser. */
+  public dropUnparsed(socket: Duplex): void {
+    this._connections.get(socket)?.schedule?.dropUnparsed();
+  }
+
   /** Sets what frees the body that a connection is sending; `undefined` once the body is complete. */
   public setDropUpload(socket: Socket, dropUpload: (() => void) | undefined): void {
     const connection = this._connections.get(socket);
@@ -147,6 +157,9 @@
 class CallerConnection {
   /** Frees the body that is being sent, and refuses its request. */
   public dropUpload: (() => void) | undefined;
+  /** What hands the bytes of the connection to the parser. */
+  public schedule: IScheduledSocket | undefined;
+  private _unparsedBytes = 0;
   private readonly _held: IHeldMemory;
   private _handledCount = 0;
   /** Number of responses that the caller has not read completely. */
@@ -187,6 +200,12 @@
     this._updateGate();
   }
 
+  /** Sets the memory of what was read and not parsed yet. */
+  public readonly setUnparsedBytes = (bytes: number): void => {
+    this._held.addBytes(bytes - this._unparsedBytes);
+    this._unparsedBytes = bytes;
+  };
+
   public release(): void {
     this._waiting.length = 0;
     this._held.release();
--- a/src/daemons/FrontEnd.ts
+++ b/src/daemons/FrontEnd.ts
@@ -122,6 +122,7 @@
       this._connections.addConnection(socket);
     });
     this._server.on('clientError', (error, socket) => {
+      this._connections.dropUnparsed(socket);
       this._openExchanges.handleClientError(error, socket);
     });
     // Without a listener Node answers an unsupported `expect` header with a 417 that has no body.
--- a/src/standins/platform/Crowd.ts
+++ b/src/standins/platform/Crowd.ts
@@ -16,6 +16,8 @@
   isReading?: boolean;
   /** Whether the connections stay open during the ordinary request afterwards. Default: they are closed before. */
   staysOpen?: boolean;
+  /** Whether a caller whose connection is closed opens another one, and sends again. Default: it does not. */
+  comesBack?: boolean;
   /** How the endpoints answer. Default: a short answer. */
   answer?: AnswerRunnerCall;
 }
@@ -49,6 +51,9 @@
 /** Time for which the crowd then keeps its connections open. */
 const HOLDING_MS: Millis = 1500;
 
+/** Time after which a caller that comes back connects again. */
+const COMEBACK_MS: Millis = 50;
+
 /** Time in which an ordinary request has to be answered, and how often it is tried. A refused caller tries again. */
 const ORDINARY_TRIES = 40;
 const ORDINARY_RETRY_MS: Millis = 250;
@@ -77,9 +82,9 @@
     );
     await Promise.race([Promise.all(callers.map(({ hasSent }) => hasSent)), waitFor(SENDING_MS)]);
     await waitFor(HOLDING_MS);
-    const closedConnections = callers.filter(({ socket }) => socket.destroyed).length;
+    const closedConnections = callers.filter(({ hasClosed }) => hasClosed()).length;
     const closeAll = (): void => {
-      for (const { socket } of callers) socket.destroy();
+      for (const { leave } of callers) leave();
     };
     if (crowd.staysOpen !== true) closeAll();
     const ordinaryStatus = await sendOrdinaryRequest(router.address);
@@ -98,17 +103,45 @@
   }
 }
 
-function openCaller(
-  address: string,
-  { isReading = false, listPieces }: ICrowd,
-  index: number,
-): { socket: Socket; hasSent: Promise<void> } {
+/** A caller of a crowd. */
+interface ICrowdCaller {
+  /** Resolves once the first connection has sent everything or is closed. */
+  hasSent: Promise<void>;
+  /** Tells whether a connection of the caller was closed. */
+  hasClosed: () => boolean;
+  leave: () => void;
+}
+
+function openCaller(address: string, crowd: ICrowd, index: number): ICrowdCaller {
+  const { comesBack = false, isReading = false, listPieces } = crowd;
   const [host, port] = address.split(':');
-  const socket = connect(Number(port), host);
-  socket.on('error', () => undefined);
-  if (isReading) socket.resume();
-  else socket.pause();
-  return { socket, hasSent: sendPieces(socket, listPieces(index)) };
+  let hasLeft = false;
+  let hasClosed = false;
+  const openConnection = (): Socket => {
+    const opened = connect(Number(port), host);
+    opened.on('error', () => undefined);
+    if (isReading) opened.resume();
+    else opened.pause();
+    opened.once('close', () => {
+      hasClosed ||= !hasLeft;
+      if (!comesBack || hasLeft) return;
+      setTimeout(() => {
+        if (hasLeft) return;
+        socket = openConnection();
+        void sendPieces(socket, listPieces(index));
+      }, COMEBACK_MS);
+    });
+    return opened;
+  };
+  let socket = openConnection();
+  return {
+    hasSent: sendPieces(socket, listPieces(index)),
+    hasClosed: () => hasClosed,
+    leave: () => {
+      hasLeft = true;
+      socket.destroy();
+    },
+  };
 }
 
 /** Sends as fast as the router reads. Resolves once everything is handed to the system or the connection is closed. */
