Ask again about an answer only where the reply can confirm it

An idempotent call whose answer came without a mark, where others have marks, waited up to 0.9 s for a second reply of its endpoint before it was sent again, although no reply confirms such an answer. It is now sent again after the first one. The second question stays where endpoints mark no ends.

Evidence: 67 tests of answers and their ends pass, UnmarkedAnswers among them.

--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -6,7 +6,7 @@
 import { hasSpoiltLately } from './DoubtfulEnds.js';
 import { findPlainEndForm } from './PlainEnds.js';
 import { findStreamEndForm } from './StreamTraits.js';
-import type { AnswerEndDecision, CheckRun, DecideAnswerEnd, RunCheckResult } from './Types.js';
+import type { AnswerEndDecision, CheckRun, DecideAnswerEnd, EndForm, RunCheckResult } from './Types.js';
 
 /** Options of the answer end controller. */
 export interface IAnswerEndOptions {
@@ -53,18 +53,21 @@
       request,
       attempt,
       check,
-      endForm:
-        attempt.answer?.kind === 'model'
-          ? findStreamEndForm(board, attempt.endpoint)
-          : findPlainEndForm(board, attempt.endpoint, request.route),
+      endForm: this._findEndForm(attempt),
       leftMs: request.deadlineAt - clock.now(),
       hasSpoiltLately: (id) => hasSpoiltLately(board.endpoints.get(id), clock.now()),
     });
   }
 
+  private _findEndForm({ answer, endpoint, request }: IAttemptEntry): EndForm {
+    const { board } = this._options;
+    if (answer?.kind === 'model') return findStreamEndForm(board, endpoint);
+    return findPlainEndForm(board, endpoint, board.requests.get(request)?.route);
+  }
+
   private async _checkEndpoint(attempt: IAttemptEntry): Promise<RunCheckResult> {
     const first = await this._sendCheck(attempt);
-    const delayMs = findRecheckDelay(attempt, first);
+    const delayMs = findRecheckDelay(attempt, first, this._findEndForm(attempt));
     const check = delayMs === undefined ? first : await this._checkAgain(attempt, first, delayMs);
     recordRunCheck(this._options, attempt, { result: check, silentMs: 0 });
     return check;
@@ -143,10 +146,15 @@
 }
 
 /** Finds after which time an endpoint is asked again; `undefined` if its first reply decides. */
-function findRecheckDelay({ answer, doubt }: IAttemptEntry, check: RunCheckResult): Millis | undefined {
+function findRecheckDelay(
+  { answer, doubt }: IAttemptEntry,
+  check: RunCheckResult,
+  endForm: EndForm,
+): Millis | undefined {
   // A refusal does not change the decision on an answer whose end is marked.
   if (check === 'unreachable') return doubt === 'endpoint-spoils' ? undefined : RECHECK_DELAY_MS;
-  if (answer?.kind !== 'plain') return undefined;
+  // No reply confirms a plain answer where others have marks, and a call that is sent again has little time.
+  if (answer?.kind !== 'plain' || endForm !== 'unmarked') return undefined;
   if (check === 'running') return REPORT_DELAY_MS;
   return check === 'unanswered' || check === 'silent' ? RECHECK_DELAY_MS : undefined;
 }
