Say in a test which answer is whole

One case of the test on endpoints that mark no ends was named like a fault, though its answer is whole and only the report is late. The outcomes are unchanged.

--- a/src/daemons/UnmarkedAnswers.test.ts
+++ b/src/daemons/UnmarkedAnswers.test.ts
@@ -112,7 +112,7 @@
   t.is(status, 502);
 });
 
-/** What an endpoint does after a part that it ends in order. */
+/** What an endpoint does after it has ended an answer in order. With the last, the answer is whole. */
 const ENDINGS: Readonly<Record<string, (runner: IRunnerStandIn, call: IRunnerCall) => void>> = {
   'does not reply': (runner) => {
     runner.pause = new Promise((resolve) => setTimeout(resolve, 3000));
@@ -120,7 +120,7 @@
   'still runs the call': (runner, { headers }) => {
     runner.reportedRuns = [[headers['attempt-id']?.toString() ?? '', 100, 0, 5]];
   },
-  'reports the call for 200 ms': (runner, { headers }) => {
+  'has a report that is 200 ms late': (runner, { headers }) => {
     runner.reportedRuns = [[headers['attempt-id']?.toString() ?? '', 100, 0, 5]];
     setTimeout(() => (runner.reportedRuns = []), 200);
   },
