--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -3,53 +3,55 @@
 import { createClient } from '../standins-2/client.mjs';
 import { wait } from '../standins-2/net.mjs';
 import { startRouter } from '../standins-2/router.mjs';
-import { answerAfter, describeRunner, startRunner } from '../standins-2/runner.mjs';
+import { describeRunner, startRunner, streamEvents } from '../standins-2/runner.mjs';
 import { startStore } from '../standins-2/store.mjs';
 
-const RUNNERS = 4;
-const SLOTS = 8;
-const WORK_MS = 120;
-/** Clients of each kind of request; each sends a request about every INTERVAL_MS. */
-const CLIENTS = { look: 16, post: 16 };
-const INTERVAL_MS = 220;
+const SERVICE = 'drafts';
+const SLOTS = 64;
+const MODELS = [{ name: 'm0', version: 1, adapters: [] }];
+const CLIENTS = 24;
+/** Each client sends a request about every INTERVAL_MS. */
+const INTERVAL_MS = 400;
 const CONTACT_MS = 3000;
-/** When the first runner crashes, and the time between two crashes: one of four runners is down at a time. */
-const FIRST_CRASH_MS = 1500;
-const CRASH_INTERVAL_MS = 2500;
-const CRASHES = 3;
-const DOWN_MS = 2000;
-const DURATION_MS = 80_000;
-/** The rule: a kind of request is served less than a quarter as often as all requests. */
-const ALLOWED_RATIO = 0.25;
-/** Missed heartbeats after which the entry of a runner is removed. */
-const EXPIRY_MS = 3600;
-
-function createRoute(name, kind, maxAttempts) {
-  const times = { timeoutMs: 1500, targetLatencyMs: 300 };
-  return {
-    name,
-    host: 'a.example',
-    prefix: `/${name}/`,
-    kind,
-    service: 'ledger',
-    ...times,
-    priority: 2,
-    maxAttempts,
-  };
-}
-
-/** Each kind of request comes from one tenant. */
-const KEYS = { look: 'key-south', post: 'key-north' };
+const DURATION_S = 16;
+/** Share of the requests that the bad version fails. */
+const BAD_SHARE = 0.5;
+/** Time from the restart of one router to that of the next. */
+const RESTART_GAP_MS = 500;
+/** Time from the roll-back to the order of the next version, and until the runners of the bad one drain. */
+const NEXT_ORDER_MS = 500;
+const NEW_RUNNERS_DRAIN_MS = 4000;
+const EXPOSE_SHARE = 0.15;
+const EXPOSE_SLACK = 30;
 
 const CONFIGURATION = {
   version: 1,
-  routes: [createRoute('look', 'safe', 2), createRoute('post', 'unsafe', 1)],
-  services: [{ name: 'ledger', healthPath: '/health', maxConnections: 100 }],
-  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
-  tenants: [
-    { name: 'north', apiKeys: ['key-north'] },
-    { name: 'south', apiKeys: ['key-south'] },
+  routes: [
+    {
+      name: 'tag',
+      host: 'a.example',
+      prefix: '/tag/',
+      kind: 'streaming',
+      service: SERVICE,
+      timeoutMs: 10_000,
+      targetLatencyMs: 2000,
+      gapAimMs: 1200,
+      priority: 2,
+      maxAttempts: 3,
+      stickySessions: true,
+      streamResume: true,
+    },
   ],
+  services: [
+    {
+      name: SERVICE,
+      healthPath: '/health',
+      maxConnections: 360,
+      engine: { models: [{ name: 'm0', cost: 0.1 }], kvCapacity: 430_660 },
+    },
+  ],
+  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+  tenants: [{ name: 'north', apiKeys: ['key-north'] }],
 };
 
 await runCase(
@@ -57,78 +59,119 @@
   async ({ folder, hasTrouble, note, onEnd }) => {
     const store = await startStore();
     onEnd(store.close);
-    let started = 0;
-    const startLedger = async () => {
-      started += 1;
-      const runner = await startRunner({ id: `i-${started}`, slots: SLOTS, run: answerAfter(WORK_MS) });
-      onEnd(runner.close);
-      store.put(`servers/${runner.id}`, describeRunner(runner, 'ledger', { slots: SLOTS }));
-      note(`runner ${runner.id}: started`);
-      return runner;
+    /** Times of the requests that reached the runners of each version. */
+    const arrivals = { v1: [], v2: [], v3: [] };
+    const sound = streamEvents({ count: 6, gapMs: 60 });
+    let badCount = 0;
+    const fail = (call, response, { headers }) => {
+      response.writeHead(500, { ...headers, 'Content-Length': 0 }).end();
     };
-    const runners = [];
-    for (let number = 0; number < RUNNERS; number += 1) runners.push(await startLedger());
+    const runBad = (call, ...rest) => {
+      badCount += 1;
+      (badCount % (1 / BAD_SHARE) === 0 ? fail : sound)(call, ...rest);
+    };
+    const startVersion = async (version, ids) => {
+      const runners = [];
+      for (const id of ids) {
+        const onEvent = (event) => {
+          if (event === 'arrived') arrivals[version].push(Date.now());
+        };
+        const run = version === 'v2' ? runBad : sound;
+        const runner = await startRunner({ id, slots: SLOTS, queue: 134, run, onEvent });
+        onEnd(runner.close);
+        const record = describeRunner(runner, SERVICE, {
+          slots: SLOTS,
+          stage: 'both',
+          models: MODELS,
+          version,
+        });
+        store.put(`servers/${id}`, record);
+        runners.push({ id, record });
+      }
+      note(`runners ${ids.join(', ')} of ${version}: started`);
+      return runners;
+    };
+    // Ids are the platform's to choose. In the order of their keys, those of v2 come first here.
+    await startVersion('v1', ['i-90', 'i-91', 'i-92', 'i-93']);
     store.put('op/config', CONFIGURATION);
-    const router = await startRouter({ folder, store });
-    onEnd(router.kill);
+    const routers = [];
+    for (const node of ['front-1', 'front-2']) {
+      const router = await startRouter({ folder, store, node });
+      onEnd(router.kill);
+      routers.push(router);
+    }
     await wait(CONTACT_MS + 1000);
 
-    const startedAt = Date.now();
-    const findBusiest = () => [...runners].sort((first, second) => second.running - first.running)[0];
-    const crashRunner = async (runner) => {
-      note(`runner ${runner.id}: crashes with ${runner.running} requests`);
-      runners.splice(runners.indexOf(runner), 1);
-      runner.close();
-      setTimeout(() => store.remove(`servers/${runner.id}`), EXPIRY_MS);
-      await wait(DOWN_MS);
-      runners.push(await startLedger());
-    };
-    if (hasTrouble)
-      for (let number = 0; number < CRASHES; number += 1)
-        setTimeout(() => crashRunner(findBusiest()), FIRST_CRASH_MS + number * CRASH_INTERVAL_MS);
-
-    const kinds = {
-      look: { method: 'GET', sent: 0, served: 0, statuses: new Map() },
-      post: { method: 'POST', sent: 0, served: 0, statuses: new Map() },
-    };
-    const sendAll = async (name) => {
-      const kind = kinds[name];
-      const client = createClient(router.address);
-      onEnd(client.close);
-      while (Date.now() - startedAt < DURATION_MS) {
+    const statuses = new Map();
+    const stopped = new Set();
+    let isOver = false;
+    let sent = 0;
+    const sendAll = async () => {
+      while (!isOver) {
         const isDue = wait(INTERVAL_MS * (0.7 + 0.6 * Math.random()));
-        kind.sent += 1;
-        const id = `${name}-${kind.sent}`;
+        sent += 1;
+        const number = sent;
+        const open = routers.filter((router) => !stopped.has(router));
+        const client = createClient(open[number % open.length].address);
         const headers = {
           Host: 'a.example',
-          'Attempt-Id': id,
-          'Deadline-Ms': '3000',
-          Authorization: `Token ${KEYS[name]}`,
+          'Attempt-Id': `tag-${number}`,
+          'Deadline-Ms': '10000',
+          Authorization: 'Token key-north',
+          Model: 'm0',
+          'Token-Usage': '600,18',
+          'Prompt-Prefix': `aa:100,${number.toString(16)}:500`,
         };
-        const body = name === 'post' ? Buffer.from(`refund ${id}`) : undefined;
-        const result = await client.send({ path: `/${name}/1`, method: kind.method, headers, body }).result;
-        const status = result.status ?? result.error;
-        if (status === 200) kind.served += 1;
-        const isNew = !kind.statuses.has(status);
-        kind.statuses.set(status, (kind.statuses.get(status) ?? 0) + 1);
-        if (isNew) note(`client: ${id} got ${status}, the first of this kind: ${result.body ?? ''}`);
+        const { status, error } = await client.send({ path: '/tag/1', headers, body: Buffer.from('text') })
+          .result;
+        client.close();
+        statuses.set(status ?? error, (statuses.get(status ?? error) ?? 0) + 1);
         await isDue;
       }
     };
-    await Promise.all(
-      ['look', 'post'].flatMap((name) => Array.from({ length: CLIENTS[name] }, () => sendAll(name))),
+    const load = Promise.all(Array.from({ length: CLIENTS }, sendAll));
+    await wait(1000);
+
+    const order = (target) => {
+      store.put(`op/rollout/${SERVICE}`, { service: SERVICE, target, durationS: DURATION_S });
+      note(`operator: orders ${target}`);
+    };
+    order('v2');
+    const orderedAt = Date.now();
+    const bad = await startVersion('v2', ['i-10', 'i-11', 'i-12']);
+    if (hasTrouble)
+      for (const router of routers) {
+        await wait(RESTART_GAP_MS);
+        stopped.add(router);
+        await router.kill('SIGTERM');
+        await router.restart();
+        stopped.delete(router);
+        note('router: stopped with SIGTERM and started again');
+      }
+    const readState = () => store.read(`status/rollout/${SERVICE}`)?.state;
+    while (readState() !== 'rolled_back' && Date.now() < orderedAt + DURATION_S * 1000) await wait(50);
+    const rolledBackAt = Date.now();
+    note(
+      `status: ${readState()} after ${rolledBackAt - orderedAt} ms, v2 got ${arrivals.v2.length} requests`,
     );
-    const shares = {};
-    for (const [name, { sent, served, statuses }] of Object.entries(kinds)) {
-      shares[name] = served / sent;
-      const counts = [...statuses].map(([status, count]) => `${status}: ${count}`).join(', ');
-      note(`${name}: ${sent} sent, ${served} served; ${counts}`);
-    }
-    const { look, post } = kinds;
-    const all = (look.served + post.served) / (look.sent + post.sent);
+    if (readState() !== 'rolled_back') throw new Error('The bad version was not rolled back.');
+    await wait(NEXT_ORDER_MS);
+    order('v3');
+    await startVersion('v3', ['i-50', 'i-51', 'i-52']);
+    await wait(rolledBackAt + NEW_RUNNERS_DRAIN_MS - Date.now());
+    for (const { id, record } of bad) store.put(`servers/${id}`, { ...record, state: 'draining', seq: 2 });
+    note('runners of v2: draining');
+    await wait(orderedAt + DURATION_S * 1000 - Date.now());
+    isOver = true;
+    await load;
+    const count = (times, from) => times.filter((at) => at >= from).length;
+    const total = Object.values(arrivals).reduce((sum, times) => sum + count(times, orderedAt), 0);
+    const allowed = EXPOSE_SHARE * total + EXPOSE_SLACK;
+    const got = count(arrivals.v2, orderedAt);
     const verdict =
-      `look: ${look.served} of ${look.sent} served (${shares.look.toFixed(3)}), post: ${post.served} of ${post.sent}, ` +
-      `all: ${all.toFixed(3)}; the rule asks for ${(ALLOWED_RATIO * all).toFixed(3)} at least`;
-    return { isBroken: shares.look < ALLOWED_RATIO * all, verdict };
+      `v2 got ${got} of ${total} requests between its order and its deadline (allowed ${allowed.toFixed(0)}), ` +
+      `${count(arrivals.v2, rolledBackAt)} of them after the status rolled_back; ` +
+      `answers: ${[...statuses].map(([status, number]) => `${status}: ${number}`).join(', ')}`;
+    return { isBroken: got > allowed, verdict };
   },
 );
