--- a/review/standins-3/case.mjs
+++ b/review/standins-3/case.mjs
@@ -51,6 +51,7 @@
     exitCode = EXIT_NOT_RUN;
     void finish();
   }, MAX_CASE_MS);
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => void finish());
   try {
     store = await startStore();
     record.add('case', HAS_TROUBLE ? 'with the disruption' : 'without the disruption');
--- a/review/standins-3/router.mjs
+++ b/review/standins-3/router.mjs
@@ -71,17 +71,17 @@
 class Machine {
   exits = [];
 
-  constructor(node, ports, command, folder, file) {
+  constructor(node, ports, command, file) {
     Object.assign(this, { node, ports, front: ports.front });
-    this._launch = { command, folder, file };
+    this._launch = { command, file };
   }
 
   start() {
-    const { command, file, folder } = this._launch;
+    const { command, file } = this._launch;
     const [program, ...words] = command;
     const { HOME, LANG, PATH } = process.env;
     this.child = spawn(program === 'node' ? process.execPath : program, words, {
-      env: { PATH, HOME, ...(LANG ? { LANG } : {}), TMPDIR: folder, MULBERRYWEIR_CONFIG: file },
+      env: { PATH, HOME, ...(LANG ? { LANG } : {}), MULBERRYWEIR_CONFIG: file },
       stdio: ['ignore', 'ignore', 'ignore'],
     });
     this.ended = new Promise((resolve) => {
@@ -143,7 +143,7 @@
     };
     const file = join(folder, `${node}.ini`);
     writeFileSync(file, render(template, describeMachine(node, zone, ports, store)));
-    const machine = new Machine(node, ports, command, folder, file);
+    const machine = new Machine(node, ports, command, file);
     machine.start();
     machines.push(machine);
   }
