--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,4 +1,4 @@
-// Sound runners end their streams with their connections. Machines are stopped and started in turn.
+// Sound runners end their streams with their connections. Machines are stopped and started in turn; with TROUBLE=0 none is.
 import { fileURLToPath } from 'node:url';
 import { wait } from '../standins-3/case.mjs';
 import { runRestartCase } from '../standins-3/restarts.mjs';
