Hold an end back, and then believe it, where no other endpoint may be asked

Cause: until three streams of two endpoints have begun without a mark, an end without one has to be confirmed by another endpoint. A stream that may run once cannot be, and calls that are far apart or stay at one endpoint never show three streams of two. Class: evidence that can never be had is asked for, and the lack of it decides.

Now such an end is held back for up to a second. A stream that begins with a mark by then shows that the end is a fault, and the stream is broken off as before. Otherwise the end is believed if the endpoint replies as the same process that the call is over, and has not lately spoilt an answer. Eight streams of one endpoint are enough to know that it marks no ends. This works because the heads of other streams tell a fault from the nature of a service; where none comes, a sound service without marks is the likelier of the two. answer.held logs the time and what was known.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -334,6 +334,8 @@
   afterEnd?: AfterEnd;
   /** Why it is in doubt whether the answer is complete. Absent if it is not. */
   doubt?: DoubtReason;
+  /** How long the end was held back because nothing showed that it is complete. Absent if it was not. */
+  endHeldMs?: Millis;
   answer: IAnswer | undefined;
   error: IAttemptError | undefined;
 }
--- a/src/common/policy/AnswerEnds.test.ts
+++ b/src/common/policy/AnswerEnds.test.ts
@@ -59,6 +59,8 @@
       request: createTestRequest('r-1', claim),
       attempt,
       leftMs: 'leftMs' in end ? end.leftMs : 5000,
+      holdLeftMs: 1000,
+      isRepeatable: true,
       hasSpoiltLately: (id: string) => spoiling.includes(id),
     };
     const byCheck = CHECKS.map((check) => {
@@ -78,6 +80,8 @@
     request: createTestRequest('r-1', {}),
     attempt: attempt as unknown as IAttemptEntry,
     leftMs: 5000,
+    holdLeftMs: 1000,
+    isRepeatable: false,
     hasSpoiltLately: () => false,
   };
   const byCheck = CHECKS.map((check) => {
@@ -86,3 +90,31 @@
   });
   t.snapshot(Object.fromEntries(byCheck), `decisions where ends are ${END_FORMS.join(', ')}`);
 });
+
+// Guards against LOST where a service marks no ends, and against ORDER where it does: a stream that may not be continued.
+test('the end of a stream that no other endpoint may continue is held back before it is believed', (t) => {
+  const usage = { promptTokens: 0, completionTokens: 3 };
+  const answer: IAnswer = { kind: 'model', version: '', usage, content: undefined, lastEventId: '3' };
+  const attempt = { endpoint: 'm-1', answer, doubt: 'unmarked', endMark: 'connection', tokens: 3 };
+  const view = {
+    request: createTestRequest('r-1', { isIdempotent: false }),
+    attempt: attempt as unknown as IAttemptEntry,
+    leftMs: 5000,
+    isRepeatable: false,
+  };
+  const decisions = ([1000, 0] as const).flatMap((holdLeftMs) =>
+    [false, true].map((hasSpoilt) => {
+      const byCheck = CHECKS.map((check) => {
+        const byForm = END_FORMS.map((endForm) =>
+          decideAnswerEnd({ ...view, check, endForm, holdLeftMs, hasSpoiltLately: () => hasSpoilt }),
+        );
+        return [check ?? 'not asked', byForm.join(', ')];
+      });
+      return [
+        `hold left ${holdLeftMs} ms, spoilt lately: ${hasSpoilt}`,
+        Object.fromEntries(byCheck) as unknown,
+      ];
+    }),
+  );
+  t.snapshot(Object.fromEntries(decisions), `decisions where ends are ${END_FORMS.join(', ')}`);
+});
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -21,12 +21,13 @@
  * and unless it has replied and the endpoints of its service are known to mark no ends of streams, it only claims the end:
  * another endpoint, asked to go on, sends what is missing or agrees that nothing is. A stream without any event does not even
  * claim an end, since a fault that all endpoints have in common gives the same. A stream that none can continue is broken
- * off, and one of which nothing has come at all is refused. A plain answer cannot be continued, so it is complete only if
- * the endpoints of its service are known to mark no ends.
+ * off, and one of which nothing has come at all is refused. A stream that no other endpoint may continue waits for what
+ * other streams show of the ends of the service, see `decideFinalStreamEnd`. A plain answer cannot be continued, so it is
+ * complete only if the endpoints of its service are known to mark no ends.
  * @example
  * // 'check' if only the connection ended
- * const view = { request, attempt, check: undefined, leftMs: 900, hasSpoiltLately: () => false };
- * decideAnswerEnd({ ...view, endForm: 'unknown' });
+ * const view = { request, attempt, check: undefined, leftMs: 900, holdLeftMs: 0, isRepeatable: true };
+ * decideAnswerEnd({ ...view, endForm: 'unknown', hasSpoiltLately: () => false });
  */
 export const decideAnswerEnd: DecideAnswerEnd = (view) => {
   const { attempt, check, leftMs, endForm } = view;
@@ -40,9 +41,26 @@
   if (check !== undefined && BREAKING_CHECKS.has(check)) return 'broken';
   if (attempt.answer?.kind !== 'model') return decidePlainEnd(view);
   if (attempt.tokens === 0) return 'continue';
-  return endForm === 'unmarked' && hasReplied(check) ? 'complete' : 'claim';
+  if (endForm === 'unmarked' && hasReplied(check)) return 'complete';
+  return view.isRepeatable || endForm !== 'unknown' ? 'claim' : decideFinalStreamEnd(view);
 };
 
+/**
+ * Decides on the end of a stream that no other endpoint may continue, before any stream has shown how the service ends
+ * them. The heads of other streams may show it soon, so the end is held back for a while. If they do not, the end is
+ * believed of an endpoint that has replied that the run is over and has not lately spoilt an answer: every unmarked end is
+ * whole where a service marks none, and elsewhere only a fault leaves out the mark.
+ */
+function decideFinalStreamEnd({
+  attempt,
+  check,
+  hasSpoiltLately,
+  holdLeftMs,
+}: IAnswerEndView): AnswerEndDecision {
+  if (!hasReplied(check) || check === 'running' || hasSpoiltLately(attempt.endpoint)) return 'claim';
+  return holdLeftMs > 0 ? 'wait' : 'complete';
+}
+
 /**
  * Decides on a plain answer that only its connection ended, at an endpoint that was not found dead. Anything on the way
  * can end a connection in order, so that where answers carry marks, one without is taken for a part. Elsewhere the endpoint
--- a/src/common/request/AnswerEndController.test.ts
+++ b/src/common/request/AnswerEndController.test.ts
@@ -2,13 +2,14 @@
 import { createTestEndpoint, createTestRequest, TEST_TARGET } from '../../testing/EntryFixtures.js';
 import { ManualClock } from '../../testing/ManualClock.js';
 import { Blackboard } from '../blackboard/Blackboard.js';
-import type { IAnswer, IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
+import type { IAnswer, IAttemptEntry, IEndpointEntry, IRequestEntry } from '../blackboard/Types.js';
 import { decideAnswerEnd } from '../policy/AnswerEnds.js';
 import { AnswerEndController } from './AnswerEndController.js';
 import { createDecideRetry } from '../policy/Retries.js';
 import { DeadlineController } from './DeadlineController.js';
 import { OutcomeController } from './OutcomeController.js';
 import { refuseUnfinished } from './Refusals.js';
+import type { IClock, Millis } from '../Types.js';
 import type { CheckRun } from './Types.js';
 
 const ANSWER: IAnswer = {
@@ -20,10 +21,19 @@
 };
 
 /** Puts an attempt on the board whose stream of three events ended only with its connection. */
-function endAttempt(checkRun: CheckRun, patch: Partial<IRequestEntry> = {}, marksStreamEnds = false) {
+function endAttempt(
+  checkRun: CheckRun,
+  patch: Partial<IRequestEntry> = {},
+  marksStreamEnds = false,
+  earlyMs = 0,
+) {
   const board = new Blackboard();
   const clock = new ManualClock();
-  const controller = new AnswerEndController({ board, clock, checkRun, decideAnswerEnd });
+  // Timers of Node.js fire up to a millisecond early.
+  const schedule: IClock['schedule'] = (delay, callback) =>
+    clock.schedule(delay > 1 ? delay - earlyMs : delay, callback);
+  const controllerClock = { now: clock.now, schedule };
+  const controller = new AnswerEndController({ board, clock: controllerClock, checkRun, decideAnswerEnd });
   const deadlines = new DeadlineController({ board, clock });
   const decideRetry = createDecideRetry(() => 1);
   const outcomes = new OutcomeController({ board, clock, decideRetry, takeRetryBudget: () => true });
@@ -105,3 +115,28 @@
     t.deepEqual({ claimed, phase: board.requests.get('r-1')?.phase }, { claimed: 'm-1', phase: 'refused' });
   });
 }
+
+/** What happens, and when, after the end of a stream that may not be resumed. */
+const LATER_EVENTS: Readonly<Record<string, { at: Millis; patch?: Partial<IEndpointEntry> }>> = {
+  nothing: { at: 0 },
+  'a stream begins with a mark': { at: 400, patch: { marksStreamEnds: true } },
+  'more streams begin without a mark': { at: 400, patch: { unmarkedStreams: 3 } },
+};
+
+// Guards against LOST and ORDER: an end that is held back is decided before it is known how the service ends streams.
+test('an end that cannot be confirmed is held back until more is known, or for a second', async (t) => {
+  const outcomes: Record<string, unknown> = {};
+  for (const [name, { at, patch }] of Object.entries(LATER_EVENTS))
+    for (const deadlineAt of [10_000, 700]) {
+      const request = { isResumable: false, isIdempotent: false, deadlineAt };
+      const { board, clock, dispose } = endAttempt(() => Promise.resolve('unknown'), request, false, 0.5);
+      const phases: string[] = [];
+      board.attempts.onChange(({ after }) => phases.push(`${after?.phase} at ${Math.round(clock.now())} ms`));
+      await clock.advance(at);
+      if (patch) board.endpoints.update('m-1', patch);
+      await clock.advance(2000);
+      dispose();
+      outcomes[`${name}, deadline at ${deadlineAt} ms`] = phases.at(-1);
+    }
+  t.snapshot(outcomes);
+});
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -1,12 +1,21 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
-import type { AttemptErrorKind, IAttemptEntry } from '../blackboard/Types.js';
-import { Disposable } from '../Lifecycle.js';
+import type { AttemptErrorKind, IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
+import { Disposable, disposeAll, type IDisposable } from '../Lifecycle.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck } from './AttemptPlan.js';
+import { isCandidate } from './Candidates.js';
 import { hasSpoiltLately } from './DoubtfulEnds.js';
 import { findPlainEndForm } from './PlainEnds.js';
+import { hasEnded } from './Refusals.js';
 import { findStreamEndForm } from './StreamTraits.js';
-import type { AnswerEndDecision, CheckRun, DecideAnswerEnd, EndForm, RunCheckResult } from './Types.js';
+import type {
+  AnswerEndDecision,
+  CheckRun,
+  DecideAnswerEnd,
+  EndForm,
+  IAnswerEndView,
+  RunCheckResult,
+} from './Types.js';
 
 /** Options of the answer end controller. */
 export interface IAnswerEndOptions {
@@ -15,8 +24,18 @@
   decideAnswerEnd: DecideAnswerEnd;
   /** Asks an endpoint, on another connection, whether it is alive and how far the run has come. */
   checkRun: CheckRun;
+  /**
+   * Longest time for which an end is held back until other answers have shown how the service ends them. Default 1 s:
+   * callers give up a stream after a gap of two.
+   */
+  maxHoldMs?: Millis;
 }
 
+const DEFAULT_MAX_HOLD_MS: Millis = 1000;
+
+/** Time before the deadline of a request at which an end is no longer held back. */
+const DEADLINE_MARGIN_MS: Millis = 100;
+
 /** Delay before an endpoint is asked again that could not be reached. One at its limit resets new connections. */
 const RECHECK_DELAY_MS: Millis = 100;
 
@@ -35,13 +54,14 @@
   }
 
   private async _handleDoubted(attempt: IAttemptEntry): Promise<void> {
-    let decision = this._decide(attempt, undefined);
+    let check: RunCheckResult | undefined;
+    let decision = this._decide(attempt, check);
     if (decision === 'check') {
-      const check = await this._checkEndpoint(attempt);
-      if (this._isDisposed) return;
+      check = await this._checkEndpoint(attempt);
       decision = this._decide(attempt, check);
     }
-    this._apply(attempt, decision);
+    if (decision === 'wait') decision = await this._holdEnd(attempt, check);
+    if (!this._isDisposed) this._apply(attempt, decision);
   }
 
   private _decide(attempt: IAttemptEntry, check: RunCheckResult | undefined): AnswerEndDecision {
@@ -55,6 +75,8 @@
       check,
       endForm: this._findEndForm(attempt),
       leftMs: request.deadlineAt - clock.now(),
+      holdLeftMs: this._computeHoldLeft(attempt, request),
+      isRepeatable: isRepeatable(board, request, attempt),
       hasSpoiltLately: (id) => hasSpoiltLately(board.endpoints.get(id), clock.now()),
     });
   }
@@ -65,9 +87,66 @@
     return findPlainEndForm(board, endpoint, board.requests.get(request)?.route);
   }
 
+  /** Holds an end back until there is another decision on it. */
+  private async _holdEnd(
+    attempt: IAttemptEntry,
+    check: RunCheckResult | undefined,
+  ): Promise<AnswerEndDecision> {
+    const { board, clock } = this._options;
+    const startedAt = clock.now();
+    let decision: AnswerEndDecision = 'wait';
+    // A timer may fire a little early, so that the decision is to wait once more.
+    while (decision === 'wait' && !this._isDisposed) {
+      await this._waitForEndForm(attempt);
+      decision = this._decide(attempt, check);
+    }
+    board.attempts.update(attempt.id, { endHeldMs: Math.round(clock.now() - startedAt) });
+    return decision;
+  }
+
+  private _computeHoldLeft({ endedAt = 0 }: IAttemptEntry, { deadlineAt }: IRequestEntry): Millis {
+    const { clock, maxHoldMs = DEFAULT_MAX_HOLD_MS } = this._options;
+    return Math.min(endedAt + maxHoldMs, deadlineAt - DEADLINE_MARGIN_MS) - clock.now();
+  }
+
+  /** Waits until other answers have shown how the service ends them, the request has ended, or the wait is over. */
+  private _waitForEndForm(attempt: IAttemptEntry): Promise<void> {
+    const { board, clock } = this._options;
+    const request = board.requests.get(attempt.request);
+    if (!request) return Promise.resolve();
+    return new Promise((resolve) => {
+      const subscriptions: IDisposable[] = [];
+      const finish = (): void => {
+        disposeAll(subscriptions.splice(0));
+        resolve();
+      };
+      const finishIfKnown = (): void => {
+        if (this._findEndForm(attempt) !== 'unknown') finish();
+      };
+      subscriptions.push(
+        clock.schedule(Math.max(0, this._computeHoldLeft(attempt, request)), finish),
+        board.plainEnds.onChange(finishIfKnown),
+        board.endpoints.onChange(({ before, after }) => {
+          const isNews =
+            after?.marksStreamEnds !== before?.marksStreamEnds ||
+            after?.unmarkedStreams !== before?.unmarkedStreams;
+          if (isNews) finishIfKnown();
+        }),
+        board.requests.onChange(({ key, after }) => {
+          if (key === attempt.request && (!after || hasEnded(after))) finish();
+        }),
+      );
+    });
+  }
+
   private async _checkEndpoint(attempt: IAttemptEntry): Promise<RunCheckResult> {
+    const { board } = this._options;
     const first = await this._sendCheck(attempt);
-    const delayMs = findRecheckDelay(attempt, first, this._findEndForm(attempt));
+    const request = board.requests.get(attempt.request);
+    const delayMs = findRecheckDelay(attempt, first, {
+      endForm: this._findEndForm(attempt),
+      isRepeatable: request !== undefined && isRepeatable(board, request, attempt),
+    });
     const check = delayMs === undefined ? first : await this._checkAgain(attempt, first, delayMs);
     recordRunCheck(this._options, attempt, { result: check, silentMs: 0 });
     return check;
@@ -149,12 +228,23 @@
 function findRecheckDelay(
   { answer, doubt }: IAttemptEntry,
   check: RunCheckResult,
-  endForm: EndForm,
+  { isRepeatable, endForm }: Pick<IAnswerEndView, 'isRepeatable' | 'endForm'>,
 ): Millis | undefined {
   // A refusal does not change the decision on an answer whose end is marked.
   if (check === 'unreachable') return doubt === 'endpoint-spoils' ? undefined : RECHECK_DELAY_MS;
-  // No reply confirms a plain answer where others have marks, and a call that is sent again has little time.
-  if (answer?.kind !== 'plain' || endForm !== 'unmarked') return undefined;
+  // Another reply changes the decision only where the endpoint's word is all there is: no reply confirms a plain answer
+  // where others have marks, and a call that is sent again has little time.
+  const isWordOfEndpoint =
+    answer?.kind === 'plain' ? endForm === 'unmarked' : endForm === 'unknown' && !isRepeatable;
+  if (!isWordOfEndpoint) return undefined;
   if (check === 'running') return REPORT_DELAY_MS;
   return check === 'unanswered' || check === 'silent' ? RECHECK_DELAY_MS : undefined;
 }
+
+/** Tells whether another endpoint may be asked for the rest of a stream. */
+function isRepeatable({ endpoints }: Blackboard, request: IRequestEntry, attempt: IAttemptEntry): boolean {
+  const { answer, endpoint: id } = attempt;
+  if (answer?.kind !== 'model' || answer.lastEventId === undefined || request.isResumable !== true)
+    return false;
+  return [...endpoints.list()].some((endpoint) => endpoint.id !== id && isCandidate(endpoint, request));
+}
--- a/src/common/request/PlainEnds.ts
+++ b/src/common/request/PlainEnds.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { IEndpointEntry, IPlainEndEntry, IRequestEntry } from '../blackboard/Types.js';
-import { classifyTraitCounts, MIN_LACKING_ANSWERS, type TraitState } from './TraitCounts.js';
+import { classifyTraitCounts, MAX_LACKING_ANSWERS, type TraitState } from './TraitCounts.js';
 import type { EndForm, EndMark } from './Types.js';
 
 /** Largest number of routes whose ends are remembered. The oldest gives way. */
@@ -34,7 +34,7 @@
   }
   const { [endpoint.id]: known = 0, ...others } = entry.unmarkedAnswers;
   // Two endpoints are enough to tell, so that the counts stay few where endpoints come and go.
-  if (known >= MIN_LACKING_ANSWERS || Object.keys(others).length > 1) return;
+  if (known >= MAX_LACKING_ANSWERS || Object.keys(others).length > 1) return;
   writeEntry(plainEnds, key, { ...entry, unmarkedAnswers: { ...others, [endpoint.id]: known + 1 } });
 }
 
--- a/src/common/request/StreamTraits.test.ts
+++ b/src/common/request/StreamTraits.test.ts
@@ -20,6 +20,8 @@
   ['---', '-', '+'],
   ['----+'],
   ['+---'],
+  ['-------', ''],
+  ['--------', ''],
 ];
 
 /** Puts the endpoints of a service on a board, and one of another service whose streams have all traits. */
--- a/src/common/request/StreamTraits.ts
+++ b/src/common/request/StreamTraits.ts
@@ -2,7 +2,7 @@
 import type { IEndpointEntry } from '../blackboard/Types.js';
 import {
   classifyTraitCounts,
-  MIN_LACKING_ANSWERS,
+  MAX_LACKING_ANSWERS,
   type ITraitCounts,
   type TraitState,
 } from './TraitCounts.js';
@@ -19,7 +19,7 @@
 ): Partial<IEndpointEntry> | undefined {
   if (marksStreamEnds) return undefined;
   if (endMark !== 'connection') return { marksStreamEnds: true };
-  return unmarkedStreams < MIN_LACKING_ANSWERS ? { unmarkedStreams: unmarkedStreams + 1 } : undefined;
+  return unmarkedStreams < MAX_LACKING_ANSWERS ? { unmarkedStreams: unmarkedStreams + 1 } : undefined;
 }
 
 /**
@@ -34,7 +34,7 @@
 ): Partial<IEndpointEntry> | undefined {
   if (hasSingleSteps || steps === 'unknown') return undefined;
   if (steps === 'single') return { hasSingleSteps: true };
-  return unevenStreams < MIN_LACKING_ANSWERS ? { unevenStreams: unevenStreams + 1 } : undefined;
+  return unevenStreams < MAX_LACKING_ANSWERS ? { unevenStreams: unevenStreams + 1 } : undefined;
 }
 
 /**
--- a/src/common/request/TraitCounts.ts
+++ b/src/common/request/TraitCounts.ts
@@ -2,9 +2,15 @@
  * Number of answers that lack a trait, and of endpoints that sent them, from which on the answers of a service count as
  * lacking it by nature. Faulty endpoints spoil single answers.
  */
-export const MIN_LACKING_ANSWERS = 3;
+const MIN_LACKING_ANSWERS = 3;
 const MIN_LACKING_ENDPOINTS = 2;
 
+/**
+ * Number of answers of a single endpoint that are enough. Affinity may keep all calls of a service at one endpoint, and a
+ * faulty endpoint spoils some of its answers, but not so many in a row. Counts go no further.
+ */
+export const MAX_LACKING_ANSWERS = 8;
+
 /** What the answers of one endpoint have shown of a trait. */
 export interface ITraitCounts {
   /** Whether any answer had the trait. */
@@ -26,6 +32,8 @@
   if (counts.some(({ isSeen }) => isSeen)) return 'present';
   const answers = counts.reduce((sum, { lacking }) => sum + lacking, 0);
   const lackingEndpoints = counts.filter(({ lacking }) => lacking > 0).length;
-  const hasEndpoints = lackingEndpoints >= Math.min(MIN_LACKING_ENDPOINTS, endpointCount);
+  const hasEndpoints =
+    lackingEndpoints >= Math.min(MIN_LACKING_ENDPOINTS, endpointCount) ||
+    counts.some(({ lacking }) => lacking >= MAX_LACKING_ANSWERS);
   return answers >= MIN_LACKING_ANSWERS && hasEndpoints ? 'lacking' : 'unknown';
 }
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -154,18 +154,23 @@
   endForm: EndForm;
   /** Time until the deadline of the request. */
   leftMs: Millis;
+  /** Time for which the end may still be held back until other answers have shown how the service ends them. */
+  holdLeftMs: Millis;
+  /** Whether another endpoint may be asked for the rest of a stream. */
+  isRepeatable: boolean;
   /** Tells whether an endpoint has lately sent an answer that was malformed or broke off. */
   hasSpoiltLately: (endpoint: string) => boolean;
 }
 
 /**
  * Decision on an answer whose end is in doubt: it is complete or broken, its endpoint has to be asked first, or another
- * endpoint has to go on after its last event. With `claim`, that endpoint confirms the end if it finds nothing after it. A
- * plain answer cannot be continued, so it is dropped: as `malformed` if its endpoint marks other ends, or as `unproven`,
- * which is held against no endpoint.
+ * endpoint has to go on after its last event. With `claim`, that endpoint confirms the end if it finds nothing after it.
+ * With `wait`, the decision is made again once the end form is known or the end can no longer be held back. A plain answer
+ * cannot be continued, so it is dropped: as `malformed` if its endpoint marks other ends, or as `unproven`, which is held
+ * against no endpoint.
  */
 export type AnswerEndDecision =
-  'complete' | 'broken' | 'check' | 'claim' | 'continue' | 'malformed' | 'unproven';
+  'complete' | 'broken' | 'check' | 'claim' | 'continue' | 'wait' | 'malformed' | 'unproven';
 
 /** Decides whether an answer is complete whose end is in doubt. */
 export type DecideAnswerEnd = (view: IAnswerEndView) => AnswerEndDecision;
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -178,6 +178,7 @@
           this._options.record('attempt.checked', { ...describeAttempt(after), result, silentMs });
         }
         if (after?.phase === 'doubted' && before?.phase !== 'doubted') this._recordDoubt(after);
+        if (after?.endHeldMs !== undefined && after.endHeldMs !== before?.endHeldMs) this._recordHold(after);
         if (after && after.error !== before?.error && after.error) {
           const { afterEnd, endMark, error } = after;
           const { kind, message, ran } = error;
@@ -228,10 +229,27 @@
     });
   }
 
+  private _recordHold(attempt: IAttemptEntry): void {
+    this._options.record('answer.held', {
+      ...describeAttempt(attempt),
+      heldMs: attempt.endHeldMs,
+      ...this._describeEnds(attempt),
+    });
+  }
+
+  private _describeEnds({ answer, endpoint, request }: IAttemptEntry) {
+    const { board } = this._options;
+    const { route } = board.requests.get(request) ?? {};
+    return {
+      streamEnds: answer?.kind === 'model' ? findStreamEndForm(board, endpoint) : undefined,
+      plainEnds: answer?.kind === 'plain' ? findPlainEndForm(board, endpoint, route) : undefined,
+    };
+  }
+
   private _recordDoubt(attempt: IAttemptEntry): void {
     const { board, record } = this._options;
     const { answer, doubt, endMark, tokens } = attempt;
-    const { claimedEnd, resumeAfter, route } = board.requests.get(attempt.request) ?? {};
+    const { claimedEnd, resumeAfter } = board.requests.get(attempt.request) ?? {};
     record('answer.doubted', {
       ...describeAttempt(attempt),
       path: findPath(board, attempt),
@@ -241,8 +259,7 @@
       tokens,
       resumeAfter,
       lastEvent: answer?.kind === 'model' ? answer.lastEventId : undefined,
-      streamEnds: answer?.kind === 'model' ? findStreamEndForm(board, attempt.endpoint) : undefined,
-      plainEnds: answer?.kind === 'plain' ? findPlainEndForm(board, attempt.endpoint, route) : undefined,
+      ...this._describeEnds(attempt),
       claimedBy: claimedEnd?.endpoint,
     });
   }
--- a/src/standins/platform/StreamRig.ts
+++ b/src/standins/platform/StreamRig.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { ServerResponse } from 'node:http';
 import { sendStream } from './BrokenAnswer.js';
+import type { ICallResult } from './CallSender.js';
 import { RouterRig } from './RouterRig.js';
 import type { IRunnerCall, IRunnerStandIn } from './ScriptedRunner.js';
 
@@ -43,7 +44,11 @@
   name: string,
   headers: Record<string, string> = {},
 ): Promise<string> {
-  const { body, isComplete, status } = await rig.send(`/stream/${name}`, { model: '*', ...headers });
+  return formatStreamOutcome(await rig.send(`/stream/${name}`, { model: '*', ...headers }));
+}
+
+/** Describes whether the response to a stream was complete, and the ids of its events. */
+export function formatStreamOutcome({ body, isComplete, status }: ICallResult): string {
   const pieces = body.split('\n\n').filter((text) => text !== '' && !text.startsWith(':'));
   const ids = pieces.map((text) => /^id: (\d+)\ndata: piece \1$/.exec(text)?.[1] ?? `"${text}"`);
   return status === 200 ? `${isComplete ? 'complete' : 'broken'} ${ids.join()}` : `status ${status}`;
