Keep answers that deny the run of a call from callers of calls that run once

Cause: the host tells refusals from answers by Not-Executed, and passes an endpoint's answer on unchanged. What its status says to the caller was not looked at. Class: a message is passed on unchanged to a reader for whom it means something else.

Now an answer with 408, 421, 429 or 503 that does not say that the call has not run is a failure that denies the run. The caller of a call that is not idempotent gets the host's own 502 in its place, without the endpoint's stamp and without Retry-After; other calls are sent again, also after 408 and 429, and get the answer as it is if no attempt is left.

--- a/src/adapters/PlainClient.ts
+++ b/src/adapters/PlainClient.ts
@@ -7,6 +7,7 @@
 import { mapCallError } from './EngineClient.js';
 import { DEFAULT_AGENT } from './HttpAgent.js';
 import { isCutByConnection, ResponseConnection } from './ResponseConnection.js';
+import { isNotRunStatus } from './ResponseStatus.js';
 import { findEndMark, hasBody, hasSoundFraming } from './ResponseFraming.js';
 import { readLimitedBytes } from './LimitedBody.js';
 import { BodyBudgetError, BodyLimitError } from './ResponseErrors.js';
@@ -65,13 +66,11 @@
       return Result.err({ kind: 'crashed', ran: 'yes', message });
     }
     onPart({ kind: 'end', mark });
-    const contentType = headers['content-type'];
-    return Result.ok({
-      kind: 'plain',
-      status,
-      contentType: typeof contentType === 'string' ? contentType : undefined,
-      body,
-    });
+    const contentType = typeof headers['content-type'] === 'string' ? headers['content-type'] : undefined;
+    const answer: IAnswer = { kind: 'plain', status, contentType, body };
+    if (!isNotRunStatus(status)) return Result.ok(answer);
+    const message = `The endpoint answered ${status}.`;
+    return Result.err({ kind: 'failed', ran: 'yes', message, answer: { ...answer, deniesRun: true } });
   } catch (error) {
     if (error instanceof BodyLimitError)
       return Result.err({ kind: 'malformed', ran: 'yes', message: error.message });
--- a/src/adapters/ResponseStatus.ts
+++ b/src/adapters/ResponseStatus.ts
@@ -5,6 +5,18 @@
 const MIN_STATUS = 100;
 const SWITCHING_PROTOCOLS = 101;
 
+/** Request timeout, misdirected request, too many requests, service unavailable. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * Tells whether callers conclude from a status that their call has not run, so that they may send it again.
+ * @example
+ * isNotRunStatus(503); // true; 502 and 504 say nothing
+ */
+export function isNotRunStatus(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
 /**
  * Wraps the handler of a request so that it fails at a status that no response to it can have. undici passes such a
  * status on and fails an assertion afterwards, which may cost far more than an error of its own. No request asks for
--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -232,6 +232,8 @@
       body: Uint8Array;
       /** Status and headers of the response, as the adapter represents them. */
       head?: unknown;
+      /** Whether its status tells the caller that the call has not run, which the endpoint has not said. Default false. */
+      deniesRun?: boolean;
     }
   | { kind: 'stored'; status: number; contentType: string; body: string };
 
@@ -291,7 +293,10 @@
   eventSteps?: EventSteps;
   /** Id of the event that followed it, empty if it had none, if that shows that others between them may be missing. */
   nextEventId?: string;
-  /** Error response of the endpoint. It is delivered to the caller if no other attempt follows. */
+  /**
+   * Error response of the endpoint. It is delivered to the caller if no other attempt follows, unless it denies that a call
+   * has run that is not idempotent.
+   */
   answer?: IAnswer;
 }
 
@@ -334,6 +339,8 @@
   afterEnd?: AfterEnd;
   /** Why it is in doubt whether the answer is complete. Absent if it is not. */
   doubt?: DoubtReason;
+  /** Whether the error response of the endpoint was kept from the caller because it denies that the call has run. */
+  isAnswerWithheld?: boolean;
   /** How long the end was held back because nothing showed that it is complete. Absent if it was not. */
   endHeldMs?: Millis;
   answer: IAnswer | undefined;
--- a/src/common/request/OutcomeController.ts
+++ b/src/common/request/OutcomeController.ts
@@ -85,8 +85,11 @@
     if (decision.kind === 'refuse') {
       // After the first events of a stream, the text of an error would look like a part of it.
       const hasDelivered = request.hasPartialDelivery === true || hasNewEvents;
-      const answer = hasDelivered ? undefined : attempt.error.answer;
-      if (answer)
+      const { answer } = attempt.error;
+      // Its caller would send the call again, which may have run.
+      const isWithheld = answer?.kind === 'plain' && answer.deniesRun === true && !request.isIdempotent;
+      if (isWithheld) board.attempts.update(attempt.id, { isAnswerWithheld: true });
+      if (answer && !hasDelivered && !isWithheld)
         board.requests.update(request.id, { phase: 'answered', winningAttempt: attempt.id, answer });
       else refuseRequest(board, request.id, decision.refusal);
       return;
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -178,6 +178,7 @@
           this._options.record('attempt.checked', { ...describeAttempt(after), result, silentMs });
         }
         if (after?.phase === 'doubted' && before?.phase !== 'doubted') this._recordDoubt(after);
+        if (after?.isAnswerWithheld && !before?.isAnswerWithheld) this._recordWithheldAnswer(after);
         if (after?.endHeldMs !== undefined && after.endHeldMs !== before?.endHeldMs) this._recordHold(after);
         if (after && after.error !== before?.error && after.error) {
           const { afterEnd, endMark, error } = after;
@@ -229,6 +230,14 @@
     });
   }
 
+  private _recordWithheldAnswer(attempt: IAttemptEntry): void {
+    const answer = attempt.error?.answer;
+    this._options.record('answer.withheld', {
+      ...describeAttempt(attempt),
+      status: answer?.kind === 'plain' ? answer.status : undefined,
+    });
+  }
+
   private _recordHold(attempt: IAttemptEntry): void {
     this._options.record('answer.held', {
       ...describeAttempt(attempt),
