Hold a plain answer back that is not sent again until others show its form

Cause: the end was decided on what the host knew when it came, although the next answers show within moments how the service ends them. Class: as with single streams, evidence that comes too late is not waited for.

Now the answer to a call that is not sent again, because it may run once or has no attempt left, is held back for up to a second while the form of its route is unknown. The next heads decide: where they have no mark it is complete, where one has a mark it is malformed. If nothing is known by then it is dropped as before, since nothing of it has been delivered and its caller can still be told that the call has run.

Evidence: UnmarkedAnswers, the first answers after a start (six POSTs, 60 ms apart), failed before and gets all six now. That the first part is not believed where the next answers have a mark, and that a part alone is not believed, held before and after.

--- a/src/common/policy/AnswerEnds.test.ts
+++ b/src/common/policy/AnswerEnds.test.ts
@@ -2,6 +2,7 @@
 import { createTestRequest } from '../../testing/EntryFixtures.js';
 import type { IAnswer, IAttemptEntry } from '../blackboard/Types.js';
 import type { RunCheckResult, EndForm } from '../request/Types.js';
+import type { Millis } from '../Types.js';
 import { decideAnswerEnd } from './AnswerEnds.js';
 
 const CHECKS: readonly (RunCheckResult | undefined)[] = [
@@ -80,15 +81,22 @@
     request: createTestRequest('r-1', {}),
     attempt: attempt as unknown as IAttemptEntry,
     leftMs: 5000,
-    holdLeftMs: 1000,
-    isRepeatable: false,
     hasSpoiltLately: () => false,
   };
-  const byCheck = CHECKS.map((check) => {
-    const byForm = END_FORMS.map((endForm) => decideAnswerEnd({ ...view, check, endForm }));
-    return [check ?? 'not asked', byForm.join(', ')];
-  });
-  t.snapshot(Object.fromEntries(byCheck), `decisions where ends are ${END_FORMS.join(', ')}`);
+  const decideAll = (holdLeftMs: Millis, isRepeatable: boolean): Record<string, string> => {
+    const byCheck = CHECKS.map((check) => {
+      const byForm = END_FORMS.map((endForm) =>
+        decideAnswerEnd({ ...view, check, endForm, holdLeftMs, isRepeatable }),
+      );
+      return [check ?? 'not asked', byForm.join(', ')];
+    });
+    return Object.fromEntries(byCheck) as Record<string, string>;
+  };
+  t.snapshot(decideAll(1000, true), `decisions where ends are ${END_FORMS.join(', ')}`);
+  t.snapshot(
+    { 'hold left': decideAll(1000, false), 'held back': decideAll(0, false) },
+    'the same for a call that is not sent again',
+  );
 });
 
 // Guards against LOST where a service marks no ends, and against ORDER where it does: a stream that may not be continued.
--- a/src/common/policy/AnswerEnds.ts
+++ b/src/common/policy/AnswerEnds.ts
@@ -64,12 +64,14 @@
 /**
  * Decides on a plain answer that only its connection ended, at an endpoint that was not found dead. Anything on the way
  * can end a connection in order, so that where answers carry marks, one without is taken for a part. Elsewhere the endpoint
- * has to reply that the run is over.
+ * has to reply that the run is over. The answer to a call that is not sent again waits for what other answers show. If
+ * they show nothing it is dropped, as nothing of it has been delivered and an error can still tell that the call has run.
  */
-function decidePlainEnd({ check, endForm }: IAnswerEndView): AnswerEndDecision {
+function decidePlainEnd({ check, endForm, holdLeftMs, isRepeatable }: IAnswerEndView): AnswerEndDecision {
   if (endForm === 'marked') return 'malformed';
-  const isOver = hasReplied(check) && check !== 'running';
-  return endForm === 'unmarked' && isOver ? 'complete' : 'unproven';
+  if (!hasReplied(check) || check === 'running') return 'unproven';
+  if (endForm === 'unmarked') return 'complete';
+  return !isRepeatable && holdLeftMs > 0 ? 'wait' : 'unproven';
 }
 
 /**
--- a/src/common/policy/Retries.ts
+++ b/src/common/policy/Retries.ts
@@ -1,4 +1,4 @@
-import type { IRefusal } from '../blackboard/Types.js';
+import type { IRefusal, IRequestEntry } from '../blackboard/Types.js';
 import type { DecideRetry, IRetryView } from '../request/Types.js';
 import type { RandomSource } from '../Types.js';
 
@@ -21,12 +21,24 @@
   };
 }
 
+/**
+ * Tells whether the limit on the attempts of a request allows one more.
+ * @example
+ * hasAttemptLeft({ attemptCount: 1, maxAttempts: 2 }); // true
+ */
+export function hasAttemptLeft({
+  attemptCount,
+  maxAttempts = MAX_ATTEMPTS,
+}: Pick<IRequestEntry, 'attemptCount' | 'maxAttempts'>): boolean {
+  return attemptCount < maxAttempts;
+}
+
 function isRetryable(view: IRetryView): boolean {
   const { request, error, hasBudget } = view;
   if (error.kind === 'cancelled' || error.kind === 'rejected') return false;
   // No endpoint has seen the attempt, so that it counts against no limit. One that was sent would be repeated.
   if (error.kind === 'evacuated') return request.isIdempotent || request.ran === 'no';
-  if (request.attemptCount >= (request.maxAttempts ?? MAX_ATTEMPTS) || !hasBudget) return false;
+  if (!hasAttemptLeft(request) || !hasBudget) return false;
   const hasOutput = request.winningAttempt !== undefined && request.target.kind === 'model';
   // Without the id of the last event the next endpoint would send the stream from its beginning.
   const hasPosition = (error.lastEventId ?? request.resumeAfter) !== undefined;
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -1,6 +1,7 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import type { AttemptErrorKind, IAttemptEntry, IRequestEntry } from '../blackboard/Types.js';
 import { Disposable, disposeAll, type IDisposable } from '../Lifecycle.js';
+import { hasAttemptLeft } from '../policy/Retries.js';
 import type { IClock, Millis } from '../Types.js';
 import { recordRunCheck } from './AttemptPlan.js';
 import { isCandidate } from './Candidates.js';
@@ -234,17 +235,17 @@
   if (check === 'unreachable') return doubt === 'endpoint-spoils' ? undefined : RECHECK_DELAY_MS;
   // Another reply changes the decision only where the endpoint's word is all there is: no reply confirms a plain answer
   // where others have marks, and a call that is sent again has little time.
-  const isWordOfEndpoint =
-    answer?.kind === 'plain' ? endForm === 'unmarked' : endForm === 'unknown' && !isRepeatable;
+  const isKnownForm = answer?.kind === 'plain' && endForm === 'unmarked';
+  const isWordOfEndpoint = isKnownForm || (endForm === 'unknown' && !isRepeatable);
   if (!isWordOfEndpoint) return undefined;
   if (check === 'running') return REPORT_DELAY_MS;
   return check === 'unanswered' || check === 'silent' ? RECHECK_DELAY_MS : undefined;
 }
 
-/** Tells whether another endpoint may be asked for the rest of a stream. */
+/** Tells whether another endpoint may be asked for the rest of a stream, or be sent a plain call again. */
 function isRepeatable({ endpoints }: Blackboard, request: IRequestEntry, attempt: IAttemptEntry): boolean {
   const { answer, endpoint: id } = attempt;
-  if (answer?.kind !== 'model' || answer.lastEventId === undefined || request.isResumable !== true)
-    return false;
+  if (answer?.kind !== 'model') return request.isIdempotent && hasAttemptLeft(request);
+  if (answer.lastEventId === undefined || request.isResumable !== true) return false;
   return [...endpoints.list()].some((endpoint) => endpoint.id !== id && isCandidate(endpoint, request));
 }
--- a/src/common/request/Types.ts
+++ b/src/common/request/Types.ts
@@ -156,7 +156,7 @@
   leftMs: Millis;
   /** Time for which the end may still be held back until other answers have shown how the service ends them. */
   holdLeftMs: Millis;
-  /** Whether another endpoint may be asked for the rest of a stream. */
+  /** Whether another endpoint may be asked for the rest of a stream, or be sent a plain call again. */
   isRepeatable: boolean;
   /** Tells whether an endpoint has lately sent an answer that was malformed or broke off. */
   hasSpoiltLately: (endpoint: string) => boolean;
--- a/src/daemons/UnmarkedAnswers.test.ts
+++ b/src/daemons/UnmarkedAnswers.test.ts
@@ -112,6 +112,50 @@
   t.is(status, 502);
 });
 
+/** Time between two calls of a service in ordinary use. */
+const CALL_INTERVAL_MS = 60;
+
+/** Sends calls that may run once to a host that has just started. Describes what their callers get. */
+async function sendFirstCalls(answerCall: (index: number) => AnswerRunnerCall): Promise<string[]> {
+  const rig = await RouterRig.startReady();
+  let calls = 0;
+  for (const runner of rig.runners) {
+    runner.answer = async (call, response) => {
+      calls += 1;
+      await answerCall(calls - 1)(call, response);
+    };
+  }
+  const results: ReturnType<RouterRig['send']>[] = [];
+  for (let index = 0; index < 6; index += 1) {
+    results.push(rig.send(`/post/${index}`));
+    await new Promise((resolve) => setTimeout(resolve, CALL_INTERVAL_MS));
+  }
+  const answers = (await Promise.all(results)).map(({ body, status }) => `${status} ${body.length}`);
+  await rig.close();
+  return answers;
+}
+
+// Guards against whole answers that are lost after each start of a host, though the next ones show how they end.
+test('the first answers after a start wait for the next ones to show that none has a mark', async (t) => {
+  const answers = await sendFirstCalls(() => (call, response) => {
+    sendUnmarkedAnswer(call, response, TEXT);
+  });
+  t.deepEqual(
+    answers,
+    answers.map(() => `200 ${TEXT.length}`),
+  );
+});
+
+// Guards against MIXED: the same wait ends in a part that is believed.
+test('the first answer after a start is not believed if the next ones show that it lacks its mark', async (t) => {
+  const [first, ...others] = await sendFirstCalls((index) => (index === 0 ? sendPart : sendWhole));
+  t.regex(first ?? '', /^502 /);
+  t.deepEqual(
+    others,
+    others.map(() => `200 ${TEXT.length}`),
+  );
+});
+
 /** What an endpoint does after it has ended an answer in order. With the last, the answer is whole. */
 const ENDINGS: Readonly<Record<string, (runner: IRunnerStandIn, call: IRunnerCall) => void>> = {
   'does not reply': (runner) => {
