Announce the answers whose ends nothing marks, for hosts that start

Cause: what a host knows of the ends of a service was kept in its process. Class: knowledge that each process has to gather anew, at a price.

Now a host that has seen that the streams of a service, or the plain answers of a route, have no mark says so in its record in the store, unless another host does. The record outlives the process, and the host withdraws what it says when it sees a mark. An announcement counts only while a host has seen nothing itself, and only for answers that no other endpoint can confirm. On a site where ends are marked nothing is written for it.

--- a/src/common/blackboard/Types.ts
+++ b/src/common/blackboard/Types.ts
@@ -15,6 +15,7 @@
   IRolloutEntry,
   IRolloutEvidence,
   ISessionHoldsEntry,
+  IUnmarkedEnds,
 } from '../fleet/Types.js';
 export type { IRoutingTable } from '../routes/Types.js';
 
--- a/src/common/fleet/HostPresenceController.ts
+++ b/src/common/fleet/HostPresenceController.ts
@@ -1,6 +1,8 @@
 import type { Blackboard } from '../blackboard/Blackboard.js';
 import { Disposable, type IDisposable } from '../Lifecycle.js';
-import type { IClock, Millis } from '../Types.js';
+import { formatEnds, listUnmarkedEnds } from '../request/AnnouncedEnds.js';
+import { hasNewStreamEnds } from '../request/StreamTraits.js';
+import type { IClock, Millis, RandomSource } from '../Types.js';
 import type { IFactStore } from './Types.js';
 
 /** Options of the host presence controller. */
@@ -14,6 +16,8 @@
   store: Pick<IFactStore, 'writeHostPresence'>;
   /** Returns the time of day in Unix milliseconds. */
   readWallClock: () => number;
+  /** Spreads the announcements of hosts that learn the same at the same time. Default: they are not spread. */
+  random?: RandomSource;
 }
 
 /** Interval at which a host announces itself again. It is long, because each write ends the watch of every host. */
@@ -24,8 +28,11 @@
 
 const RETRY_DELAY_MS: Millis = 1000;
 
+/** Time in which hosts announce what they have learned of ends, each after a random part of it. */
+const ENDS_SPREAD_MS: Millis = 2000;
+
 /**
- * Announces this host in the store and keeps the `presentHosts` panel equal to the announcements of all hosts. A host
+ * Announces this host in the store, with the answers whose ends nothing marks, and keeps the `presentHosts` panel equal to the announcements of all hosts. A host
  * that starts again under its id finds its announcement and writes none.
  */
 export class HostPresenceController extends Disposable {
@@ -52,6 +59,16 @@
         if (after?.state === 'connected' && before?.state !== 'connected') this._scheduleAnnouncement(0);
       }),
     );
+    this._register(
+      board.endpoints.onChange(({ before, after }) => {
+        if (hasNewStreamEnds(before, after)) this._scheduleEndsAnnouncement();
+      }),
+    );
+    this._register(
+      board.plainEnds.onChange(() => {
+        this._scheduleEndsAnnouncement();
+      }),
+    );
   }
 
   public override dispose(): void {
@@ -59,6 +76,20 @@
     this._timer?.dispose();
   }
 
+  private _scheduleEndsAnnouncement(): void {
+    if (this._hasAnnouncedEnds()) return;
+    const { random = () => 0 } = this._options;
+    this._scheduleAnnouncement(ENDS_SPREAD_MS * random());
+  }
+
+  /** Tells whether the announcement of this host says of ends what it has to say now. */
+  private _hasAnnouncedEnds(): boolean {
+    const { board, host } = this._options;
+    const announced = board.presentHosts.get(host)?.unmarkedEnds ?? [];
+    const current = listUnmarkedEnds(board, host);
+    return announced.map(formatEnds).join() === current.map(formatEnds).join();
+  }
+
   private _scheduleAnnouncement(delayMs: Millis): void {
     this._timer?.dispose();
     if (this._isDisposed) return;
@@ -72,11 +103,14 @@
     const announcedAt = readWallClock();
     const announced = board.presentHosts.get(host);
     const ageMs = announcedAt - (announced?.announcedAt ?? -Infinity);
-    if (ageMs < ANNOUNCEMENT_INTERVAL_MS && announced?.address === location?.address) {
+    const isCurrent = announced?.address === location?.address && this._hasAnnouncedEnds();
+    if (ageMs < ANNOUNCEMENT_INTERVAL_MS && isCurrent) {
       this._scheduleAnnouncement(ANNOUNCEMENT_INTERVAL_MS - ageMs);
       return;
     }
-    const written = await store.writeHostPresence({ host, announcedAt, ...location });
+    const unmarkedEnds = listUnmarkedEnds(board, host);
+    const ends = unmarkedEnds.length > 0 ? { unmarkedEnds } : {};
+    const written = await store.writeHostPresence({ host, announcedAt, ...location, ...ends });
     this._scheduleAnnouncement(written.isOk ? ANNOUNCEMENT_INTERVAL_MS : RETRY_DELAY_MS);
   }
 }
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -209,6 +209,17 @@
   /** `ip:port` where other hosts can ask it for news of the store. Absent if they cannot. */
   address?: string | undefined;
   zone?: string | undefined;
+  /** Answers whose ends nothing marks, as this host has seen. Absent if it has seen none. */
+  unmarkedEnds?: readonly IUnmarkedEnds[] | undefined;
+}
+
+/** Answers of one kind that end with their connection: the streams of a service, or plain answers of a route. */
+export interface IUnmarkedEnds {
+  kind: 'stream' | 'plain';
+  service: string;
+  /** Release and route of plain answers. Absent for streams. */
+  release?: string | undefined;
+  route?: string | undefined;
 }
 
 /** Rate of requests that an endpoint takes from all hosts together, as one host heard it. */
--- a/src/common/request/AnswerEndController.ts
+++ b/src/common/request/AnswerEndController.ts
@@ -3,12 +3,13 @@
 import { Disposable, disposeAll, type IDisposable } from '../Lifecycle.js';
 import { hasAttemptLeft } from '../policy/Retries.js';
 import type { IClock, Millis } from '../Types.js';
+import { isAnnouncedUnmarked } from './AnnouncedEnds.js';
 import { recordRunCheck } from './AttemptPlan.js';
 import { isCandidate } from './Candidates.js';
 import { hasSpoiltLately } from './DoubtfulEnds.js';
 import { findPlainEndForm } from './PlainEnds.js';
 import { hasEnded } from './Refusals.js';
-import { findStreamEndForm } from './StreamTraits.js';
+import { findStreamEndForm, hasNewStreamEnds } from './StreamTraits.js';
 import type {
   AnswerEndDecision,
   CheckRun,
@@ -82,10 +83,20 @@
     });
   }
 
-  private _findEndForm({ answer, endpoint, request }: IAttemptEntry): EndForm {
+  /**
+   * Finds how the service ends such answers. What other hosts have announced counts only where no other endpoint can
+   * confirm the end.
+   */
+  private _findEndForm(attempt: IAttemptEntry): EndForm {
     const { board } = this._options;
-    if (answer?.kind === 'model') return findStreamEndForm(board, endpoint);
-    return findPlainEndForm(board, endpoint, board.requests.get(request)?.route);
+    const { answer, endpoint } = attempt;
+    const request = board.requests.get(attempt.request);
+    const seen =
+      answer?.kind === 'model'
+        ? findStreamEndForm(board, endpoint)
+        : findPlainEndForm(board, endpoint, request?.route);
+    if (seen !== 'unknown' || !request || isRepeatable(board, request, attempt)) return seen;
+    return isAnnouncedUnmarked(board, attempt) ? 'unmarked' : 'unknown';
   }
 
   /** Holds an end back until there is another decision on it. */
@@ -127,11 +138,9 @@
       subscriptions.push(
         clock.schedule(Math.max(0, this._computeHoldLeft(attempt, request)), finish),
         board.plainEnds.onChange(finishIfKnown),
+        board.presentHosts.onChange(finishIfKnown),
         board.endpoints.onChange(({ before, after }) => {
-          const isNews =
-            after?.marksStreamEnds !== before?.marksStreamEnds ||
-            after?.unmarkedStreams !== before?.unmarkedStreams;
-          if (isNews) finishIfKnown();
+          if (hasNewStreamEnds(before, after)) finishIfKnown();
         }),
         board.requests.onChange(({ key, after }) => {
           if (key === attempt.request && (!after || hasEnded(after))) finish();
--- a/src/common/request/StreamTraits.ts
+++ b/src/common/request/StreamTraits.ts
@@ -22,6 +22,20 @@
   return unmarkedStreams < MAX_LACKING_ANSWERS ? { unmarkedStreams: unmarkedStreams + 1 } : undefined;
 }
 
+/**
+ * Tells whether a change of an endpoint's entry may change what is known of how its service ends streams.
+ * @example
+ * board.endpoints.onChange(({ before, after }) => hasNewStreamEnds(before, after));
+ */
+export function hasNewStreamEnds(
+  before: Readonly<IEndpointEntry> | undefined,
+  after: Readonly<IEndpointEntry> | undefined,
+): boolean {
+  return (
+    after?.marksStreamEnds !== before?.marksStreamEnds || after?.unmarkedStreams !== before?.unmarkedStreams
+  );
+}
+
 /**
  * Finds what a stream tells of how the ids of events rise at its endpoint; `undefined` if nothing new. `free` stands for
  * ids that have left out numbers.
--- a/src/common/timeline/DecisionRecorder.ts
+++ b/src/common/timeline/DecisionRecorder.ts
@@ -2,6 +2,7 @@
 import type { IAttemptEntry } from '../blackboard/Types.js';
 import type { FactSizes, IFactEntry, IRolloutDecision, ISymptomCounts } from '../fleet/Types.js';
 import { Disposable } from '../Lifecycle.js';
+import { isAnnouncedUnmarked } from '../request/AnnouncedEnds.js';
 import { findPlainEndForm } from '../request/PlainEnds.js';
 import { findStreamEndForm } from '../request/StreamTraits.js';
 import type { IClock, Millis } from '../Types.js';
@@ -246,12 +247,14 @@
     });
   }
 
-  private _describeEnds({ answer, endpoint, request }: IAttemptEntry) {
+  private _describeEnds(attempt: IAttemptEntry) {
     const { board } = this._options;
+    const { answer, endpoint, request } = attempt;
     const { route } = board.requests.get(request) ?? {};
     return {
       streamEnds: answer?.kind === 'model' ? findStreamEndForm(board, endpoint) : undefined,
       plainEnds: answer?.kind === 'plain' ? findPlainEndForm(board, endpoint, route) : undefined,
+      isAnnouncedUnmarked: isAnnouncedUnmarked(board, attempt) || undefined,
     };
   }
 
--- a/src/daemons/RouterHost.ts
+++ b/src/daemons/RouterHost.ts
@@ -465,6 +465,7 @@
         host: id,
         store,
         readWallClock: Date.now,
+        random: Math.random,
         ...(address === undefined ? {} : { location: { address, zone: this._options.zone } }),
       }),
     );
