Check for new ends to announce once for many changes

Now a check is due at most once within two seconds, on a timer of its own, so that an announcement that is being written does not put it off.

Evidence: HostPresenceController, with writes that take 20 ms and ends that are seen meanwhile.

--- a/src/common/fleet/HostPresenceController.test.ts
+++ b/src/common/fleet/HostPresenceController.test.ts
@@ -9,6 +9,8 @@
 import type { IHostPresence, IUnmarkedEnds } from './Types.js';
 
 const HOST = 'host-1';
+/** Time that a write to the store takes. */
+const WRITE_MS = 20;
 const STREAMS: IUnmarkedEnds = { kind: 'stream', service: 'drafts' };
 
 /** Announcements in the store before the host starts, and the marks of the answers that it then sees. */
@@ -24,6 +26,10 @@
   'streams without a mark': { streams: [false, false, false] },
   'plain answers without a mark': { plainEnds: ['connection', 'connection', 'connection'] },
   'plain answers with a mark': { plainEnds: ['connection', 'connection', 'length'] },
+  'streams and plain answers without a mark': {
+    streams: [false, false, false],
+    plainEnds: ['connection', 'connection', 'connection'],
+  },
   'streams of which another host has announced it': {
     announced: { 'host-2': [STREAMS] },
     streams: [false, false, false],
@@ -45,10 +51,11 @@
     board.facts.set(key, { key, revision: 1, fact: { kind: 'host-presence', presence }, encoded: '' });
   };
   const store = {
-    writeHostPresence: (presence: IHostPresence) => {
+    writeHostPresence: async (presence: IHostPresence) => {
       written.push(JSON.stringify(presence.unmarkedEnds ?? 'none'));
+      await new Promise<void>((resolve) => void clock.schedule(WRITE_MS, resolve));
       setFact(presence);
-      return Promise.resolve(Result.ok<number>(1));
+      return Result.ok<number>(1);
     },
   };
   const controller = new HostPresenceController({
@@ -68,6 +75,8 @@
     const unmarkedStreams = (board.endpoints.get(id)?.unmarkedStreams ?? 0) + 1;
     board.endpoints.update(id, isMarked ? { marksStreamEnds: true } : { unmarkedStreams });
   }
+  // Some of it is seen while an earlier announcement is being written.
+  await clock.advance(0);
   for (const [index, endMark] of plainEnds.entries()) {
     const endpoint = board.endpoints.get(index % 2 === 0 ? 'm-1' : 'm-2');
     if (endpoint) recordPlainEnd(board, { endpoint, route: 'post', endMark });
--- a/src/common/fleet/HostPresenceController.ts
+++ b/src/common/fleet/HostPresenceController.ts
@@ -32,11 +32,12 @@
 const ENDS_SPREAD_MS: Millis = 2000;
 
 /**
- * Announces this host in the store, with the answers whose ends nothing marks, and keeps the `presentHosts` panel equal to the announcements of all hosts. A host
- * that starts again under its id finds its announcement and writes none.
+ * Announces this host in the store, with the answers whose ends nothing marks, and keeps the `presentHosts` panel equal to
+ * the announcements of all hosts. A host that starts again under its id finds its announcement and writes none.
  */
 export class HostPresenceController extends Disposable {
   private _timer: IDisposable | undefined;
+  private _endsTimer: IDisposable | undefined;
 
   constructor(private readonly _options: IHostPresenceOptions) {
     super();
@@ -61,12 +62,12 @@
     );
     this._register(
       board.endpoints.onChange(({ before, after }) => {
-        if (hasNewStreamEnds(before, after)) this._scheduleEndsAnnouncement();
+        if (hasNewStreamEnds(before, after)) this._scheduleEndsCheck();
       }),
     );
     this._register(
       board.plainEnds.onChange(() => {
-        this._scheduleEndsAnnouncement();
+        this._scheduleEndsCheck();
       }),
     );
   }
@@ -74,12 +75,16 @@
   public override dispose(): void {
     super.dispose();
     this._timer?.dispose();
+    this._endsTimer?.dispose();
   }
 
-  private _scheduleEndsAnnouncement(): void {
-    if (this._hasAnnouncedEnds()) return;
-    const { random = () => 0 } = this._options;
-    this._scheduleAnnouncement(ENDS_SPREAD_MS * random());
+  /** Checks in a moment whether there is something new to say of ends, once for all changes until then. */
+  private _scheduleEndsCheck(): void {
+    const { clock, random = () => 0 } = this._options;
+    this._endsTimer ??= clock.schedule(ENDS_SPREAD_MS * random(), () => {
+      this._endsTimer = undefined;
+      if (!this._hasAnnouncedEnds()) void this._updateAnnouncement();
+    });
   }
 
   /** Tells whether the announcement of this host says of ends what it has to say now. */
