Test single streams behind a relay

Guards against whole streams that lose their end where the host reaches the endpoints by way of another one.

--- a/src/daemons/SingleStreams.test.ts
+++ b/src/daemons/SingleStreams.test.ts
@@ -45,6 +45,20 @@
     );
   });
 
+// Guards against LOST where the endpoints are reached by way of another host, and the end comes from there.
+test('a stream that may run once is whole after a start behind a relay', async (t) => {
+  const rig = await RouterRig.startReady({ hasPeers: true });
+  const relay = await rig.startPeer('host-2');
+  rig.link.stop('refused', 'reset');
+  await rig.waitUntil(async () => (await rig.send('/look/1')).status === 200);
+  for (const runner of rig.runners) runner.answer = sendUnmarked;
+  const outcome = await requestOnce(rig, 'relayed');
+  const paths = rig.events.filter(({ kind }) => kind === 'answer.doubted').map(({ fields }) => fields.path);
+  await relay.close();
+  await rig.close();
+  t.deepEqual({ outcome, paths }, { outcome: 'complete 1,2,3,4,5,6, 1 runs', paths: ['relayed'] });
+});
+
 // Guards against ends that are held back for good: all streams of a service stay at one of its endpoints.
 test('an endpoint that gets all streams of its service shows after some that it marks no ends', async (t) => {
   const rig = await startRig(() => sendUnmarked, 1);
