--- a/src/common/request/AnnouncedEnds.ts
+++ b/src/common/request/AnnouncedEnds.ts
@@ -44,7 +44,11 @@
   return hasUnmarkedEnds(board, { kind: 'plain', service, release, route });
 }
 
-/** Formats what an announcement says, to compare it. */
+/**
+ * Formats what an announcement says of answers of one kind, to compare it.
+ * @example
+ * formatEnds({ kind: 'stream', service: 'drafts' }); // '["stream","drafts","",""]'
+ */
 export function formatEnds({ kind, release = '', route = '', service }: IUnmarkedEnds): string {
   return JSON.stringify([kind, service, release, route]);
 }
